--- /dev/null
+++ b/agent/agent_shell.cpp
@@ -0,0 +1,291 @@
+#include "agent/agent_shell.h"
+
+#include "agent/agent_state.h"
+#include "agent/announcement.h"
+#include "core/hash.h"
+#include "core/metrics.h"
+#include "core/role_actor.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "wire/link.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+
+namespace sassafras {
+
+namespace {
+
+constexpr Millis TickPeriod{25};
+constexpr Millis ExitDelay{200};
+/// An endpoint may be silent for this long within an answer.
+constexpr std::chrono::minutes AnswerSilence{5};
+constexpr std::chrono::minutes OrderLimit{10};
+/// A silent endpoint's port is tried this often.
+constexpr Millis ProbePeriod{1000};
+constexpr Millis ProbeSilence{2000};
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+struct AgentShell::Impl : std::enable_shared_from_this<AgentShell::Impl> {
+  Impl(boost::asio::io_context &Io, caf::actor_system &System,
+       const Settings &Options, Metrics &Counts)
+      : Io(Io), System(System), Options(Options), Counts(Counts),
+        ProbeTimer(Io) {}
+
+  bool startHttp(std::string &Problem);
+  void takeAnnouncement(const HttpRequest &Request, HttpExchange &Exchange);
+  void step(const AgentEvent &Event);
+  void perform(AgentEffect &Effect);
+  void startExchange(const StartExchange &Start);
+  void giveOrder(const GiveOrder &Order);
+  void probe();
+  void exit();
+  void post(AgentEvent Event) { sendEvent(Role, std::move(Event)); }
+
+  boost::asio::io_context &Io;
+  caf::actor_system &System;
+  Settings Options;
+  Metrics &Counts;
+  AgentState State; ///< Touched by the actor only, once it runs.
+  std::unique_ptr<Link> Peers;
+  std::unique_ptr<HttpServer> Server;
+  std::unique_ptr<boost::asio::steady_timer> ExitTimer;
+  boost::asio::steady_timer ProbeTimer;
+  caf::actor Role;
+  std::atomic<bool> IsReady{false};
+  bool IsExiting = false;
+  // Touched on the context's thread only.
+  std::string EndpointAddress;
+  TimePoint LastAnnounce;
+  std::map<AttemptKey, std::shared_ptr<HttpCall>> Calls;
+};
+
+bool AgentShell::Impl::startHttp(std::string &Problem) {
+  HttpServer::Handlers calls;
+  calls.OnRequest = [this](const HttpRequest &Request,
+                           const std::shared_ptr<HttpExchange> &Exchange) {
+    std::vector<HttpField> fields{{"content-type", "text/plain"}};
+    if (Request.Target == "/announce" && Request.Method == "POST")
+      takeAnnouncement(Request, *Exchange);
+    else if (Request.Target == "/metrics")
+      Exchange->respond(StatusOk, fields, Counts.print());
+    else if (Request.Target == "/healthz")
+      Exchange->respond(StatusOk, fields, "ok\n");
+    else if (Request.Target == "/readyz")
+      Exchange->respond(IsReady ? StatusOk : 503, fields,
+                        IsReady ? "ready\n" : "not ready\n");
+    else
+      Exchange->respond(404, fields, "not found\n");
+  };
+  calls.OnLoss = [](const HttpExchange *, HttpLoss) {};
+  Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
+                                        std::move(calls));
+  return Server->start(Problem);
+}
+
+void AgentShell::Impl::takeAnnouncement(const HttpRequest &Request,
+                                        HttpExchange &Exchange) {
+  std::vector<HttpField> fields{{"content-type", "text/plain"}};
+  std::string problem;
+  auto announcement = parseAnnouncement(Request.Body, problem);
+  if (!announcement) {
+    Counts.count("announcements_refused_total");
+    Exchange.respond(400, fields, problem + "\n");
+    return;
+  }
+  EndpointAddress = announcement->Address;
+  LastAnnounce = Clock::now();
+  post(EndpointAnnounced{std::move(announcement->Report)});
+  Exchange.respond(StatusOk, fields, "ok\n");
+}
+
+void AgentShell::Impl::startExchange(const StartExchange &Start) {
+  AttemptKey key = Start.Key;
+  HttpRequest request{
+      Start.Request.method(), Start.Request.target(), {}, Start.Request.body()};
+  for (const wire::Header &it : Start.Request.headers())
+    request.Fields.push_back({it.name(), it.value()});
+  HttpCalls calls;
+  calls.OnHead = [this, key](unsigned Status,
+                             const std::vector<HttpField> &Fields) {
+    EndpointHead head{key, Status, {}};
+    for (const HttpField &it : Fields) {
+      if (isHopField(it.Name))
+        continue;
+      wire::Header header;
+      header.set_name(it.Name);
+      header.set_value(it.Value);
+      head.Headers.push_back(std::move(header));
+    }
+    post(std::move(head));
+  };
+  calls.OnBody = [this, key](std::string Bytes) {
+    post(EndpointBody{key, std::move(Bytes)});
+  };
+  calls.OnEnd = [this, key] {
+    Calls.erase(key);
+    post(EndpointEnd{key});
+  };
+  calls.OnBreak = [this, key](HttpBreak Break) {
+    Calls.erase(key);
+    post(EndpointBroken{key, Break.WasSent});
+  };
+  Counts.count("attempts_started_total");
+  Calls[key] = startHttpCall(Io, EndpointAddress, request, AnswerSilence,
+                             std::move(calls));
+}
+
+void AgentShell::Impl::giveOrder(const GiveOrder &Order) {
+  bool isLoad = Order.Kind == OrderKind::Load;
+  HttpRequest request{"POST",
+                      isLoad ? "/admin/load" : "/admin/unload",
+                      {{"content-type", "application/json"}},
+                      printOrder(Order)};
+  logEvent(LogLevel::Info, isLoad ? "load_ordered" : "unload_ordered",
+           {{"row", Order.Row}, {"fence", std::to_string(Order.Fence)}});
+  Counts.count("orders_total", isLoad ? "kind=\"load\"" : "kind=\"unload\"");
+  auto isDone = std::make_shared<bool>(false);
+  HttpCalls calls;
+  calls.OnHead = [isDone](unsigned Status, const std::vector<HttpField> &) {
+    *isDone = Status == StatusOk;
+  };
+  calls.OnBody = [](const std::string &) {};
+  auto finish = [this, Order, isDone](bool IsWhole) {
+    bool isGood = IsWhole && *isDone;
+    bool isOver = IsWhole;
+    logEvent(LogLevel::Info, "order_ended",
+             {{"row", Order.Row},
+              {"fence", std::to_string(Order.Fence)},
+              {"done", isGood ? "yes" : "no"}});
+    post(OrderDone{Order.Row, Order.Fence, isGood, isOver});
+  };
+  calls.OnEnd = [finish] { finish(true); };
+  calls.OnBreak = [finish](HttpBreak) { finish(false); };
+  startHttpCall(Io, EndpointAddress, request, OrderLimit, std::move(calls));
+}
+
+/// A port that refuses connections proves that a silent endpoint is gone.
+void AgentShell::Impl::probe() {
+  ProbeTimer.expires_after(ProbePeriod);
+  ProbeTimer.async_wait([this](auto ec) {
+    if (ec)
+      return;
+    bool isSilent =
+        !EndpointAddress.empty() && Clock::now() - LastAnnounce > ProbePeriod;
+    if (isSilent) {
+      HttpCalls calls;
+      calls.OnHead = [](unsigned, const std::vector<HttpField> &) {};
+      calls.OnBody = [](const std::string &) {};
+      calls.OnEnd = [] {};
+      calls.OnBreak = [this](HttpBreak Break) {
+        if (!Break.IsRefused)
+          return;
+        EndpointAddress.clear();
+        post(EndpointGone{});
+      };
+      startHttpCall(Io, EndpointAddress, {"GET", "/healthz", {}, {}},
+                    ProbeSilence, std::move(calls));
+    }
+    probe();
+  });
+}
+
+void AgentShell::Impl::perform(AgentEffect &Effect) {
+  if (auto *message = std::get_if<AgentSend>(&Effect)) {
+    Peers->send(message->Address, std::move(message->Message));
+    return;
+  }
+  if (std::holds_alternative<AgentExit>(Effect)) {
+    exit();
+    return;
+  }
+  boost::asio::post(
+      Io, [self = shared_from_this(), effect = std::move(Effect)] {
+        if (const auto *start = std::get_if<StartExchange>(&effect)) {
+          self->startExchange(*start);
+        } else if (const auto *order = std::get_if<GiveOrder>(&effect)) {
+          self->giveOrder(*order);
+        } else if (const auto *cancel = std::get_if<CancelExchange>(&effect)) {
+          auto call = self->Calls.find(cancel->Key);
+          if (call == self->Calls.end())
+            return;
+          call->second->cancel();
+          self->Calls.erase(call);
+        }
+      });
+}
+
+void AgentShell::Impl::step(const AgentEvent &Event) {
+  if (IsExiting)
+    return;
+  if (const auto *broken = std::get_if<EndpointBroken>(&Event))
+    logEvent(LogLevel::Warning, "endpoint_broke",
+             {{"request", broken->Key.RequestId},
+              {"sent", broken->WasSent ? "yes" : "no"}});
+  if (std::holds_alternative<EndpointGone>(Event))
+    logEvent(LogLevel::Warning, "endpoint_gone");
+  TimePoint now = Clock::now();
+  auto effects = stepAgent(State, Event, now);
+  for (AgentEffect &it : effects)
+    perform(it);
+  IsReady = isAgentReady(State, now);
+  Counts.set("attempts_running", "",
+             static_cast<double>(State.Attempts.size()));
+}
+
+void AgentShell::Impl::exit() {
+  IsExiting = true;
+  boost::asio::post(Io, [self = shared_from_this()] {
+    self->ProbeTimer.cancel();
+    self->ExitTimer =
+        std::make_unique<boost::asio::steady_timer>(self->Io, ExitDelay);
+    self->ExitTimer->async_wait([self](auto) {
+      self->Peers->close();
+      self->Io.stop();
+    });
+  });
+}
+
+AgentShell::AgentShell(boost::asio::io_context &Io, caf::actor_system &System,
+                       const Settings &Options, Metrics &Counts)
+    : Data(std::make_shared<Impl>(Io, System, Options, Counts)) {}
+
+AgentShell::~AgentShell() {
+  caf::anon_send_exit(Data->Role, caf::exit_reason::user_shutdown);
+}
+
+bool AgentShell::start(std::string &Problem) {
+  Impl &data = *Data;
+  uint64_t incarnation = drawIncarnation();
+  data.Peers =
+      std::make_unique<Link>(data.Io,
+                             LinkSelf{data.Options.Fleet, data.Options.Node,
+                                      incarnation, data.Options.Listen},
+                             data.Counts, [&data](wire::Envelope Message) {
+                               data.post(AgentReceived{std::move(Message)});
+                             });
+  if (!data.Peers->start(Problem))
+    return false;
+  data.State.Options = {data.Options.Node,
+                        incarnation,
+                        data.Peers->address(),
+                        data.Options.Zone,
+                        data.Options.AgentRole.Slots,
+                        data.Options.AgentRole.Service};
+  data.State.View.ControlAddresses = data.Options.Control;
+  std::function<void(AgentEvent &)> step = [self = Data](AgentEvent &it) {
+    self->step(it);
+  };
+  data.Role = data.System.spawn(makeRoleBehavior<AgentEvent>, step,
+                                AgentEvent(AgentTick{}), TickPeriod);
+  data.probe();
+  return data.startHttp(Problem);
+}
+
+void AgentShell::stop() { sendEvent<AgentEvent>(Data->Role, AgentStop{}); }
+
+} // namespace sassafras
--- /dev/null
+++ b/agent/attempts.cpp
@@ -0,0 +1,234 @@
+#include "agent/agent_parts.h"
+
+#include "core/timing.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+/// Running attempts are confirmed to their entries this often.
+constexpr Millis ProgressPeriod{800};
+/// A broken exchange this shortly before a death counts as running there.
+constexpr Millis DeathWindow{3000};
+/// Attempts of an earlier term are taken for this long after it ended.
+constexpr Millis TermGrace = timing::ViewLease;
+
+void reply(AgentEffects &Out, const std::string &Address, const AttemptKey &Key,
+           wire::AttemptReply Reply) {
+  Reply.set_request_id(Key.RequestId);
+  Reply.set_number(Key.Number);
+  wire::Envelope message;
+  *message.mutable_attempt_reply() = std::move(Reply);
+  Out.push_back(AgentSend{Address, std::move(message)});
+}
+
+void replyOutcome(AgentEffects &Out, const std::string &Address,
+                  const AttemptKey &Key, wire::AttemptOutcome Outcome,
+                  const std::string &Reason) {
+  wire::AttemptReply answer;
+  answer.set_outcome(Outcome);
+  answer.set_reason(Reason);
+  reply(Out, Address, Key, std::move(answer));
+}
+
+void rememberEnd(AgentState &State, const AttemptKey &Key,
+                 wire::AttemptOutcome Outcome) {
+  if (!State.Ended.contains(Key))
+    State.EndedOrder.push_back(Key);
+  State.Ended[Key] = {Outcome};
+  if (State.EndedOrder.size() <= MaxEndedAttempts)
+    return;
+  State.Ended.erase(State.EndedOrder.front());
+  State.EndedOrder.pop_front();
+}
+
+/// The entry's view had ended when this attempt came in, so it was held up
+/// on its way and what was checked before it was sent no longer counts.
+bool isStampStale(const AgentState &State, const wire::Attempt &Attempt,
+                  TimePoint Now) {
+  if (Attempt.stamp_term() > State.View.Term)
+    return false;
+  if (Attempt.stamp_term() < State.View.Term)
+    return Now - State.View.TermSince >= TermGrace;
+  return fleetTimeMs(State.View, Now) > Attempt.stamp_until_ms();
+}
+
+bool hasLoneAttempt(const AgentState &State) {
+  return std::any_of(State.Attempts.begin(), State.Attempts.end(),
+                     [](const auto &it) { return it.second.IsAlone; });
+}
+
+/// Why the replica cannot take work; empty when it can.
+std::string refuseReplica(const AgentState &State,
+                          const wire::Attempt &Attempt) {
+  if (!State.Options.Service.empty())
+    return Attempt.row() == State.Options.Service ? "" : "wrong_service";
+  const wire::Replica *replica =
+      findReplica(State.View.Items, State.Options.Name, Attempt.row());
+  if (!replica || replica->fence() != Attempt.fence() ||
+      replica->phase() == wire::PHASE_UNLOADING)
+    return "not_loaded";
+  auto row = State.Rows.find(Attempt.row());
+  bool isLoaded = row != State.Rows.end() && row->second.IsLoaded &&
+                  !State.Orders.contains(Attempt.row());
+  return isLoaded ? "" : "not_loaded";
+}
+
+/// Why the attempt is not admitted; empty when it is.
+std::string refuseAttempt(const AgentState &State, const wire::Attempt &Attempt,
+                          TimePoint Now) {
+  if (Attempt.agent_incarnation() != State.Options.Incarnation)
+    return "other_incarnation";
+  if (State.IsStopping || State.Endpoint.IsLeaving)
+    return "leaving";
+  if (!State.IsEndpointUp)
+    return "endpoint_down";
+  if (isStampStale(State, Attempt, Now))
+    return "stale";
+  if (State.Attempts.size() >= State.Options.Slots)
+    return "busy";
+  if (hasLoneAttempt(State) || (Attempt.alone() && !State.Attempts.empty()))
+    return "alone";
+  return refuseReplica(State, Attempt);
+}
+
+} // namespace
+
+void takeAttempt(AgentState &State, const wire::Attempt &Attempt,
+                 const std::string &ReplyAddress, TimePoint Now,
+                 AgentEffects &Out) {
+  AttemptKey key{Attempt.request_id(), Attempt.number()};
+  if (State.Attempts.contains(key)) {
+    replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_NONE, "running");
+    return;
+  }
+  auto ended = State.Ended.find(key);
+  if (ended != State.Ended.end()) {
+    replyOutcome(Out, ReplyAddress, key, ended->second.Outcome, "ended");
+    return;
+  }
+  std::string reason = refuseAttempt(State, Attempt, Now);
+  if (!reason.empty()) {
+    // Sworn: a late copy of this attempt will not be started either.
+    rememberEnd(State, key, wire::ATTEMPT_NOT_RUN);
+    replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_NOT_RUN, reason);
+    return;
+  }
+  ActiveAttempt active;
+  active.ReplyAddress = ReplyAddress;
+  active.Row = Attempt.row();
+  active.Digest = Attempt.digest();
+  active.IsAlone = Attempt.alone();
+  active.NextProgress = Now + ProgressPeriod;
+  State.Attempts[key] = std::move(active);
+  State.Rows[Attempt.row()].LastUse = Now;
+  Out.push_back(StartExchange{key, Attempt});
+  replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_NONE, "started");
+}
+
+void cancelAttempt(AgentState &State, const wire::AttemptCancel &Cancel,
+                   const std::string &ReplyAddress, TimePoint Now,
+                   AgentEffects &Out) {
+  AttemptKey key{Cancel.request_id(), Cancel.number()};
+  auto active = State.Attempts.find(key);
+  if (active != State.Attempts.end()) {
+    State.Rows[active->second.Row].LastUse = Now;
+    State.Attempts.erase(active);
+    rememberEnd(State, key, wire::ATTEMPT_FAILED);
+    Out.push_back(CancelExchange{key});
+    replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_FAILED, "cancelled");
+    return;
+  }
+  if (!State.Ended.contains(key))
+    rememberEnd(State, key, wire::ATTEMPT_NOT_RUN);
+  replyOutcome(Out, ReplyAddress, key, State.Ended[key].Outcome, "cancelled");
+}
+
+void passHead(AgentState &State, const EndpointHead &Head, AgentEffects &Out) {
+  auto active = State.Attempts.find(Head.Key);
+  if (active == State.Attempts.end())
+    return;
+  active->second.HasHead = true;
+  wire::AttemptReply answer;
+  answer.set_outcome(wire::ATTEMPT_HEAD);
+  answer.set_status(Head.Status);
+  for (const wire::Header &it : Head.Headers)
+    *answer.add_headers() = it;
+  reply(Out, active->second.ReplyAddress, Head.Key, std::move(answer));
+}
+
+void passBody(AgentState &State, const EndpointBody &Body, AgentEffects &Out) {
+  auto active = State.Attempts.find(Body.Key);
+  if (active == State.Attempts.end())
+    return;
+  wire::AttemptReply answer;
+  answer.set_outcome(wire::ATTEMPT_BODY);
+  answer.set_offset(active->second.Offset);
+  answer.set_body(Body.Bytes);
+  active->second.Offset += Body.Bytes.size();
+  reply(Out, active->second.ReplyAddress, Body.Key, std::move(answer));
+}
+
+void endAttempt(AgentState &State, const AttemptKey &Key, TimePoint Now,
+                AgentEffects &Out) {
+  auto active = State.Attempts.find(Key);
+  if (active == State.Attempts.end())
+    return;
+  wire::AttemptReply answer;
+  answer.set_outcome(wire::ATTEMPT_END);
+  answer.set_length(active->second.Offset);
+  reply(Out, active->second.ReplyAddress, Key, std::move(answer));
+  State.Rows[active->second.Row].LastUse = Now;
+  State.Attempts.erase(active);
+  rememberEnd(State, Key, wire::ATTEMPT_FAILED);
+}
+
+void breakAttempt(AgentState &State, const EndpointBroken &Broken,
+                  TimePoint Now, AgentEffects &Out) {
+  auto active = State.Attempts.find(Broken.Key);
+  if (active == State.Attempts.end())
+    return;
+  auto outcome = Broken.WasSent ? wire::ATTEMPT_FAILED : wire::ATTEMPT_NOT_RUN;
+  if (Broken.WasSent)
+    State.Failures.push_back({active->second.Digest, Now});
+  std::string address = active->second.ReplyAddress;
+  State.Rows[active->second.Row].LastUse = Now;
+  State.Attempts.erase(active);
+  rememberEnd(State, Broken.Key, outcome);
+  replyOutcome(Out, address, Broken.Key, outcome, "endpoint_broke");
+}
+
+void sendProgress(AgentState &State, TimePoint Now, AgentEffects &Out) {
+  for (auto &[key, attempt] : State.Attempts) {
+    if (!isPast(attempt.NextProgress, Now))
+      continue;
+    attempt.NextProgress = Now + ProgressPeriod;
+    State.Rows[attempt.Row].LastUse = Now;
+    replyOutcome(Out, attempt.ReplyAddress, key, wire::ATTEMPT_NONE, "running");
+  }
+  while (!State.Failures.empty() &&
+         Now - State.Failures.front().At > DeathWindow)
+    State.Failures.pop_front();
+}
+
+void recordDeath(AgentState &State, uint64_t EngineIncarnation, TimePoint Now) {
+  std::set<std::string> digests;
+  for (const auto &[key, attempt] : State.Attempts)
+    digests.insert(attempt.Digest);
+  for (const RecentFailure &it : State.Failures)
+    if (Now - it.At <= DeathWindow)
+      digests.insert(it.Digest);
+  State.Failures.clear();
+  if (digests.empty())
+    return;
+  wire::DeathReport report;
+  report.set_death(State.Options.Name + "/" +
+                   std::to_string(EngineIncarnation));
+  for (const std::string &it : digests)
+    report.add_digests(it);
+  State.Deaths[report.death()] = std::move(report);
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/core/metrics.cpp
@@ -0,0 +1,92 @@
+#include "core/metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <map>
+#include <mutex>
+#include <sstream>
+
+namespace sassafras {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+
+/// Seconds covered by the buckets of a histogram.
+constexpr double LeastSeconds = 0.001;
+constexpr double MostSeconds = 300.0;
+constexpr unsigned BucketCount = 24;
+
+struct Distribution {
+  decltype(bh::make_histogram(LogAxis())) Buckets = bh::make_histogram(
+      LogAxis(BucketCount, LeastSeconds, MostSeconds, "seconds"));
+  double Sum = 0;
+  uint64_t Count = 0;
+};
+
+void printDistribution(std::ostream &Out, const std::string &Name,
+                       const Distribution &Values) {
+  Out << "# TYPE " << Name << " histogram\n";
+  double below = Values.Buckets.at(-1);
+  for (int i = 0; i < static_cast<int>(BucketCount); ++i) {
+    below += Values.Buckets.at(i);
+    Out << Name << "_bucket{le=\"" << Values.Buckets.axis().bin(i).upper()
+        << "\"} " << below << '\n';
+  }
+  Out << Name << "_bucket{le=\"+Inf\"} " << Values.Count << '\n';
+  Out << Name << "_sum " << Values.Sum << '\n';
+  Out << Name << "_count " << Values.Count << '\n';
+}
+
+} // namespace
+
+struct Metrics::Impl {
+  mutable std::mutex Lock;
+  std::map<std::string, uint64_t> Counters;
+  std::map<std::string, double> Gauges;
+  std::map<std::string, Distribution> Distributions;
+};
+
+Metrics::Metrics() : Data(std::make_unique<Impl>()) {}
+Metrics::~Metrics() = default;
+
+static std::string keyOf(const std::string &Name, const std::string &Labels) {
+  return Labels.empty() ? Name : Name + "{" + Labels + "}";
+}
+
+void Metrics::count(const std::string &Name, const std::string &Labels,
+                    uint64_t Amount) {
+  std::lock_guard guard(Data->Lock);
+  Data->Counters[keyOf(Name, Labels)] += Amount;
+}
+
+void Metrics::set(const std::string &Name, const std::string &Labels,
+                  double Value) {
+  std::lock_guard guard(Data->Lock);
+  Data->Gauges[keyOf(Name, Labels)] = Value;
+}
+
+void Metrics::observe(const std::string &Name, Clock::duration Span) {
+  double seconds = std::chrono::duration<double>(Span).count();
+  std::lock_guard guard(Data->Lock);
+  Distribution &values = Data->Distributions[Name];
+  values.Buckets(seconds);
+  values.Sum += seconds;
+  ++values.Count;
+}
+
+std::string Metrics::print() const {
+  std::ostringstream out;
+  std::lock_guard guard(Data->Lock);
+  for (const auto &[name, n] : Data->Counters)
+    out << name << ' ' << n << '\n';
+  for (const auto &[name, value] : Data->Gauges)
+    out << name << ' ' << value << '\n';
+  for (const auto &[name, values] : Data->Distributions)
+    printDistribution(out, name, values);
+  return out.str();
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/core/metrics.h
@@ -0,0 +1,38 @@
+/// \file
+/// Counters, gauges and histograms of one process, printed as text.
+#ifndef SASSAFRAS_CORE_METRICS_H
+#define SASSAFRAS_CORE_METRICS_H
+
+#include "core/time.h"
+
+#include <memory>
+#include <string>
+
+namespace sassafras {
+
+/// Registry of one process. All methods are thread safe.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  /// Adds \p Amount to counter \p Name; \p Labels is `a="b",c="d"` or empty.
+  void count(const std::string &Name, const std::string &Labels = {},
+             uint64_t Amount = 1);
+  /// Sets gauge \p Name to \p Value.
+  void set(const std::string &Name, const std::string &Labels, double Value);
+  /// Records \p Span in the histogram \p Name, in seconds.
+  void observe(const std::string &Name, Clock::duration Span);
+  /// Text exposition of everything recorded.
+  std::string print() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Data;
+};
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/ctl/client.cpp
@@ -0,0 +1,132 @@
+#include "ctl/client.h"
+
+#include "core/hash.h"
+#include "core/metrics.h"
+#include "core/timing.h"
+#include "wire/link.h"
+
+#include <functional>
+
+namespace sassafras {
+
+namespace {
+
+constexpr Millis WaitSlice{50};
+
+} // namespace
+
+struct ControlClient::Impl {
+  Impl(const Settings &Options, Millis Limit)
+      : Options(Options), Limit(Limit),
+        Peers(Io,
+              LinkSelf{Options.Fleet, "ctl", drawIncarnation(), localAddress()},
+              Counts, [this](wire::Envelope Message) {
+                Inbox.push_back(std::move(Message));
+              }) {}
+
+  /// The control addresses tell by which interface the fleet is reached.
+  std::string localAddress() const {
+    const std::string &peer = Options.Control.front();
+    bool isLocal = peer.starts_with("127.");
+    return isLocal ? "127.0.0.1:0" : Options.Listen;
+  }
+
+  /// Sends to all control processes every so often until \p Take is content
+  /// with an answer.
+  bool ask(const wire::Envelope &Question,
+           const std::function<bool(const wire::Envelope &)> &Take) {
+    TimePoint deadline = Clock::now() + Limit;
+    TimePoint nextSend;
+    while (!isPast(deadline, Clock::now())) {
+      if (isPast(nextSend, Clock::now())) {
+        for (const std::string &it : Options.Control)
+          Peers.send(it, Question);
+        nextSend = Clock::now() + timing::ProposalRetry;
+      }
+      Io.restart();
+      Io.run_one_for(WaitSlice);
+      std::vector<wire::Envelope> inbox = std::move(Inbox);
+      Inbox.clear();
+      for (const wire::Envelope &it : inbox)
+        if (Take(it))
+          return true;
+    }
+    return false;
+  }
+
+  Settings Options;
+  Millis Limit;
+  boost::asio::io_context Io;
+  Metrics Counts;
+  std::vector<wire::Envelope> Inbox;
+  Link Peers;
+  std::string Problem;
+  uint64_t NextRequest = drawIdentity();
+};
+
+ControlClient::ControlClient(const Settings &Options, Millis Limit)
+    : Data(std::make_unique<Impl>(Options, Limit)) {
+  Data->Peers.start(Data->Problem);
+}
+
+ControlClient::~ControlClient() { Data->Peers.close(); }
+
+std::optional<wire::StatusReply>
+ControlClient::status(const std::string &Prefix) {
+  wire::Envelope question;
+  wire::StatusRequest &request = *question.mutable_status_request();
+  request.set_request_id(std::to_string(Data->NextRequest++));
+  request.set_with_items(!Prefix.empty());
+  request.set_prefix(Prefix);
+  std::optional<wire::StatusReply> answer;
+  Data->ask(question, [&](const wire::Envelope &It) {
+    bool isOurs = It.has_status_reply() && It.status_reply().is_leader() &&
+                  It.status_reply().request_id() == request.request_id();
+    if (isOurs)
+      answer = It.status_reply();
+    return isOurs;
+  });
+  return answer;
+}
+
+std::vector<wire::StatusReply> ControlClient::statusOfAll() {
+  wire::Envelope question;
+  question.mutable_status_request()->set_request_id(
+      std::to_string(Data->NextRequest++));
+  std::map<std::string, wire::StatusReply> answers;
+  Data->ask(question, [&](const wire::Envelope &It) {
+    if (It.has_status_reply())
+      answers[It.from()] = It.status_reply();
+    return answers.size() == Data->Options.Control.size();
+  });
+  std::vector<wire::StatusReply> all;
+  for (auto &[from, answer] : answers)
+    all.push_back(std::move(answer));
+  return all;
+}
+
+std::optional<wire::ProposalReply>
+ControlClient::propose(wire::Command Command) {
+  // The operation's id makes repeated sending of one command harmless.
+  if (Command.operation_id().empty())
+    Command.set_operation_id("ctl-" + std::to_string(drawIdentity()));
+  wire::Envelope question;
+  question.mutable_proposal()->set_request_id(
+      std::to_string(Data->NextRequest++));
+  *question.mutable_proposal()->mutable_command() = std::move(Command);
+  std::optional<wire::ProposalReply> answer;
+  Data->ask(question, [&](const wire::Envelope &It) {
+    if (!It.has_proposal_reply())
+      return false;
+    const wire::ProposalReply &reply = It.proposal_reply();
+    bool isDecided = reply.request_id() == question.proposal().request_id() &&
+                     reply.status() != wire::PROPOSAL_NOT_LEADER &&
+                     reply.status() != wire::PROPOSAL_OVERLOADED;
+    if (isDecided)
+      answer = reply;
+    return isDecided;
+  });
+  return answer;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/entry/claims.cpp
@@ -0,0 +1,190 @@
+#include "entry/entry_parts.h"
+
+#include "core/timing.h"
+#include "fleet/fleet_state.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+constexpr std::string_view ClaimPrefix = "claim/";
+constexpr std::string_view OutcomePrefix = "outcome/";
+constexpr std::string_view ReleasePrefix = "release/";
+/// How often a request asks whether the one that holds its claim ended.
+constexpr Millis TwinPoll{1000};
+
+std::string contentTypeOf(const RequestState &Request) {
+  for (const HttpHeader &it : Request.Headers)
+    if (it.Name == "content-type")
+      return it.Value;
+  return {};
+}
+
+wire::Command makeCommand(const RequestState &Request) {
+  wire::Command command;
+  if (Request.Stage == RequestStage::Claiming) {
+    wire::ClaimRequest &claim = *command.mutable_claim();
+    claim.set_digest(Request.ClaimDigest);
+    claim.set_tenant(Request.Tenant);
+    claim.set_request_id(Request.Caller.Id);
+    claim.set_window_ms(Request.ClaimWindowMs);
+    return command;
+  }
+  wire::ClaimOutcome &outcome = *command.mutable_claim_outcome();
+  outcome.set_digest(Request.ClaimDigest);
+  outcome.set_request_id(Request.Caller.Id);
+  outcome.set_status(Request.Status);
+  outcome.set_content_type(contentTypeOf(Request));
+  // A larger answer is not kept: a resend learns only that it ran.
+  if (Request.Held.size() <= MaxClaimBody)
+    outcome.set_body(Request.Held);
+  return command;
+}
+
+void sendRelease(EntryState &State, TimePoint Now, EntryEffects &Out) {
+  const wire::ClaimOutcome &release = State.Releases.front();
+  wire::Envelope message;
+  wire::Proposal &proposal = *message.mutable_proposal();
+  proposal.set_request_id(std::string(ReleasePrefix) + release.request_id());
+  *proposal.mutable_command()->mutable_claim_outcome() = release;
+  State.NextRelease = Now + timing::ProposalRetry;
+  sendToControl(State, message, Out);
+}
+
+/// The earlier request's recorded answer serves this one.
+void replayAnswer(EntryState &State, RequestState &Request,
+                  const wire::Claim &Claim, TimePoint Now, EntryEffects &Out) {
+  Request.Status = Claim.status();
+  Request.Held = Claim.body();
+  Request.Headers = {{"idempotent-replay", "true"}};
+  if (!Claim.content_type().empty())
+    Request.Headers.push_back({"content-type", Claim.content_type()});
+  Request.HasHead = true;
+  completeAnswer(State, Request, Now, Out);
+}
+
+void takeDuplicate(EntryState &State, RequestState &Request,
+                   const wire::Claim &Claim, TimePoint Now, EntryEffects &Out) {
+  if (Claim.finished()) {
+    replayAnswer(State, Request, Claim, Now, Out);
+    return;
+  }
+  Request.HasTwin = true;
+  Request.MayHaveRun = true;
+  Request.NextProposal = Now + TwinPoll;
+}
+
+void takeClaim(EntryState &State, RequestState &Request,
+               const wire::ProposalReply &Reply, TimePoint Now,
+               EntryEffects &Out) {
+  switch (Reply.status()) {
+  case wire::PROPOSAL_ACCEPTED:
+    // The earlier holder is known not to have run.
+    Request.HasTwin = false;
+    Request.MayHaveRun = false;
+    enqueue(State, Request, false);
+    return;
+  case wire::PROPOSAL_DUPLICATE:
+    return takeDuplicate(State, Request, Reply.claim(), Now, Out);
+  case wire::PROPOSAL_INVALID:
+    refuseRequest(State, Request.Caller.Id,
+                  {RefusalReason::ClaimUnavailable, RanState::NotRun,
+                   std::chrono::seconds(0), Reply.reason()},
+                  Now, Out);
+    return;
+  default:
+    return;
+  }
+}
+
+/// A claim was granted to a request that has ended meanwhile.
+void releaseOrphan(EntryState &State, const wire::ProposalReply &Reply) {
+  if (Reply.status() != wire::PROPOSAL_ACCEPTED || !Reply.has_claim() ||
+      Reply.claim().finished())
+    return;
+  wire::ClaimOutcome release;
+  release.set_digest(Reply.claim().digest());
+  release.set_request_id(Reply.claim().request_id());
+  release.set_not_run(true);
+  State.Releases.push_back(std::move(release));
+}
+
+} // namespace
+
+void proposeClaim(EntryState &State, RequestState &Request, TimePoint Now,
+                  EntryEffects &Out) {
+  wire::Envelope message;
+  wire::Proposal &proposal = *message.mutable_proposal();
+  bool isClaim = Request.Stage == RequestStage::Claiming;
+  proposal.set_request_id(std::string(isClaim ? ClaimPrefix : OutcomePrefix) +
+                          Request.Caller.Id);
+  *proposal.mutable_command() = makeCommand(Request);
+  Request.NextProposal = Now + timing::ProposalRetry;
+  sendToControl(State, message, Out);
+}
+
+void releaseClaim(EntryState &State, const RequestState &Request) {
+  if (Request.ClaimDigest.empty())
+    return;
+  wire::ClaimOutcome release;
+  release.set_digest(Request.ClaimDigest);
+  release.set_request_id(Request.Caller.Id);
+  release.set_not_run(true);
+  State.Releases.push_back(std::move(release));
+}
+
+void takeClaimReply(EntryState &State, const wire::ProposalReply &Reply,
+                    TimePoint Now, EntryEffects &Out) {
+  const std::string &id = Reply.request_id();
+  bool isDecided = Reply.status() == wire::PROPOSAL_ACCEPTED ||
+                   Reply.status() == wire::PROPOSAL_INVALID;
+  if (id.starts_with(ReleasePrefix)) {
+    bool isFirst =
+        !State.Releases.empty() &&
+        id.substr(ReleasePrefix.size()) == State.Releases.front().request_id();
+    if (isDecided && isFirst) {
+      State.Releases.pop_front();
+      State.NextRelease = Now;
+    }
+    return;
+  }
+  if (id.starts_with(ClaimPrefix)) {
+    auto it = State.Requests.find(id.substr(ClaimPrefix.size()));
+    if (it == State.Requests.end())
+      releaseOrphan(State, Reply);
+    else if (it->second.Stage == RequestStage::Claiming)
+      takeClaim(State, it->second, Reply, Now, Out);
+    return;
+  }
+  if (!id.starts_with(OutcomePrefix) || !isDecided)
+    return;
+  auto it = State.Requests.find(id.substr(OutcomePrefix.size()));
+  if (it != State.Requests.end() && it->second.Stage == RequestStage::Recording)
+    completeAnswer(State, it->second, Now, Out);
+}
+
+void repeatClaims(EntryState &State, TimePoint Now, EntryEffects &Out) {
+  if (!State.Releases.empty() && isPast(State.NextRelease, Now))
+    sendRelease(State, Now, Out);
+  std::vector<std::string> due;
+  for (const auto &[id, request] : State.Requests) {
+    bool isAsking = request.Stage == RequestStage::Claiming ||
+                    request.Stage == RequestStage::Recording;
+    if (isAsking && isPast(request.NextProposal, Now))
+      due.push_back(id);
+  }
+  for (const std::string &it : due) {
+    RequestState &request = State.Requests.at(it);
+    bool isLate = request.Stage == RequestStage::Recording &&
+                  isPast(request.Deadline, Now);
+    // The caller's answer is whole; a resend will learn that it may have run.
+    if (isLate)
+      completeAnswer(State, request, Now, Out);
+    else
+      proposeClaim(State, request, Now, Out);
+  }
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/fleet/fleet_state.cpp
@@ -0,0 +1,392 @@
+#include "fleet/fleet_state.h"
+
+#include "fleet/table.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+using wire::ProposalReply;
+
+ProposalReply accepted(const FleetState &State, uint64_t Index) {
+  ProposalReply reply;
+  reply.set_status(wire::PROPOSAL_ACCEPTED);
+  reply.set_version(Index);
+  reply.set_table_version(State.TableVersion);
+  return reply;
+}
+
+ProposalReply rejected(const FleetState &State, wire::ProposalStatus Status,
+                       const std::string &Reason) {
+  ProposalReply reply;
+  reply.set_status(Status);
+  reply.set_reason(Reason);
+  reply.set_version(State.Version);
+  reply.set_table_version(State.TableVersion);
+  return reply;
+}
+
+ProposalReply invalid(const FleetState &State, const std::string &Reason) {
+  return rejected(State, wire::PROPOSAL_INVALID, Reason);
+}
+
+void eraseKeysWithoutTenant(FleetState &State, uint64_t Index) {
+  for (const wire::Item *it : State.Items.list("key/")) {
+    const wire::TableRow *tenant = findRow(State.Items, it->key().tenant());
+    if (!tenant || tenant->kind() != wire::ROW_TENANT)
+      State.Items.erase(std::string(it->name()), Index);
+  }
+}
+
+ProposalReply apply(FleetState &State, const wire::TableEdit &Edit,
+                    uint64_t Index) {
+  if (Edit.base_version() != State.TableVersion)
+    return rejected(State, wire::PROPOSAL_CONFLICT,
+                    "table is at version " +
+                        std::to_string(State.TableVersion));
+  std::vector<wire::TableRow> rows(Edit.rows().begin(), Edit.rows().end());
+  if (auto problem = checkTable(rows))
+    return invalid(State, describe(*problem));
+  std::set<std::string> kept;
+  for (const wire::TableRow &it : rows) {
+    kept.insert(it.name());
+    const wire::TableRow *old = findRow(State.Items, it.name());
+    if (old && old->SerializeAsString() == it.SerializeAsString())
+      continue;
+    wire::Item item;
+    item.set_name(rowItemName(it.name()));
+    *item.mutable_row() = it;
+    State.Items.put(std::move(item), Index);
+  }
+  for (const wire::Item *it : State.Items.list("row/"))
+    if (!kept.contains(it->row().name()))
+      State.Items.erase(std::string(it->name()), Index);
+  eraseKeysWithoutTenant(State, Index);
+  ++State.TableVersion;
+  return accepted(State, Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::KeyGrant &Grant,
+                    uint64_t Index) {
+  const wire::TableRow *tenant = findRow(State.Items, Grant.tenant());
+  if (!tenant || tenant->kind() != wire::ROW_TENANT)
+    return invalid(State, "no tenant " + Grant.tenant());
+  if (Grant.key_id().empty() || Grant.key_hash().empty())
+    return invalid(State, "key id and hash are needed");
+  if (State.Items.find(keyItemName(Grant.key_id())))
+    return rejected(State, wire::PROPOSAL_CONFLICT, "key id is taken");
+  for (const wire::Item *it : State.Items.list("key/"))
+    if (it->key().key_hash() == Grant.key_hash())
+      return rejected(State, wire::PROPOSAL_CONFLICT,
+                      "key is granted as " + it->key().key_id());
+  wire::Item item;
+  item.set_name(keyItemName(Grant.key_id()));
+  item.mutable_key()->set_key_id(Grant.key_id());
+  item.mutable_key()->set_key_hash(Grant.key_hash());
+  item.mutable_key()->set_tenant(Grant.tenant());
+  State.Items.put(std::move(item), Index);
+  return accepted(State, Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::KeyWithdraw &Withdraw,
+                    uint64_t Index) {
+  std::string name = keyItemName(Withdraw.key_id());
+  if (!State.Items.find(name))
+    return invalid(State, "no key " + Withdraw.key_id());
+  State.Items.erase(name, Index);
+  return accepted(State, Index);
+}
+
+/// Forgets the replicas on \p Endpoint that are not of \p EngineIncarnation.
+void eraseReplicasOf(FleetState &State, const std::string &Endpoint,
+                     uint64_t EngineIncarnation, uint64_t Index) {
+  for (const wire::Item *it : State.Items.list(replicaItemName(Endpoint, "")))
+    if (it->replica().engine_incarnation() != EngineIncarnation)
+      State.Items.erase(std::string(it->name()), Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::EndpointChange &Change,
+                    uint64_t Index) {
+  const wire::Endpoint &endpoint = Change.endpoint();
+  std::string name = endpointItemName(endpoint.name());
+  const wire::Endpoint *old = findEndpoint(State.Items, endpoint.name());
+  if (Change.remove()) {
+    if (!old || old->incarnation() != endpoint.incarnation())
+      return invalid(State, "endpoint incarnation is not current");
+    State.Items.erase(name, Index);
+    eraseReplicasOf(State, endpoint.name(), 0, Index);
+    return accepted(State, Index);
+  }
+  eraseReplicasOf(State, endpoint.name(), endpoint.engine_incarnation(), Index);
+  wire::Item item;
+  item.set_name(name);
+  *item.mutable_endpoint() = endpoint;
+  State.Items.put(std::move(item), Index);
+  return accepted(State, Index);
+}
+
+/// Reason why a new replica may not be decided, if any.
+std::optional<std::string> refuseReplica(const FleetState &State,
+                                         const wire::Replica &Replica) {
+  const wire::Endpoint *endpoint =
+      findEndpoint(State.Items, Replica.endpoint());
+  if (!endpoint || endpoint->leaving() ||
+      endpoint->engine_incarnation() != Replica.engine_incarnation())
+    return "endpoint is not there";
+  const wire::TableRow *row = findRow(State.Items, Replica.row());
+  if (!row)
+    return "no row " + Replica.row();
+  if (findReplica(State.Items, Replica.endpoint(), Replica.row()))
+    return "replica exists";
+  if (countReplicas(State.Items, Replica.row()) >= row->max_replicas())
+    return "row has all its replicas";
+  if (memoryTaken(State.Items, Replica.endpoint()) + Replica.memory_mb() >
+      endpoint->memory_mb())
+    return "endpoint memory is taken";
+  if (!Replica.is_adapter())
+    return std::nullopt;
+  const wire::Replica *base =
+      findReplica(State.Items, Replica.endpoint(), Replica.base());
+  if (!base || base->phase() != wire::PHASE_LOADED)
+    return "base model is not loaded";
+  return std::nullopt;
+}
+
+/// True when an adapter on the endpoint of \p Model needs it.
+bool hasAdapters(const FleetState &State, const wire::Replica &Model) {
+  for (const wire::Replica *it : listReplicasOn(State.Items, Model.endpoint()))
+    if (it->is_adapter() && it->base() == Model.row())
+      return true;
+  return false;
+}
+
+ProposalReply decideReplica(FleetState &State, const wire::Replica &Replica,
+                            uint64_t Index) {
+  if (auto reason = refuseReplica(State, Replica))
+    return invalid(State, *reason);
+  wire::Item item;
+  item.set_name(replicaItemName(Replica.endpoint(), Replica.row()));
+  *item.mutable_replica() = Replica;
+  item.mutable_replica()->set_fence(Index);
+  State.Items.put(std::move(item), Index);
+  return accepted(State, Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::ReplicaChange &Change,
+                    uint64_t Index) {
+  const wire::Replica &replica = Change.replica();
+  if (!Change.remove() && replica.phase() == wire::PHASE_LOADING)
+    return decideReplica(State, replica, Index);
+  std::string name = replicaItemName(replica.endpoint(), replica.row());
+  const wire::Replica *old =
+      findReplica(State.Items, replica.endpoint(), replica.row());
+  if (!old || old->fence() != replica.fence())
+    return invalid(State, "replica is not current");
+  if (Change.remove()) {
+    State.Items.erase(name, Index);
+    return accepted(State, Index);
+  }
+  bool fits = replica.phase() == wire::PHASE_LOADED
+                  ? old->phase() == wire::PHASE_LOADING
+                  : old->phase() != wire::PHASE_UNLOADING;
+  if (!fits)
+    return invalid(State, "replica has moved on");
+  if (replica.phase() == wire::PHASE_UNLOADING && hasAdapters(State, *old))
+    return invalid(State, "adapters need this model");
+  wire::Item item = *State.Items.find(name);
+  item.mutable_replica()->set_phase(replica.phase());
+  // An unload order gets a fencing number above that of the load.
+  if (replica.phase() == wire::PHASE_UNLOADING)
+    item.mutable_replica()->set_fence(Index);
+  State.Items.put(std::move(item), Index);
+  return accepted(State, Index);
+}
+
+void eraseExpiredClaims(FleetState &State, uint64_t Index) {
+  for (const wire::Item *it : State.Items.list("claim/"))
+    if (it->claim().expires_ms() <= State.FleetTimeMs)
+      State.Items.erase(std::string(it->name()), Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::ClaimRequest &Request,
+                    uint64_t Index) {
+  eraseExpiredClaims(State, Index);
+  std::string name = claimItemName(Request.digest());
+  if (const wire::Item *old = State.Items.find(name)) {
+    bool isOwn = old->claim().request_id() == Request.request_id();
+    ProposalReply reply =
+        isOwn ? accepted(State, Index)
+              : rejected(State, wire::PROPOSAL_DUPLICATE, "claim is held");
+    *reply.mutable_claim() = old->claim();
+    return reply;
+  }
+  wire::Item item;
+  item.set_name(name);
+  wire::Claim &claim = *item.mutable_claim();
+  claim.set_digest(Request.digest());
+  claim.set_tenant(Request.tenant());
+  claim.set_request_id(Request.request_id());
+  claim.set_expires_ms(State.FleetTimeMs + Request.window_ms());
+  ProposalReply reply = accepted(State, Index);
+  *reply.mutable_claim() = claim;
+  State.Items.put(std::move(item), Index);
+  return reply;
+}
+
+ProposalReply apply(FleetState &State, const wire::ClaimOutcome &Outcome,
+                    uint64_t Index) {
+  std::string name = claimItemName(Outcome.digest());
+  const wire::Item *old = State.Items.find(name);
+  if (!old || old->claim().request_id() != Outcome.request_id())
+    return invalid(State, "claim is not held by this request");
+  if (Outcome.not_run()) {
+    State.Items.erase(name, Index);
+    return accepted(State, Index);
+  }
+  wire::Item item = *old;
+  wire::Claim &claim = *item.mutable_claim();
+  claim.set_finished(true);
+  claim.set_status(Outcome.status());
+  claim.set_content_type(Outcome.content_type());
+  claim.set_body(Outcome.body());
+  State.Items.put(std::move(item), Index);
+  return accepted(State, Index);
+}
+
+void recordDeath(FleetState &State, const std::string &Digest,
+                 const std::string &DeathName, uint64_t Index) {
+  wire::Item item;
+  if (const wire::Item *old = State.Items.find(deathItemName(Digest)))
+    if (old->death().expires_ms() > State.FleetTimeMs)
+      item = *old;
+  item.set_name(deathItemName(Digest));
+  wire::Death &death = *item.mutable_death();
+  const auto &known = death.deaths();
+  if (std::find(known.begin(), known.end(), DeathName) != known.end())
+    return;
+  death.set_digest(Digest);
+  death.add_deaths(DeathName);
+  death.set_expires_ms(State.FleetTimeMs + QuarantineMs);
+  bool isGuilty = death.deaths_size() >= QuarantineDeaths;
+  State.Items.put(std::move(item), Index);
+  if (!isGuilty)
+    return;
+  wire::Item barred;
+  barred.set_name(quarantineItemName(Digest));
+  barred.mutable_quarantine()->set_digest(Digest);
+  barred.mutable_quarantine()->set_expires_ms(State.FleetTimeMs + QuarantineMs);
+  State.Items.put(std::move(barred), Index);
+}
+
+ProposalReply apply(FleetState &State, const wire::DeathRecord &Record,
+                    uint64_t Index) {
+  for (const std::string &it : Record.digests())
+    recordDeath(State, it, Record.death(), Index);
+  for (const char *prefix : {"quarantine/", "death/"})
+    for (const wire::Item *it : State.Items.list(prefix)) {
+      uint64_t expires = it->has_death() ? it->death().expires_ms()
+                                         : it->quarantine().expires_ms();
+      if (expires <= State.FleetTimeMs)
+        State.Items.erase(std::string(it->name()), Index);
+    }
+  return accepted(State, Index);
+}
+
+ProposalReply applyChange(FleetState &State, const wire::Command &Command,
+                          uint64_t Index) {
+  switch (Command.change_case()) {
+  case wire::Command::kTableEdit:
+    return apply(State, Command.table_edit(), Index);
+  case wire::Command::kKeyGrant:
+    return apply(State, Command.key_grant(), Index);
+  case wire::Command::kKeyWithdraw:
+    return apply(State, Command.key_withdraw(), Index);
+  case wire::Command::kEndpointChange:
+    return apply(State, Command.endpoint_change(), Index);
+  case wire::Command::kReplicaChange:
+    return apply(State, Command.replica_change(), Index);
+  case wire::Command::kClaim:
+    return apply(State, Command.claim(), Index);
+  case wire::Command::kClaimOutcome:
+    return apply(State, Command.claim_outcome(), Index);
+  case wire::Command::kDeath:
+    return apply(State, Command.death(), Index);
+  case wire::Command::kNoop:
+  case wire::Command::kMemberChange:
+    return accepted(State, Index);
+  default:
+    return invalid(State, "unknown command");
+  }
+}
+
+void keepResult(FleetState &State, const std::string &OperationId,
+                const ProposalReply &Reply) {
+  State.Operations[OperationId] = Reply;
+  State.OperationOrder.push_back(OperationId);
+  if (State.OperationOrder.size() <= MaxOperationResults)
+    return;
+  State.Operations.erase(State.OperationOrder.front());
+  State.OperationOrder.pop_front();
+}
+
+} // namespace
+
+ProposalReply applyCommand(FleetState &State, const wire::Command &Command,
+                           uint64_t Index) {
+  State.Version = Index;
+  State.FleetTimeMs = std::max(State.FleetTimeMs, Command.fleet_time_ms());
+  const std::string &operation = Command.operation_id();
+  if (!operation.empty()) {
+    auto it = State.Operations.find(operation);
+    if (it != State.Operations.end())
+      return it->second;
+  }
+  ProposalReply reply = applyChange(State, Command, Index);
+  State.Items.pruneDeletions(MaxDeletions);
+  if (!operation.empty())
+    keepResult(State, operation, reply);
+  return reply;
+}
+
+void saveFleet(const FleetState &State, wire::Snapshot &Out) {
+  Out.set_table_version(State.TableVersion);
+  Out.set_fleet_time_ms(State.FleetTimeMs);
+  Out.set_oldest_delta(State.Items.oldestDelta());
+  for (const auto &[name, item] : State.Items.all())
+    *Out.add_items() = item;
+  for (const std::string &it : State.OperationOrder) {
+    wire::OperationResult &result = *Out.add_operations();
+    result.set_operation_id(it);
+    *result.mutable_reply() = State.Operations.at(it);
+  }
+}
+
+void loadFleet(FleetState &State, const wire::Snapshot &In) {
+  State = FleetState();
+  State.Version = In.index();
+  State.TableVersion = In.table_version();
+  State.FleetTimeMs = In.fleet_time_ms();
+  for (const wire::Item &it : In.items())
+    State.Items.put(it, it.version());
+  State.Items.setOldestDelta(In.oldest_delta());
+  for (const wire::OperationResult &it : In.operations())
+    keepResult(State, it.operation_id(), it.reply());
+}
+
+uint64_t memoryTaken(const ItemStore &Items, const std::string &Endpoint) {
+  uint64_t sum = 0;
+  for (const wire::Replica *it : listReplicasOn(Items, Endpoint))
+    sum += it->memory_mb();
+  return sum;
+}
+
+uint32_t countReplicas(const ItemStore &Items, const std::string &Row) {
+  uint32_t n = 0;
+  for (const wire::Replica *it : listReplicas(Items))
+    n += it->row() == Row;
+  return n;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/fleet/node_view.cpp
@@ -0,0 +1,83 @@
+#include "fleet/node_view.h"
+
+#include "core/timing.h"
+
+namespace sassafras {
+
+std::vector<std::string> proposalTargets(const NodeView &View) {
+  if (View.LeaderAddress.empty())
+    return View.ControlAddresses;
+  return {View.LeaderAddress};
+}
+
+std::vector<std::string> stampHeartbeat(NodeView &View, wire::Heartbeat &Beat,
+                                        TimePoint Now) {
+  Beat.set_number(View.NextNumber++);
+  Beat.set_applied_version(View.Version);
+  Beat.set_views_seen(View.ViewsSeen);
+  View.SentAt[Beat.number()] = Now;
+  if (View.SentAt.size() > MaxSentHeartbeats)
+    View.SentAt.erase(View.SentAt.begin());
+  View.NextHeartbeat = Now + timing::HeartbeatPeriod;
+  // A leader that is silent for two periods may be gone: ask everyone.
+  if (Now - View.LastReply > 2 * timing::HeartbeatPeriod)
+    View.LeaderAddress.clear();
+  return proposalTargets(View);
+}
+
+static void applyItems(NodeView &View, const wire::HeartbeatReply &Reply) {
+  if (Reply.reset())
+    View.Items.clear();
+  for (const wire::Item &it : Reply.items())
+    View.Items.put(it, it.version());
+  // A node never gives deltas, so it need not keep deletions.
+  View.Items.pruneDeletions(0);
+  View.Version = Reply.version();
+  ++View.ViewsSeen;
+}
+
+bool applyHeartbeatReply(NodeView &View, const wire::HeartbeatReply &Reply,
+                         TimePoint Now) {
+  auto sent = View.SentAt.find(Reply.number());
+  if (sent == View.SentAt.end() || Reply.term() < View.Term)
+    return false;
+  if (!Reply.is_leader()) {
+    bool isNews = Now - View.LastReply > 2 * timing::HeartbeatPeriod;
+    if (isNews && !Reply.leader_address().empty())
+      View.LeaderAddress = Reply.leader_address();
+    return false;
+  }
+  if (Reply.term() > View.Term) {
+    View.Term = Reply.term();
+    View.TermSince = Now;
+    View.FleetTimeMs = 0;
+  }
+  View.LeaderAddress = Reply.leader_address();
+  View.LastReply = Now;
+  if (Reply.fleet_time_ms() > fleetTimeMs(View, Now)) {
+    View.FleetTimeMs = Reply.fleet_time_ms();
+    View.FleetTimeAt = Now;
+  }
+  bool isWhole = Reply.reset() || Reply.base_version() <= View.Version;
+  if (!isWhole)
+    return false;
+  bool isNewer = Reply.version() > View.Version;
+  if (isNewer)
+    applyItems(View, Reply);
+  // An older reply confirms nothing about what is held now, except that the
+  // leader had no more at that time; the later version includes it.
+  View.LeaseEnd = std::max(View.LeaseEnd, sent->second + timing::ViewLease);
+  return isNewer && Reply.items_size() > 0;
+}
+
+bool isConfirmed(const NodeView &View, TimePoint Now) {
+  return Now < View.LeaseEnd;
+}
+
+uint64_t fleetTimeMs(const NodeView &View, TimePoint Now) {
+  if (View.FleetTimeMs == 0)
+    return 0;
+  return View.FleetTimeMs + toMillis(Now - View.FleetTimeAt);
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/http/server.cpp
@@ -0,0 +1,486 @@
+#include "http/server.h"
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "http/address.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <deque>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace sassafras {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr std::chrono::seconds IdleLimit{75};
+constexpr std::chrono::seconds HeadLimit{10};
+constexpr std::chrono::seconds BodyLimit{30};
+constexpr std::chrono::seconds WriteLimit{30};
+constexpr size_t ReadChunk = 4096;
+constexpr Millis AcceptPause{100};
+
+std::string lowerCase(std::string_view Text) {
+  std::string out(Text);
+  for (char &it : out)
+    it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
+  return out;
+}
+
+std::string frameChunk(const std::string &Bytes) {
+  return beast::buffers_to_string(http::make_chunk(asio::buffer(Bytes)));
+}
+
+} // namespace
+
+bool isHopField(std::string_view Name) {
+  for (std::string_view it :
+       {"connection", "keep-alive", "proxy-connection", "te", "trailer",
+        "transfer-encoding", "upgrade", "content-length", "expect", "host"})
+    if (it == Name)
+      return true;
+  return false;
+}
+
+class Session;
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context &Io, std::string Listen, HttpLimits Limits,
+       Metrics &Counts, Handlers Calls)
+      : Io(Io), Listen(std::move(Listen)), Limits(Limits), Counts(Counts),
+        Calls(std::move(Calls)), Acceptor(Io), Pause(Io) {}
+
+  void accept();
+
+  asio::io_context &Io;
+  std::string Listen;
+  HttpLimits Limits;
+  Metrics &Counts;
+  Handlers Calls;
+  std::string Address;
+  Tcp::acceptor Acceptor;
+  asio::steady_timer Pause;
+  std::set<Session *> Idle; ///< Connections that wait for a request.
+  std::atomic<size_t> OpenCount{0};
+  bool IsStopping = false;
+};
+
+/// One connection. Everything but the exchange's entry points runs on the
+/// context's thread.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
+      : Stream(std::move(Socket)), Server(std::move(Server)) {}
+  ~Session() { Server->Idle.erase(this); }
+
+  void waitForRequest();
+  void closeIdle() { Stream.close(); }
+  void queue(uint64_t Number, std::string Bytes, bool IsLast);
+  void abort(uint64_t Number);
+  asio::io_context &context() { return Server->Io; }
+  bool isOldProtocol() const { return IsOld; }
+  bool keepsAlive() const { return KeepAlive && !Server->IsStopping; }
+
+private:
+  void readHead();
+  void readBody();
+  void serve();
+  void refuse(http::status Status, const char *Reason);
+  void writeNext();
+  void endAnswer();
+  void breakConnection();
+  void lose(HttpLoss Loss);
+
+  beast::tcp_stream Stream;
+  std::shared_ptr<HttpServer::Impl> Server;
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  std::deque<std::string> Output;
+  size_t OutputBytes = 0;
+  uint64_t Number = 0; ///< Of the request being answered.
+  bool IsAnswering = false;
+  bool IsLastQueued = false;
+  bool IsAborting = false;
+  bool IsWriting = false;
+  bool IsOld = false;
+  bool KeepAlive = false;
+  bool IsHeadRequest = false;
+  std::weak_ptr<HttpExchange> Exchange;
+};
+
+namespace {
+
+class SessionExchange : public HttpExchange,
+                        public std::enable_shared_from_this<SessionExchange> {
+public:
+  SessionExchange(std::shared_ptr<Session> Owner, uint64_t Number, bool IsOld,
+                  bool KeepAlive, bool IsHead)
+      : Owner(std::move(Owner)), Number(Number), IsOld(IsOld),
+        KeepAlive(KeepAlive), IsHead(IsHead) {}
+
+  void respond(unsigned Status, std::vector<HttpField> Fields,
+               std::string Body) override {
+    auto head = makeHead(Status, Fields);
+    head.content_length(Body.size());
+    std::string bytes = print(head);
+    if (!IsHead)
+      bytes += Body;
+    send(std::move(bytes), true);
+  }
+
+  void start(unsigned Status, std::vector<HttpField> Fields) override {
+    auto head = makeHead(Status, Fields);
+    if (IsOld)
+      head.keep_alive(false);
+    else
+      head.chunked(true);
+    send(print(head), false);
+  }
+
+  void write(std::string Bytes) override {
+    if (Bytes.empty() || IsHead)
+      return;
+    send(IsOld ? std::move(Bytes) : frameChunk(Bytes), false);
+  }
+
+  void finish() override {
+    bool isChunked = !IsOld && !IsHead;
+    send(isChunked ? "0\r\n\r\n" : "", true);
+  }
+
+  void abort() override {
+    asio::post(Owner->context(),
+               [owner = Owner, number = Number] { owner->abort(number); });
+  }
+
+private:
+  http::response<http::empty_body>
+  makeHead(unsigned Status, const std::vector<HttpField> &Fields) const {
+    http::response<http::empty_body> head;
+    head.version(IsOld ? 10 : 11);
+    head.result(Status);
+    for (const HttpField &it : Fields)
+      if (!isHopField(it.Name))
+        head.insert(it.Name, it.Value);
+    head.keep_alive(KeepAlive);
+    return head;
+  }
+
+  static std::string print(const http::response<http::empty_body> &Head) {
+    std::ostringstream out;
+    out << Head.base();
+    return out.str();
+  }
+
+  void send(std::string Bytes, bool IsLast) {
+    asio::post(Owner->context(), [owner = Owner, number = Number,
+                                  bytes = std::move(Bytes), IsLast]() mutable {
+      owner->queue(number, std::move(bytes), IsLast);
+    });
+  }
+
+  std::shared_ptr<Session> Owner;
+  uint64_t Number;
+  bool IsOld;
+  bool KeepAlive;
+  bool IsHead;
+};
+
+} // namespace
+
+void Session::waitForRequest() {
+  if (Server->IsStopping) {
+    Stream.close();
+    return;
+  }
+  if (Buffer.size() > 0) {
+    readHead();
+    return;
+  }
+  Server->Idle.insert(this);
+  Stream.expires_after(IdleLimit);
+  Stream.async_read_some(
+      Buffer.prepare(ReadChunk),
+      [self = shared_from_this()](beast::error_code ec, size_t n) {
+        self->Server->Idle.erase(self.get());
+        if (ec) {
+          self->Stream.close();
+          return;
+        }
+        self->Buffer.commit(n);
+        self->readHead();
+      });
+}
+
+void Session::readHead() {
+  Parser.emplace();
+  Parser->header_limit(Server->Limits.HeadBytes);
+  Parser->body_limit(Server->Limits.BodyBytes);
+  Stream.expires_after(HeadLimit);
+  http::async_read_header(
+      Stream, Buffer, *Parser,
+      [self = shared_from_this()](beast::error_code ec, size_t) {
+        if (ec == http::error::end_of_stream) {
+          self->Stream.close();
+        } else if (ec == http::error::header_limit) {
+          self->refuse(http::status::request_header_fields_too_large,
+                       "header_too_large");
+        } else if (ec == http::error::body_limit) {
+          self->refuse(http::status::payload_too_large, "body_too_large");
+        } else if (ec == beast::error::timeout) {
+          self->Server->Counts.count("http_timeouts_total", "part=\"head\"");
+          self->Stream.close();
+        } else if (ec) {
+          self->refuse(http::status::bad_request, "bad_request");
+        } else {
+          self->readBody();
+        }
+      });
+}
+
+void Session::readBody() {
+  auto expect = Parser->get()[http::field::expect];
+  bool wantsContinue = beast::iequals(expect, "100-continue");
+  if (!expect.empty() && !wantsContinue) {
+    refuse(http::status::expectation_failed, "bad_expectation");
+    return;
+  }
+  auto read = [self = shared_from_this()] {
+    self->Stream.expires_after(BodyLimit);
+    http::async_read(
+        self->Stream, self->Buffer, *self->Parser,
+        [self](beast::error_code ec, size_t) {
+          if (ec == http::error::body_limit)
+            self->refuse(http::status::payload_too_large, "body_too_large");
+          else if (ec == beast::error::timeout)
+            self->refuse(http::status::request_timeout, "body_too_slow");
+          else if (ec)
+            self->refuse(http::status::bad_request, "bad_request");
+          else
+            self->serve();
+        });
+  };
+  if (!wantsContinue || Parser->is_done()) {
+    read();
+    return;
+  }
+  auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+  asio::async_write(Stream, asio::buffer(*text),
+                    [read, text](beast::error_code ec, size_t) {
+                      if (!ec)
+                        read();
+                    });
+}
+
+void Session::serve() {
+  const auto &message = Parser->get();
+  HttpRequest request;
+  request.Method = std::string(message.method_string());
+  request.Target = std::string(message.target());
+  for (const auto &it : message)
+    request.Fields.push_back(
+        {lowerCase(it.name_string()), std::string(it.value())});
+  IsOld = message.version() < 11;
+  KeepAlive = message.keep_alive();
+  IsHeadRequest = message.method() == http::verb::head;
+  request.Body = std::move(Parser->get().body());
+  ++Number;
+  IsAnswering = true;
+  IsLastQueued = false;
+  ++Server->OpenCount;
+  auto exchange = std::make_shared<SessionExchange>(
+      shared_from_this(), Number, IsOld, KeepAlive, IsHeadRequest);
+  Exchange = exchange;
+  Stream.expires_never();
+  Server->Counts.count("http_requests_total");
+  Server->Calls.OnRequest(std::move(request), std::move(exchange));
+}
+
+void Session::refuse(http::status Status, const char *Reason) {
+  Server->Counts.count("refusals_total",
+                       "reason=\"" + std::string(Reason) + "\"");
+  // The rest of a bad request cannot be told from a next one.
+  KeepAlive = false;
+  ++Number;
+  IsAnswering = true;
+  IsLastQueued = false;
+  ++Server->OpenCount;
+  SessionExchange exchange(shared_from_this(), Number, false, false, false);
+  exchange.respond(static_cast<unsigned>(Status),
+                   {{"content-type", "application/json"}},
+                   R"({"error":{"reason":")" + std::string(Reason) +
+                       R"(","ran":"not_run"}})"
+                       "\n");
+}
+
+void Session::queue(uint64_t For, std::string Bytes, bool IsLast) {
+  if (For != Number || !IsAnswering || IsLastQueued)
+    return;
+  IsLastQueued = IsLast;
+  if (!Bytes.empty()) {
+    OutputBytes += Bytes.size();
+    Output.push_back(std::move(Bytes));
+  }
+  if (OutputBytes > Server->Limits.UnreadBytes && !IsLast) {
+    lose(HttpLoss::SlowReader);
+    return;
+  }
+  if (!IsWriting)
+    writeNext();
+}
+
+void Session::writeNext() {
+  if (Output.empty()) {
+    if (IsAborting)
+      breakConnection();
+    else if (IsLastQueued)
+      endAnswer();
+    return;
+  }
+  IsWriting = true;
+  Stream.expires_after(WriteLimit);
+  asio::async_write(
+      Stream, asio::buffer(Output.front()),
+      [self = shared_from_this()](beast::error_code ec, size_t n) {
+        self->IsWriting = false;
+        if (!self->IsAnswering)
+          return;
+        if (ec) {
+          self->lose(ec == beast::error::timeout ? HttpLoss::SlowReader
+                                                 : HttpLoss::CallerGone);
+          return;
+        }
+        self->Stream.expires_never();
+        self->OutputBytes -= n;
+        self->Output.pop_front();
+        self->writeNext();
+      });
+}
+
+void Session::endAnswer() {
+  IsAnswering = false;
+  --Server->OpenCount;
+  if (keepsAlive()) {
+    waitForRequest();
+    return;
+  }
+  beast::error_code ec;
+  Stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+  Stream.close();
+}
+
+void Session::lose(HttpLoss Loss) {
+  IsAnswering = false;
+  --Server->OpenCount;
+  Output.clear();
+  OutputBytes = 0;
+  Stream.close();
+  Server->Counts.count("http_lost_total");
+  if (auto exchange = Exchange.lock())
+    Server->Calls.OnLoss(exchange.get(), Loss);
+}
+
+void Session::abort(uint64_t For) {
+  if (For != Number || !IsAnswering || IsLastQueued)
+    return;
+  // What is queued still leaves; only the end is missing.
+  IsLastQueued = true;
+  IsAborting = true;
+  if (!IsWriting)
+    writeNext();
+}
+
+void Session::breakConnection() {
+  IsAnswering = false;
+  --Server->OpenCount;
+  // A reset makes the break visible to
+  // callers of the old protocol, whose answers end with the connection.
+  beast::error_code ec;
+  if (IsOld)
+    Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  Stream.close();
+}
+
+void HttpServer::Impl::accept() {
+  Acceptor.async_accept(
+      [self = shared_from_this()](auto ec, Tcp::socket Socket) {
+        if (self->IsStopping)
+          return;
+        if (ec) {
+          // Out of descriptors: wait for some to be freed.
+          self->Pause.expires_after(AcceptPause);
+          self->Pause.async_wait([self](auto) {
+            if (!self->IsStopping)
+              self->accept();
+          });
+          return;
+        }
+        boost::system::error_code ignored;
+        Socket.set_option(Tcp::no_delay(true), ignored);
+        std::make_shared<Session>(std::move(Socket), self)->waitForRequest();
+        self->accept();
+      });
+}
+
+HttpServer::HttpServer(asio::io_context &Io, std::string Listen,
+                       HttpLimits Limits, Metrics &Counts, Handlers Calls)
+    : Data(std::make_shared<Impl>(Io, std::move(Listen), Limits, Counts,
+                                  std::move(Calls))) {}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::start(std::string &Problem) {
+  Impl &data = *Data;
+  auto address = parseAddress(data.Listen);
+  if (!address) {
+    Problem = "not an address: " + data.Listen;
+    return false;
+  }
+  boost::system::error_code ec;
+  Tcp::endpoint endpoint(asio::ip::make_address(address->Ip, ec),
+                         address->Port);
+  if (!ec)
+    data.Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    data.Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    data.Acceptor.bind(endpoint, ec);
+  if (!ec)
+    data.Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    Problem = "cannot listen at " + data.Listen + ": " + ec.message();
+    return false;
+  }
+  data.Address =
+      address->Ip + ":" + std::to_string(data.Acceptor.local_endpoint().port());
+  data.accept();
+  return true;
+}
+
+const std::string &HttpServer::address() const { return Data->Address; }
+
+void HttpServer::stopAccepting() {
+  Data->IsStopping = true;
+  boost::system::error_code ec;
+  Data->Acceptor.close(ec);
+  Data->Pause.cancel();
+  std::set<Session *> idle = Data->Idle;
+  for (Session *it : idle)
+    it->closeIdle();
+}
+
+size_t HttpServer::countOpen() const { return Data->OpenCount; }
+
+} // namespace sassafras
--- /dev/null
+++ b/misc/check_lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs the linter on every file of the build, several at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+files=$(python3 -c '
+import json
+for it in json.load(open("build/compile_commands.json")):
+    if not it["file"].endswith(".pb.cc") and not it["file"].endswith("json.cpp"):
+        print(it["file"])')
+jobs=$(nproc)
+echo "$files" | xargs -P "$jobs" -n 1 clang-tidy --quiet -p build 2>/dev/null
+echo "lint: clean"
--- /dev/null
+++ b/policy/token_bank.cpp
@@ -0,0 +1,130 @@
+#include "policy/token_bank.h"
+
+#include "core/timing.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+/// A reserve ends when its holder does not ask again.
+constexpr Millis ReserveLife{1000};
+
+void dropExpiredGrants(TenantBucket &Bucket, TimePoint Now) {
+  std::erase_if(Bucket.Outstanding, [&](const auto &it) {
+    if (!isPast(it.second.Expires, Now))
+      return false;
+    Bucket.OutstandingTokens -= it.second.Tokens;
+    return true;
+  });
+}
+
+double headroom(const TenantBucket &Bucket, TenantRate Rate) {
+  double taken = Bucket.Level + static_cast<double>(Bucket.OutstandingTokens);
+  return std::max(0.0, static_cast<double>(Rate.Burst) - taken);
+}
+
+void markHeadroom(TenantBucket &Bucket, TenantRate Rate, TimePoint Now) {
+  double room = headroom(Bucket, Rate);
+  auto &marks = Bucket.Headroom;
+  if (marks.empty() || Now - marks.back().SlotStart >= HeadroomSlot)
+    marks.push_back({Now, room});
+  marks.back().Least = std::min(marks.back().Least, room);
+  if (marks.size() > HeadroomSlots)
+    marks.pop_front();
+}
+
+TenantBucket &refill(TokenBank &Bank, const std::string &Tenant,
+                     TenantRate Rate, TimePoint Now) {
+  auto [it, isNew] = Bank.Buckets.try_emplace(Tenant);
+  TenantBucket &bucket = it->second;
+  if (isNew)
+    bucket.RefilledAt = std::max(Bank.OpensAt, TimePoint());
+  // A smaller burst in the table takes effect at once.
+  double room = static_cast<double>(Rate.Burst) -
+                static_cast<double>(bucket.OutstandingTokens);
+  double level = bucket.Level;
+  if (Now > bucket.RefilledAt) {
+    std::chrono::duration<double> passed = Now - bucket.RefilledAt;
+    level += static_cast<double>(Rate.Rate) * passed.count();
+    bucket.RefilledAt = Now;
+  }
+  bucket.Level = std::max(0.0, std::min(level, room));
+  // The cap above still counts grants that end now, so their tokens are
+  // never refilled twice.
+  dropExpiredGrants(bucket, Now);
+  markHeadroom(bucket, Rate, Now);
+  return bucket;
+}
+
+} // namespace
+
+void openBank(TokenBank &Bank, TimePoint Now) {
+  Bank.Buckets.clear();
+  Bank.OpensAt = Now + timing::GrantLifeAtGiver;
+}
+
+std::optional<TokenGrant> takeGrant(TokenBank &Bank, const std::string &Tenant,
+                                    TenantRate Rate, const GrantWish &Wish,
+                                    TimePoint Now) {
+  if (Now < Bank.OpensAt || Wish.Wanted == 0)
+    return std::nullopt;
+  TenantBucket &bucket = refill(Bank, Tenant, Rate, Now);
+  GrantReserve &reserve = bucket.Reserve;
+  bool isReserved = Now < reserve.Until && reserve.Node != Wish.Node;
+  double kept = isReserved ? static_cast<double>(reserve.Tokens) : 0.0;
+  auto free = static_cast<uint64_t>(std::max(0.0, bucket.Level - kept));
+  uint64_t tokens = std::min(Wish.Wanted, free);
+  if (tokens == 0 || tokens < Wish.Least) {
+    if (!isReserved)
+      reserve = {Wish.Node, Wish.Least, Now + ReserveLife};
+    return std::nullopt;
+  }
+  if (!isReserved)
+    reserve = {};
+  TokenGrant grant{Bank.NextGrant++, tokens};
+  bucket.Level -= static_cast<double>(tokens);
+  bucket.Outstanding[grant.Id] = {tokens, Now + timing::GrantLifeAtGiver};
+  bucket.OutstandingTokens += tokens;
+  return grant;
+}
+
+void returnGrant(TokenBank &Bank, const std::string &Tenant, uint64_t Id,
+                 uint64_t Unspent, TenantRate Rate, TimePoint Now) {
+  if (!Bank.Buckets.contains(Tenant))
+    return;
+  TenantBucket &bucket = refill(Bank, Tenant, Rate, Now);
+  auto grant = bucket.Outstanding.find(Id);
+  if (grant == bucket.Outstanding.end())
+    return;
+  uint64_t back = std::min(Unspent, grant->second.Tokens);
+  bucket.OutstandingTokens -= grant->second.Tokens;
+  bucket.Outstanding.erase(grant);
+  double room = static_cast<double>(Rate.Burst) -
+                static_cast<double>(bucket.OutstandingTokens);
+  bucket.Level =
+      std::max(0.0, std::min(bucket.Level + static_cast<double>(back), room));
+}
+
+void refundCharge(TokenBank &Bank, const std::string &Tenant, uint64_t Tokens,
+                  TimePoint ChargedAt, TenantRate Rate, TimePoint Now) {
+  if (!Bank.Buckets.contains(Tenant))
+    return;
+  TenantBucket &bucket = refill(Bank, Tenant, Rate, Now);
+  const auto &marks = bucket.Headroom;
+  // A charge from before the oldest mark may have met a full bucket since.
+  if (marks.empty() || ChargedAt < marks.front().SlotStart)
+    return;
+  double least = static_cast<double>(Tokens);
+  for (auto it = marks.rbegin(); it != marks.rend(); ++it) {
+    least = std::min(least, it->Least);
+    if (it->SlotStart <= ChargedAt)
+      break;
+  }
+  bucket.Level += least;
+  for (HeadroomMark &it : bucket.Headroom)
+    it.Least = std::max(0.0, it.Least - least);
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/replication/raft.cpp
@@ -0,0 +1,774 @@
+#include "replication/raft.h"
+
+#include "core/timing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sassafras {
+
+namespace {
+
+const wire::Member *findMember(const RaftState &State, uint64_t Identity) {
+  for (const wire::Member &it : State.Members)
+    if (it.identity() == Identity)
+      return &it;
+  return nullptr;
+}
+
+bool isVoter(const RaftState &State, uint64_t Identity) {
+  const wire::Member *member = findMember(State, Identity);
+  return member && member->voter();
+}
+
+size_t countVoters(const RaftState &State) {
+  return static_cast<size_t>(
+      std::count_if(State.Members.begin(), State.Members.end(),
+                    [](const wire::Member &it) { return it.voter(); }));
+}
+
+size_t quorum(const RaftState &State) { return countVoters(State) / 2 + 1; }
+
+TimePoint drawElectionDeadline(RaftState &State, TimePoint Now) {
+  std::uniform_int_distribution<int64_t> spread(timing::ElectionMin.count(),
+                                                timing::ElectionMax.count());
+  return Now + Millis(spread(State.Random));
+}
+
+void send(RaftEffects &Out, const std::string &Address,
+          wire::Envelope Message) {
+  Out.push_back(RaftSend{Address, std::move(Message)});
+}
+
+void persistHardState(const RaftState &State, RaftEffects &Out) {
+  PersistRecord effect;
+  effect.Record.mutable_hard_state()->set_term(State.Term);
+  effect.Record.mutable_hard_state()->set_voted_for(State.VotedFor);
+  Out.push_back(std::move(effect));
+}
+
+void persistSnapshot(const RaftState &State, wire::Snapshot Snapshot,
+                     RaftEffects &Out) {
+  PersistSnapshot effect;
+  for (uint64_t i = Snapshot.index() + 1; i <= lastIndex(State); ++i)
+    effect.Entries.push_back(entryAt(State, i));
+  effect.HardState.set_term(State.Term);
+  effect.HardState.set_voted_for(State.VotedFor);
+  effect.Snapshot = std::move(Snapshot);
+  Out.push_back(std::move(effect));
+}
+
+void findNewestMembers(RaftState &State) {
+  for (auto it = State.Entries.rbegin(); it != State.Entries.rend(); ++it) {
+    if (!it->command().has_member_change())
+      continue;
+    const auto &members = it->command().member_change().members();
+    State.Members.assign(members.begin(), members.end());
+    State.MembersIndex = it->index();
+    return;
+  }
+  State.Members = State.SnapshotMembers;
+  State.MembersIndex = State.SnapshotIndex;
+}
+
+/// Appends \p Entry, dropping whatever stood at its index and after.
+void storeEntry(RaftState &State, const wire::LogEntry &Entry,
+                RaftEffects &Out) {
+  bool isTruncating = Entry.index() <= lastIndex(State);
+  while (lastIndex(State) >= Entry.index())
+    State.Entries.pop_back();
+  State.Entries.push_back(Entry);
+  if (isTruncating || Entry.command().has_member_change())
+    findNewestMembers(State);
+  PersistRecord effect;
+  *effect.Record.mutable_entry() = Entry;
+  Out.push_back(std::move(effect));
+}
+
+void becomeFollower(RaftState &State, uint64_t Term, uint64_t Leader,
+                    TimePoint Now, RaftEffects &Out) {
+  if (Term > State.Term) {
+    State.Term = Term;
+    State.VotedFor = 0;
+    persistHardState(State, Out);
+  }
+  State.Role = RaftRole::Follower;
+  State.Leader = Leader;
+  State.LeaseEnd = TimePoint();
+  State.ElectionDeadline = drawElectionDeadline(State, Now);
+}
+
+void sendAppend(RaftState &State, const wire::Member &Target, TimePoint Now,
+                RaftEffects &Out) {
+  PeerProgress &peer = State.Peers[Target.identity()];
+  if (peer.NextIndex <= State.SnapshotIndex) {
+    if (Now < peer.NextSnapshot)
+      return;
+    peer.NextSnapshot = Now + 4 * timing::AppendPeriod;
+    Out.push_back(SnapshotNeeded{Target});
+    return;
+  }
+  wire::Envelope message;
+  wire::AppendRequest &request = *message.mutable_append_request();
+  request.set_term(State.Term);
+  request.set_leader(State.Self.Identity);
+  request.set_target(Target.identity());
+  request.set_previous_index(peer.NextIndex - 1);
+  request.set_previous_term(termAt(State, peer.NextIndex - 1));
+  request.set_commit(State.Commit);
+  request.set_round(State.Round);
+  uint64_t last = std::min<uint64_t>(lastIndex(State),
+                                     peer.NextIndex + MaxAppendEntries - 1);
+  for (uint64_t i = peer.NextIndex; i <= last; ++i)
+    *request.add_entries() = entryAt(State, i);
+  // Sent entries are taken as received; a refusal moves this back.
+  peer.NextIndex = last + 1;
+  send(Out, Target.address(), std::move(message));
+}
+
+/// Starts a new round of appends to all other members.
+void broadcastAppend(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  ++State.Round;
+  State.RoundSent[State.Round] = Now;
+  State.NextAppend = Now + timing::AppendPeriod;
+  std::vector<wire::Member> members = State.Members;
+  for (const wire::Member &it : members)
+    if (it.identity() != State.Self.Identity)
+      sendAppend(State, it, Now, Out);
+}
+
+/// Sends entries that members lack, without waiting for the next round.
+void becomeLeader(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  State.Role = RaftRole::Leader;
+  State.Leader = State.Self.Identity;
+  State.Peers.clear();
+  State.RoundSent.clear();
+  State.LeaseEnd = TimePoint();
+  // Without a quorum's answers by then it steps down again.
+  State.ElectionDeadline = Now + timing::ElectionMax;
+  for (const wire::Member &it : State.Members)
+    State.Peers[it.identity()].NextIndex = lastIndex(State) + 1;
+  wire::LogEntry entry;
+  entry.set_term(State.Term);
+  entry.set_index(lastIndex(State) + 1);
+  entry.mutable_command()->mutable_noop();
+  storeEntry(State, entry, Out);
+  broadcastAppend(State, Now, Out);
+}
+
+void advanceCommit(RaftState &State) {
+  std::vector<uint64_t> matched;
+  for (const wire::Member &it : State.Members) {
+    if (!it.voter())
+      continue;
+    matched.push_back(it.identity() == State.Self.Identity
+                          ? lastIndex(State)
+                          : State.Peers[it.identity()].MatchIndex);
+  }
+  if (matched.empty())
+    return;
+  std::sort(matched.begin(), matched.end(), std::greater<>());
+  uint64_t index = matched[quorum(State) - 1];
+  // Only entries of the own term commit by counting.
+  if (index > State.Commit && termAt(State, index) == State.Term)
+    State.Commit = index;
+}
+
+void renewLease(RaftState &State) {
+  std::vector<uint64_t> rounds;
+  for (const wire::Member &it : State.Members) {
+    if (!it.voter())
+      continue;
+    rounds.push_back(it.identity() == State.Self.Identity
+                         ? State.Round
+                         : State.Peers[it.identity()].AckedRound);
+  }
+  if (rounds.empty())
+    return;
+  std::sort(rounds.begin(), rounds.end(), std::greater<>());
+  uint64_t round = rounds[quorum(State) - 1];
+  auto sent = State.RoundSent.find(round);
+  if (sent == State.RoundSent.end())
+    return;
+  State.LeaseEnd = std::max(State.LeaseEnd, sent->second + timing::LeaderLease);
+  State.ElectionDeadline = sent->second + timing::ElectionMax;
+  State.RoundSent.erase(State.RoundSent.begin(), sent);
+}
+
+void requestVotes(RaftState &State, bool IsPreVote, bool IsTransfer,
+                  RaftEffects &Out) {
+  for (const wire::Member &it : State.Members) {
+    if (!it.voter() || it.identity() == State.Self.Identity)
+      continue;
+    wire::Envelope message;
+    wire::VoteRequest &request = *message.mutable_vote_request();
+    request.set_term(IsPreVote ? State.Term + 1 : State.Term);
+    request.set_candidate(State.Self.Identity);
+    request.set_last_index(lastIndex(State));
+    request.set_last_term(termAt(State, lastIndex(State)));
+    request.set_pre_vote(IsPreVote);
+    request.set_transfer(IsTransfer);
+    send(Out, it.address(), std::move(message));
+  }
+}
+
+size_t countVotes(const RaftState &State) {
+  size_t n = 0;
+  for (const auto &[identity, isGranted] : State.Votes)
+    n += isGranted && isVoter(State, identity);
+  return n;
+}
+
+void startElection(RaftState &State, bool IsTransfer, TimePoint Now,
+                   RaftEffects &Out) {
+  State.Role = RaftRole::Candidate;
+  State.Leader = 0;
+  ++State.Term;
+  State.VotedFor = State.Self.Identity;
+  State.ElectionDeadline = drawElectionDeadline(State, Now);
+  persistHardState(State, Out);
+  State.Votes = {{State.Self.Identity, true}};
+  if (countVotes(State) >= quorum(State)) {
+    becomeLeader(State, Now, Out);
+    return;
+  }
+  requestVotes(State, false, IsTransfer, Out);
+}
+
+void startPreVote(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  State.Role = RaftRole::PreCandidate;
+  State.Leader = 0;
+  State.ElectionDeadline = drawElectionDeadline(State, Now);
+  State.Votes = {{State.Self.Identity, true}};
+  if (countVotes(State) >= quorum(State)) {
+    startElection(State, false, Now, Out);
+    return;
+  }
+  requestVotes(State, true, false, Out);
+}
+
+bool isUpToDate(const RaftState &State, const wire::VoteRequest &Request) {
+  uint64_t ownTerm = termAt(State, lastIndex(State));
+  if (Request.last_term() != ownTerm)
+    return Request.last_term() > ownTerm;
+  return Request.last_index() >= lastIndex(State);
+}
+
+std::string addressOf(const RaftState &State, uint64_t Identity) {
+  const wire::Member *member = findMember(State, Identity);
+  return member ? member->address() : std::string();
+}
+
+void receive(RaftState &State, const wire::VoteRequest &Request,
+             const std::string &ReplyAddress, TimePoint Now, RaftEffects &Out) {
+  // A member that heard from a live leader does not help to replace it, so
+  // that the leader's lease ends before a rival can win.
+  bool isBarred =
+      !Request.transfer() && (Now < State.VoteBarEnd || hasLease(State, Now));
+  if (isBarred)
+    return;
+  if (!Request.pre_vote() && Request.term() > State.Term)
+    becomeFollower(State, Request.term(), 0, Now, Out);
+  bool isGranted = Request.term() >= State.Term && isUpToDate(State, Request);
+  if (Request.pre_vote()) {
+    isGranted = isGranted && Request.term() > State.Term;
+  } else {
+    isGranted = isGranted &&
+                (State.VotedFor == 0 || State.VotedFor == Request.candidate());
+    if (isGranted && State.VotedFor == 0) {
+      State.VotedFor = Request.candidate();
+      State.ElectionDeadline = drawElectionDeadline(State, Now);
+      persistHardState(State, Out);
+    }
+  }
+  wire::Envelope message;
+  wire::VoteReply &reply = *message.mutable_vote_reply();
+  reply.set_term(Request.pre_vote() && isGranted ? Request.term() : State.Term);
+  reply.set_voter(State.Self.Identity);
+  reply.set_granted(isGranted);
+  reply.set_pre_vote(Request.pre_vote());
+  std::string address = addressOf(State, Request.candidate());
+  send(Out, address.empty() ? ReplyAddress : address, std::move(message));
+}
+
+void receive(RaftState &State, const wire::VoteReply &Reply, TimePoint Now,
+             RaftEffects &Out) {
+  if (!Reply.granted()) {
+    if (Reply.term() > State.Term)
+      becomeFollower(State, Reply.term(), 0, Now, Out);
+    return;
+  }
+  bool isPreVote = State.Role == RaftRole::PreCandidate && Reply.pre_vote() &&
+                   Reply.term() == State.Term + 1;
+  bool isVote = State.Role == RaftRole::Candidate && !Reply.pre_vote() &&
+                Reply.term() == State.Term;
+  if (!isPreVote && !isVote)
+    return;
+  State.Votes[Reply.voter()] = true;
+  if (countVotes(State) < quorum(State))
+    return;
+  if (isPreVote)
+    startElection(State, false, Now, Out);
+  else
+    becomeLeader(State, Now, Out);
+}
+
+void sendAppendReply(const RaftState &State, const std::string &Address,
+                     bool Success, uint64_t Match, uint64_t Round,
+                     RaftEffects &Out) {
+  wire::Envelope message;
+  wire::AppendReply &reply = *message.mutable_append_reply();
+  reply.set_term(State.Term);
+  reply.set_follower(State.Self.Identity);
+  reply.set_success(Success);
+  reply.set_match_index(Match);
+  reply.set_round(Round);
+  send(Out, Address, std::move(message));
+}
+
+/// Stores the entries that are new here. Precondition: the previous entry
+/// matches.
+void storeEntries(RaftState &State, const wire::AppendRequest &Request,
+                  RaftEffects &Out) {
+  for (const wire::LogEntry &it : Request.entries()) {
+    if (it.index() <= State.SnapshotIndex)
+      continue;
+    bool isKnown = it.index() <= lastIndex(State) &&
+                   termAt(State, it.index()) == it.term();
+    if (!isKnown)
+      storeEntry(State, it, Out);
+  }
+}
+
+void receive(RaftState &State, const wire::AppendRequest &Request,
+             const std::string &ReplyAddress, TimePoint Now, RaftEffects &Out) {
+  if (Request.target() != State.Self.Identity)
+    return;
+  if (Request.term() < State.Term) {
+    sendAppendReply(State, ReplyAddress, false, lastIndex(State), 0, Out);
+    return;
+  }
+  // A blank member takes a snapshot first; its reply asks for one.
+  if (State.Role == RaftRole::Blank) {
+    State.Leader = Request.leader();
+    sendAppendReply(State, ReplyAddress, false, 0, 0, Out);
+    return;
+  }
+  becomeFollower(State, Request.term(), Request.leader(), Now, Out);
+  State.VoteBarEnd = Now + timing::ElectionMin;
+  uint64_t previous = Request.previous_index();
+  bool isMatching = previous <= State.SnapshotIndex ||
+                    (previous <= lastIndex(State) &&
+                     termAt(State, previous) == Request.previous_term());
+  if (!isMatching) {
+    uint64_t hint = std::min(lastIndex(State), previous - 1);
+    sendAppendReply(State, ReplyAddress, false, hint, Request.round(), Out);
+    return;
+  }
+  storeEntries(State, Request, Out);
+  uint64_t match = previous + static_cast<uint64_t>(Request.entries_size());
+  State.Commit = std::max(State.Commit, std::min(Request.commit(), match));
+  sendAppendReply(State, ReplyAddress, true, match, Request.round(), Out);
+}
+
+void receive(RaftState &State, const wire::AppendReply &Reply, TimePoint Now,
+             RaftEffects &Out) {
+  if (Reply.term() > State.Term) {
+    becomeFollower(State, Reply.term(), 0, Now, Out);
+    return;
+  }
+  if (State.Role != RaftRole::Leader)
+    return;
+  const wire::Member *member = findMember(State, Reply.follower());
+  bool isBlank = !Reply.success() && Reply.match_index() == 0;
+  if (!member || (Reply.term() != State.Term && !isBlank))
+    return;
+  PeerProgress &peer = State.Peers[Reply.follower()];
+  peer.AckedRound = std::max(peer.AckedRound, Reply.round());
+  renewLease(State);
+  if (!Reply.success()) {
+    peer.NextIndex = std::max(peer.MatchIndex, Reply.match_index()) + 1;
+    wire::Member target = *member;
+    sendAppend(State, target, Now, Out);
+    return;
+  }
+  peer.MatchIndex = std::max(peer.MatchIndex, Reply.match_index());
+  peer.NextIndex = std::max(peer.NextIndex, peer.MatchIndex + 1);
+  uint64_t before = State.Commit;
+  advanceCommit(State);
+  wire::Member target = *member;
+  bool hasMore = peer.NextIndex <= lastIndex(State);
+  if (State.Commit > before)
+    broadcastAppend(State, Now, Out);
+  else if (hasMore)
+    sendAppend(State, target, Now, Out);
+}
+
+void receive(RaftState &State, const wire::InstallSnapshot &Install,
+             const std::string &ReplyAddress, TimePoint Now, RaftEffects &Out) {
+  if (Install.target() != State.Self.Identity || Install.term() < State.Term)
+    return;
+  const wire::Snapshot &snapshot = Install.snapshot();
+  if (State.Role != RaftRole::Blank && snapshot.index() <= State.Commit) {
+    sendAppendReply(State, ReplyAddress, true, State.Commit, 0, Out);
+    return;
+  }
+  // The new files carry the term, so it needs no record of its own.
+  if (Install.term() > State.Term) {
+    State.Term = Install.term();
+    State.VotedFor = 0;
+  }
+  becomeFollower(State, Install.term(), Install.leader(), Now, Out);
+  State.VoteBarEnd = Now + timing::ElectionMin;
+  State.Entries.clear();
+  State.SnapshotIndex = snapshot.index();
+  State.SnapshotTerm = snapshot.term();
+  State.SnapshotMembers.assign(snapshot.members().begin(),
+                               snapshot.members().end());
+  State.Commit = snapshot.index();
+  findNewestMembers(State);
+  persistSnapshot(State, snapshot, Out);
+  Out.push_back(LoadSnapshot{snapshot});
+  sendAppendReply(State, ReplyAddress, true, snapshot.index(), Install.round(),
+                  Out);
+}
+
+void receive(RaftState &State, const wire::TimeoutNow &Order, TimePoint Now,
+             RaftEffects &Out) {
+  bool isForSelf = Order.target() == State.Self.Identity;
+  if (isForSelf && Order.term() == State.Term &&
+      State.Role == RaftRole::Follower && isVoter(State, State.Self.Identity))
+    startElection(State, true, Now, Out);
+}
+
+/// Forms the first configuration: index 1 of term 1 on every first member.
+void formFirstConfiguration(RaftState &State,
+                            const std::vector<wire::Member> &Members,
+                            TimePoint Now, RaftEffects &Out) {
+  State.Role = RaftRole::Follower;
+  State.Term = 1;
+  State.SnapshotIndex = 1;
+  State.SnapshotTerm = 1;
+  State.SnapshotMembers = Members;
+  State.Commit = 1;
+  State.BlankPeers.clear();
+  findNewestMembers(State);
+  State.ElectionDeadline = drawElectionDeadline(State, Now);
+  wire::Snapshot snapshot;
+  fillSnapshotHeader(State, 1, snapshot);
+  persistSnapshot(State, snapshot, Out);
+  Out.push_back(LoadSnapshot{snapshot});
+}
+
+wire::BlankHello makeHello(const RaftState &State) {
+  wire::BlankHello hello;
+  hello.set_name(State.Self.Name);
+  hello.set_identity(State.Self.Identity);
+  hello.set_address(State.Self.Address);
+  hello.set_is_blank(State.Role == RaftRole::Blank);
+  // Only while nothing has been agreed on may a blank member join by itself.
+  if (State.SnapshotIndex == 1)
+    for (const wire::Member &it : State.SnapshotMembers)
+      *hello.add_members() = it;
+  return hello;
+}
+
+/// A first member that lost its disk comes back under a new identity: the
+/// old one leaves the configuration and the new one starts as a learner.
+void readmitMember(RaftState &State, const wire::BlankHello &Hello,
+                   TimePoint Now, RaftEffects &Out) {
+  if (!canPropose(State, Now) || State.MembersIndex > State.Commit)
+    return;
+  wire::Command command;
+  bool isKnownName = false;
+  for (const wire::Member &it : State.Members) {
+    if (it.identity() == Hello.identity())
+      return;
+    if (it.name() == Hello.name())
+      isKnownName = true;
+    else
+      *command.mutable_member_change()->add_members() = it;
+  }
+  if (!isKnownName)
+    return;
+  wire::Member &learner = *command.mutable_member_change()->add_members();
+  learner.set_name(Hello.name());
+  learner.set_identity(Hello.identity());
+  learner.set_address(Hello.address());
+  proposeRaft(State, std::move(command), Now, Out);
+}
+
+void receive(RaftState &State, const wire::BlankHello &Hello, TimePoint Now,
+             RaftEffects &Out) {
+  if (State.Role != RaftRole::Blank) {
+    if (!Hello.is_blank())
+      return;
+    wire::Envelope message;
+    *message.mutable_blank_hello() = makeHello(State);
+    send(Out, Hello.address(), std::move(message));
+    readmitMember(State, Hello, Now, Out);
+    return;
+  }
+  if (!Hello.is_blank()) {
+    // A formed peer ends the own forming; its list may name this identity.
+    State.BlankPeers.erase(Hello.name());
+    for (const wire::Member &it : Hello.members()) {
+      if (it.identity() != State.Self.Identity)
+        continue;
+      formFirstConfiguration(
+          State, {Hello.members().begin(), Hello.members().end()}, Now, Out);
+      return;
+    }
+    return;
+  }
+  State.BlankPeers[Hello.name()] = Hello;
+  std::set<std::string> addresses;
+  std::vector<wire::Member> members;
+  for (const auto &[name, hello] : State.BlankPeers) {
+    addresses.insert(hello.address());
+    wire::Member member;
+    member.set_name(name);
+    member.set_identity(hello.identity());
+    member.set_address(hello.address());
+    member.set_voter(true);
+    members.push_back(member);
+  }
+  for (const std::string &it : State.SeedAddresses)
+    if (!addresses.contains(it))
+      return;
+  formFirstConfiguration(State, members, Now, Out);
+}
+
+void greetSeeds(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  if (Now < State.NextAppend)
+    return;
+  State.NextAppend = Now + timing::AppendPeriod;
+  wire::Envelope message;
+  *message.mutable_blank_hello() = makeHello(State);
+  for (const std::string &it : State.SeedAddresses)
+    if (it != State.Self.Address)
+      send(Out, it, message);
+  receive(State, message.blank_hello(), Now, Out);
+}
+
+/// Gives a vote to learners that hold everything committed.
+void promoteLearners(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  if (State.MembersIndex > State.Commit || !canPropose(State, Now))
+    return;
+  for (size_t i = 0; i < State.Members.size(); ++i) {
+    const wire::Member &member = State.Members[i];
+    uint64_t match = State.Peers[member.identity()].MatchIndex;
+    if (member.voter() || match < State.Commit)
+      continue;
+    wire::Command command;
+    for (const wire::Member &it : State.Members)
+      *command.mutable_member_change()->add_members() = it;
+    command.mutable_member_change()
+        ->mutable_members(static_cast<int>(i))
+        ->set_voter(true);
+    proposeRaft(State, std::move(command), Now, Out);
+    return;
+  }
+}
+
+} // namespace
+
+RaftState makeBlankRaft(RaftSelf Self, std::vector<std::string> SeedAddresses,
+                        uint64_t Seed, TimePoint Now) {
+  RaftState state;
+  state.Self = std::move(Self);
+  state.SeedAddresses = std::move(SeedAddresses);
+  state.Random.seed(Seed);
+  state.NextAppend = Now;
+  return state;
+}
+
+RaftState restoreRaft(RaftSelf Self, std::vector<std::string> SeedAddresses,
+                      const wire::Snapshot &Snapshot,
+                      const wire::HardState &HardState,
+                      std::vector<wire::LogEntry> Entries, uint64_t Seed,
+                      TimePoint Now) {
+  RaftState state =
+      makeBlankRaft(std::move(Self), std::move(SeedAddresses), Seed, Now);
+  state.Role = RaftRole::Follower;
+  state.Term = HardState.term();
+  state.VotedFor = HardState.voted_for();
+  state.SnapshotIndex = Snapshot.index();
+  state.SnapshotTerm = Snapshot.term();
+  state.SnapshotMembers.assign(Snapshot.members().begin(),
+                               Snapshot.members().end());
+  state.Commit = Snapshot.index();
+  state.Entries.assign(Entries.begin(), Entries.end());
+  findNewestMembers(state);
+  state.ElectionDeadline = drawElectionDeadline(state, Now);
+  // It may have heard from a leader just before it stopped.
+  state.VoteBarEnd = Now + timing::ElectionMin;
+  return state;
+}
+
+void tickRaft(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  if (State.Role == RaftRole::Blank) {
+    greetSeeds(State, Now, Out);
+    return;
+  }
+  if (State.Role == RaftRole::Leader) {
+    if (isPast(State.ElectionDeadline, Now) && quorum(State) > 1) {
+      becomeFollower(State, State.Term, 0, Now, Out);
+      return;
+    }
+    if (quorum(State) == 1)
+      State.LeaseEnd = Now + timing::LeaderLease;
+    if (!isPast(State.NextAppend, Now))
+      return;
+    // Unanswered entries go out again with the next round.
+    for (auto &[identity, peer] : State.Peers)
+      peer.NextIndex =
+          peer.MatchIndex == 0 ? peer.NextIndex : peer.MatchIndex + 1;
+    broadcastAppend(State, Now, Out);
+    advanceCommit(State);
+    promoteLearners(State, Now, Out);
+    return;
+  }
+  if (isPast(State.ElectionDeadline, Now) &&
+      isVoter(State, State.Self.Identity))
+    startPreVote(State, Now, Out);
+}
+
+void receiveRaft(RaftState &State, const wire::Envelope &Message, TimePoint Now,
+                 RaftEffects &Out) {
+  const std::string &address = Message.reply_address();
+  bool isBlank = State.Role == RaftRole::Blank;
+  switch (Message.body_case()) {
+  case wire::Envelope::kVoteRequest:
+    // An empty folder never votes.
+    if (!isBlank)
+      receive(State, Message.vote_request(), address, Now, Out);
+    return;
+  case wire::Envelope::kVoteReply:
+    if (!isBlank)
+      receive(State, Message.vote_reply(), Now, Out);
+    return;
+  case wire::Envelope::kAppendRequest:
+    receive(State, Message.append_request(), address, Now, Out);
+    return;
+  case wire::Envelope::kAppendReply:
+    if (!isBlank)
+      receive(State, Message.append_reply(), Now, Out);
+    return;
+  case wire::Envelope::kInstallSnapshot:
+    receive(State, Message.install_snapshot(), address, Now, Out);
+    return;
+  case wire::Envelope::kTimeoutNow:
+    receive(State, Message.timeout_now(), Now, Out);
+    return;
+  case wire::Envelope::kBlankHello:
+    receive(State, Message.blank_hello(), Now, Out);
+    return;
+  default:
+    return;
+  }
+}
+
+uint64_t proposeRaft(RaftState &State, wire::Command Command, TimePoint Now,
+                     RaftEffects &Out) {
+  wire::LogEntry entry;
+  entry.set_term(State.Term);
+  entry.set_index(lastIndex(State) + 1);
+  *entry.mutable_command() = std::move(Command);
+  storeEntry(State, entry, Out);
+  broadcastAppend(State, Now, Out);
+  advanceCommit(State);
+  return entry.index();
+}
+
+void transferLeadership(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  if (State.Role != RaftRole::Leader)
+    return;
+  const wire::Member *best = nullptr;
+  for (const wire::Member &it : State.Members) {
+    if (!it.voter() || it.identity() == State.Self.Identity)
+      continue;
+    if (!best || State.Peers[it.identity()].MatchIndex >
+                     State.Peers[best->identity()].MatchIndex)
+      best = &it;
+  }
+  if (!best)
+    return;
+  wire::Envelope message;
+  message.mutable_timeout_now()->set_term(State.Term);
+  message.mutable_timeout_now()->set_target(best->identity());
+  // The lease ends here, before anyone can win against it.
+  std::string address = best->address();
+  becomeFollower(State, State.Term, 0, Now, Out);
+  send(Out, address, std::move(message));
+}
+
+void compactRaft(RaftState &State, wire::Snapshot Snapshot, size_t Tail,
+                 RaftEffects &Out) {
+  uint64_t index = Snapshot.index();
+  persistSnapshot(State, std::move(Snapshot), Out);
+  uint64_t keepFrom = index > Tail ? index - Tail : 0;
+  if (keepFrom <= State.SnapshotIndex)
+    return;
+  std::vector<wire::Member> members = membersAt(State, keepFrom);
+  State.SnapshotTerm = termAt(State, keepFrom);
+  State.SnapshotMembers = std::move(members);
+  State.Entries.erase(State.Entries.begin(),
+                      State.Entries.begin() +
+                          static_cast<int64_t>(keepFrom - State.SnapshotIndex));
+  State.SnapshotIndex = keepFrom;
+}
+
+bool hasLease(const RaftState &State, TimePoint Now) {
+  return State.Role == RaftRole::Leader && Now < State.LeaseEnd;
+}
+
+bool canPropose(const RaftState &State, TimePoint Now) {
+  return hasLease(State, Now) && isTermEstablished(State);
+}
+
+bool isTermEstablished(const RaftState &State) {
+  return State.Role == RaftRole::Leader &&
+         termAt(State, State.Commit) == State.Term;
+}
+
+std::string leaderAddress(const RaftState &State) {
+  return addressOf(State, State.Leader);
+}
+
+uint64_t lastIndex(const RaftState &State) {
+  return State.SnapshotIndex + State.Entries.size();
+}
+
+uint64_t termAt(const RaftState &State, uint64_t Index) {
+  if (Index == State.SnapshotIndex)
+    return State.SnapshotTerm;
+  if (Index < State.SnapshotIndex || Index > lastIndex(State))
+    return 0;
+  return entryAt(State, Index).term();
+}
+
+const wire::LogEntry &entryAt(const RaftState &State, uint64_t Index) {
+  return State.Entries[Index - State.SnapshotIndex - 1];
+}
+
+std::vector<wire::Member> membersAt(const RaftState &State, uint64_t Index) {
+  for (uint64_t i = std::min(Index, lastIndex(State)); i > State.SnapshotIndex;
+       --i) {
+    const wire::Command &command = entryAt(State, i).command();
+    if (command.has_member_change())
+      return {command.member_change().members().begin(),
+              command.member_change().members().end()};
+  }
+  return State.SnapshotMembers;
+}
+
+void fillSnapshotHeader(const RaftState &State, uint64_t Index,
+                        wire::Snapshot &Snapshot) {
+  Snapshot.set_index(Index);
+  Snapshot.set_term(termAt(State, Index));
+  for (const wire::Member &it : membersAt(State, Index))
+    *Snapshot.add_members() = it;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/tests/harness/process_fleet.cpp
@@ -0,0 +1,391 @@
+#include "tests/harness/process_fleet.h"
+
+#include "http/address.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace sassafras {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace files = std::filesystem;
+
+constexpr Millis Poll{20};
+
+std::string readFile(const std::string &Path) {
+  std::ifstream in(Path);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+/// A port that nobody holds and that was not given out before.
+std::string freeAddress() {
+  static std::set<uint16_t> given;
+  asio::io_context io;
+  for (;;) {
+    asio::ip::tcp::acceptor acceptor(io,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    uint16_t port = acceptor.local_endpoint().port();
+    if (given.insert(port).second)
+      return "127.0.0.1:" + std::to_string(port);
+  }
+}
+
+/// Replaces the value of \p Key in TOML text that has it on a line alone.
+void setKey(std::string &Toml, const std::string &Key,
+            const std::string &Value) {
+  size_t at = Toml.find("\n" + Key + " = ");
+  if (at == std::string::npos)
+    return;
+  size_t end = Toml.find('\n', at + 1);
+  Toml.replace(at + 1, end - at - 1, Key + " = " + Value);
+}
+
+std::string quote(const std::string &Text) { return "\"" + Text + "\""; }
+
+/// Reads the answer's body until it ends or breaks.
+void readAnswer(beast::tcp_stream &Stream, asio::io_context &Io,
+                CallerAnswer &Answer, std::chrono::seconds Limit) {
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(std::numeric_limits<uint64_t>::max());
+  beast::error_code error;
+  bool isDone = false;
+  Stream.expires_after(Limit);
+  http::async_read(Stream, buffer, parser, [&](auto ec, size_t) {
+    error = ec;
+    isDone = true;
+  });
+  Io.restart();
+  while (!isDone)
+    Io.run_one();
+  if (!parser.is_header_done())
+    return;
+  Answer.Status = parser.get().result_int();
+  for (const auto &it : parser.get()) {
+    std::string name(it.name_string());
+    for (char &c : name)
+      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    Answer.Fields.push_back({name, std::string(it.value())});
+  }
+  Answer.Body = parser.get().body();
+  Answer.IsWhole = !error && parser.is_done();
+}
+
+} // namespace
+
+CallerAnswer callHttp(const std::string &Address, const HttpRequest &Request,
+                      std::chrono::seconds Limit) {
+  CallerAnswer answer;
+  auto address = parseAddress(Address);
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  beast::error_code ec;
+  stream.connect({asio::ip::make_address(address->Ip), address->Port}, ec);
+  if (ec)
+    return answer;
+  http::request<http::string_body> message;
+  message.method_string(Request.Method);
+  message.target(Request.Target);
+  message.set(http::field::host, Address);
+  for (const HttpField &it : Request.Fields)
+    message.insert(it.Name, it.Value);
+  message.body() = Request.Body;
+  message.prepare_payload();
+  http::write(stream, message, ec);
+  if (!ec)
+    readAnswer(stream, io, answer, Limit);
+  return answer;
+}
+
+bool waitUntil(std::chrono::seconds Limit, const std::function<bool()> &Check) {
+  TimePoint deadline = Clock::now() + Limit;
+  while (!Check()) {
+    if (isPast(deadline, Clock::now()))
+      return false;
+    std::this_thread::sleep_for(Poll);
+  }
+  return true;
+}
+
+Deployment bloomline() {
+  return {"bloomline", {"colombo-fort", "dehiwala", "negombo", "kalutara"}};
+}
+
+Deployment fixIt() { return {"fixit", {"kingston", "may-pen", "mandeville"}}; }
+
+std::string ProcessFleet::controlName(int Number) {
+  return "control-" + std::to_string(Number);
+}
+std::string ProcessFleet::entryName(int Number) {
+  return "entry-" + std::to_string(Number);
+}
+std::string ProcessFleet::engineName(int Number) {
+  return "engine-" + std::to_string(Number);
+}
+
+ProcessFleet::ProcessFleet(Deployment Kind, Millis LoadTime)
+    : Kind(std::move(Kind)) {
+  std::string pattern =
+      (files::temp_directory_path() / "sassafras-XXXXXX").string();
+  Folder = mkdtemp(pattern.data());
+  for (int i = 1; i <= 3; ++i)
+    ControlInner.push_back(freeAddress());
+  Store = freeAddress();
+  spawn("store",
+        {STORE_PROGRAM, "-l", Store, "-t", std::to_string(LoadTime.count())});
+}
+
+ProcessFleet::~ProcessFleet() {
+  for (const std::string &it : running())
+    kill(it);
+  if (!std::getenv("KEEP_FLEET_FOLDER"))
+    files::remove_all(Folder);
+}
+
+void ProcessFleet::spawn(const std::string &Process,
+                         std::vector<std::string> Words) {
+  std::vector<char *> arguments;
+  for (std::string &it : Words)
+    arguments.push_back(it.data());
+  arguments.push_back(nullptr);
+  std::string output = Folder + "/" + Process + ".log";
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = 0;
+  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  Processes[Process] = pid;
+}
+
+std::string ProcessFleet::writeSettings(const std::string &Sample,
+                                        const std::string &Node,
+                                        const std::string &Zone,
+                                        const std::string &InnerAddress) {
+  std::string toml =
+      readFile(SAMPLES_FOLDER "/" + Kind.Name + "/" + Sample + ".toml");
+  if (!Http.contains(Node))
+    Http[Node] = freeAddress();
+  Inner[Node] = InnerAddress;
+  std::string control = "[";
+  for (const std::string &it : ControlInner)
+    control += (control.size() > 1 ? ", " : "") + quote(it);
+  setKey(toml, "node", quote(Node));
+  setKey(toml, "zone", quote(Zone));
+  setKey(toml, "listen", quote(InnerAddress));
+  setKey(toml, "http", quote(Http[Node]));
+  setKey(toml, "control", control + "]");
+  setKey(toml, "data_folder", quote(Folder + "/" + Node + "-data"));
+  std::string path = settingsOf(Node);
+  std::ofstream(path) << toml;
+  return path;
+}
+
+std::string ProcessFleet::settingsOf(const std::string &Process) const {
+  return Folder + "/" + Process + ".toml";
+}
+
+std::string ProcessFleet::httpOf(const std::string &Process) const {
+  return Http.at(Process);
+}
+
+std::string ProcessFleet::sampleTable() const {
+  return SAMPLES_FOLDER "/" + Kind.Name + "/table.csv";
+}
+
+void ProcessFleet::startControl(int Number) {
+  std::string name = controlName(Number);
+  size_t index = static_cast<size_t>(Number) - 1;
+  writeSettings("control", name, Kind.Zones[index % Kind.Zones.size()],
+                ControlInner[index]);
+  spawn(name, {DAEMON_PROGRAM, "--settings", settingsOf(name)});
+}
+
+void ProcessFleet::startEntry(int Number) {
+  std::string name = entryName(Number);
+  if (!Inner.contains(name))
+    Inner[name] = freeAddress();
+  size_t index = static_cast<size_t>(Number);
+  writeSettings("entry", name, Kind.Zones[index % Kind.Zones.size()],
+                Inner[name]);
+  spawn(name, {DAEMON_PROGRAM, "--settings", settingsOf(name)});
+}
+
+void ProcessFleet::startAgentOnly(int Number) {
+  std::string name = engineName(Number);
+  if (!Inner.contains(name))
+    Inner[name] = freeAddress();
+  size_t index = static_cast<size_t>(Number);
+  writeSettings("agent", name, Kind.Zones[index % Kind.Zones.size()],
+                Inner[name]);
+  spawn(name, {DAEMON_PROGRAM, "--settings", settingsOf(name)});
+}
+
+void ProcessFleet::startEngineOnly(int Number, EngineOptions Options) {
+  std::string name = engineName(Number);
+  std::string fake = name + "-endpoint";
+  if (!Http.contains(fake))
+    Http[fake] = freeAddress();
+  std::vector<std::string> words{ENDPOINT_PROGRAM,
+                                 "-l",
+                                 Http[fake],
+                                 "-a",
+                                 Http[name],
+                                 "-s",
+                                 Store,
+                                 "-m",
+                                 std::to_string(Options.MemoryMb),
+                                 "-t",
+                                 std::to_string(Options.TokenMs)};
+  if (Options.IgnoresFences)
+    words.push_back("-i");
+  spawn(fake, std::move(words));
+}
+
+void ProcessFleet::startEngine(int Number, EngineOptions Options) {
+  startAgentOnly(Number);
+  startEngineOnly(Number, Options);
+}
+
+void ProcessFleet::startService() {
+  std::string name = "service-1";
+  if (!Inner.contains(name))
+    Inner[name] = freeAddress();
+  writeSettings("service_agent", name, Kind.Zones[0], Inner[name]);
+  spawn(name, {DAEMON_PROGRAM, "--settings", settingsOf(name)});
+  std::string fake = name + "-endpoint";
+  if (!Http.contains(fake))
+    Http[fake] = freeAddress();
+  spawn(fake, {ENDPOINT_PROGRAM, "-p", "-l", Http[fake], "-a", Http[name]});
+}
+
+void ProcessFleet::startAll(int Engines, EngineOptions Options) {
+  for (int i = 1; i <= 3; ++i)
+    startControl(i);
+  for (int i = 1; i <= 2; ++i)
+    startEntry(i);
+  for (int i = 1; i <= Engines; ++i)
+    startEngine(i, Options);
+  startService();
+}
+
+void ProcessFleet::loseDisk(int Number) {
+  files::remove_all(Folder + "/" + controlName(Number) + "-data");
+}
+
+void ProcessFleet::signal(const std::string &Process, int Signal) {
+  if (Processes.contains(Process))
+    ::kill(Processes[Process], Signal);
+}
+
+int ProcessFleet::waitForExit(const std::string &Process,
+                              std::chrono::seconds Limit) {
+  auto it = Processes.find(Process);
+  if (it == Processes.end())
+    return -1;
+  int state = 0;
+  bool hasEnded = waitUntil(
+      Limit, [&] { return waitpid(it->second, &state, WNOHANG) != 0; });
+  if (!hasEnded)
+    return -1;
+  Processes.erase(it);
+  return WIFEXITED(state) ? WEXITSTATUS(state) : 128 + WTERMSIG(state);
+}
+
+void ProcessFleet::kill(const std::string &Process) {
+  signal(Process, SIGKILL);
+  waitForExit(Process, std::chrono::seconds(10));
+}
+
+bool ProcessFleet::isRunning(const std::string &Process) {
+  auto it = Processes.find(Process);
+  if (it == Processes.end())
+    return false;
+  siginfo_t info{};
+  waitid(P_PID, static_cast<id_t>(it->second), &info,
+         WEXITED | WNOHANG | WNOWAIT);
+  return info.si_pid == 0;
+}
+
+std::vector<std::string> ProcessFleet::running() {
+  std::vector<std::string> names;
+  for (const auto &[name, pid] : Processes)
+    names.push_back(name);
+  return names;
+}
+
+ToolResult ProcessFleet::ctl(const std::vector<std::string> &Words) {
+  static int serial = 0;
+  std::string base = Folder + "/ctl-" + std::to_string(serial++);
+  std::string command =
+      std::string(TOOL_PROGRAM) + " --settings " + settingsOf(controlName(1));
+  for (const std::string &it : Words)
+    command += " " + it;
+  command += " >" + base + ".out 2>" + base + ".err";
+  int state = std::system(command.c_str());
+  return {WEXITSTATUS(state), readFile(base + ".out"), readFile(base + ".err")};
+}
+
+std::string ProcessFleet::leader() {
+  std::string found;
+  waitUntil(std::chrono::seconds(15), [&] {
+    for (int i = 1; i <= 3; ++i) {
+      std::string name = controlName(i);
+      if (isRunning(name) && metric(name, "control_leader") > 0)
+        found = name;
+    }
+    return !found.empty();
+  });
+  return found;
+}
+
+std::string ProcessFleet::grantKey(const std::string &Tenant,
+                                   const std::string &Id) {
+  ToolResult result = ctl({"--wait", "--id", Id, "key", "grant", Tenant});
+  size_t at = result.Out.find("key sk-");
+  if (result.Code != 0 || at == std::string::npos)
+    return {};
+  size_t end = result.Out.find('\n', at);
+  return result.Out.substr(at + 4, end - at - 4);
+}
+
+double ProcessFleet::metric(const std::string &Process,
+                            const std::string &Name) {
+  CallerAnswer answer = callHttp(httpOf(Process), {"GET", "/metrics", {}, {}},
+                                 std::chrono::seconds(2));
+  std::istringstream in(answer.Body);
+  std::string line;
+  while (std::getline(in, line))
+    if (line.starts_with(Name + " "))
+      return std::atof(line.c_str() + Name.size() + 1);
+  return 0;
+}
+
+std::string ProcessFleet::log(const std::string &Process) const {
+  return readFile(Folder + "/" + Process + ".log");
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/wire/link.cpp
@@ -0,0 +1,221 @@
+#include "wire/link.h"
+
+#include "core/logging.h"
+#include "core/metrics.h"
+#include "core/time.h"
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <zmq.hpp>
+
+#include <map>
+
+namespace sassafras {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Messages queued in each direction for one peer.
+constexpr int QueueLimit = 4000;
+constexpr int64_t MaxMessageBytes = 64LL * 1024 * 1024;
+constexpr int ReconnectMs = 50;
+constexpr int ReconnectMaxMs = 1000;
+constexpr int LingerMs = 500;
+constexpr std::chrono::seconds PeerMemory{120};
+/// Messages taken before other work of the thread gets its turn.
+constexpr int DrainBatch = 256;
+
+struct Peer {
+  zmq::socket_t Socket;
+  TimePoint LastUse;
+};
+
+} // namespace
+
+struct Link::Impl : std::enable_shared_from_this<Link::Impl> {
+  Impl(asio::io_context &Io, LinkSelf Self, Metrics &Counts, Handler OnMessage)
+      : Io(Io), Self(std::move(Self)), Counts(Counts),
+        OnMessage(std::move(OnMessage)), Context(1),
+        Inbox(Context, zmq::socket_type::pull), Descriptor(Io), Timer(Io) {}
+
+  void arm();
+  void drain();
+  void take(const zmq::message_t &Bytes);
+  void refuse(const wire::Envelope &Message, const std::string &Reason);
+  void deliver(const std::string &Address, wire::Envelope &Message);
+  void forgetIdlePeers();
+
+  asio::io_context &Io;
+  LinkSelf Self;
+  Metrics &Counts;
+  Handler OnMessage;
+  std::string Address;
+  zmq::context_t Context;
+  zmq::socket_t Inbox;
+  asio::posix::stream_descriptor Descriptor;
+  asio::steady_timer Timer;
+  std::map<std::string, Peer> Peers;
+  bool IsClosed = false;
+};
+
+void Link::Impl::arm() {
+  Descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                        [self = shared_from_this()](auto ec) {
+                          if (!ec && !self->IsClosed)
+                            self->drain();
+                        });
+}
+
+void Link::Impl::drain() {
+  for (int i = 0; i < DrainBatch; ++i) {
+    zmq::message_t bytes;
+    auto n = Inbox.recv(bytes, zmq::recv_flags::dontwait);
+    if (!n) {
+      arm();
+      return;
+    }
+    take(bytes);
+    if (IsClosed)
+      return;
+  }
+  asio::post(Io, [self = shared_from_this()] {
+    if (!self->IsClosed)
+      self->drain();
+  });
+}
+
+void Link::Impl::take(const zmq::message_t &Bytes) {
+  wire::Envelope message;
+  if (!message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
+    Counts.count("link_refused_total", "reason=\"unreadable\"");
+    return;
+  }
+  if (message.has_hello_refused()) {
+    Counts.count("link_refused_total", "reason=\"by_peer\"");
+    logEvent(LogLevel::Warning, "peer_refuses",
+             {{"peer", message.from()},
+              {"reason", message.hello_refused().reason()}});
+    return;
+  }
+  if (message.fleet() != Self.Fleet) {
+    refuse(message, "other fleet");
+    return;
+  }
+  if (message.version() != ProtocolVersion) {
+    refuse(message, "unknown protocol version");
+    return;
+  }
+  OnMessage(std::move(message));
+}
+
+void Link::Impl::refuse(const wire::Envelope &Message,
+                        const std::string &Reason) {
+  Counts.count("link_refused_total", "reason=\"" + Reason + "\"");
+  logEvent(LogLevel::Warning, "peer_refused",
+           {{"peer", Message.from()}, {"reason", Reason}});
+  if (Message.reply_address().empty())
+    return;
+  wire::Envelope answer;
+  answer.mutable_hello_refused()->set_reason(Reason);
+  deliver(Message.reply_address(), answer);
+}
+
+void Link::Impl::deliver(const std::string &Address, wire::Envelope &Message) {
+  if (IsClosed || Address.empty())
+    return;
+  auto it = Peers.find(Address);
+  if (it == Peers.end()) {
+    zmq::socket_t socket(Context, zmq::socket_type::push);
+    socket.set(zmq::sockopt::sndhwm, QueueLimit);
+    socket.set(zmq::sockopt::linger, LingerMs);
+    socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, ReconnectMaxMs);
+    try {
+      socket.connect("tcp://" + Address);
+    } catch (const zmq::error_t &) {
+      Counts.count("link_dropped_total", "reason=\"bad_address\"");
+      return;
+    }
+    it = Peers.emplace(Address, Peer{std::move(socket), Clock::now()}).first;
+  }
+  it->second.LastUse = Clock::now();
+  Message.set_fleet(Self.Fleet);
+  Message.set_version(ProtocolVersion);
+  Message.set_from(Self.Node);
+  Message.set_incarnation(Self.Incarnation);
+  Message.set_reply_address(this->Address);
+  std::string bytes = Message.SerializeAsString();
+  Counts.count("link_sent_total");
+  Counts.count("link_sent_bytes_total", "", bytes.size());
+  auto n =
+      it->second.Socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  if (!n)
+    Counts.count("link_dropped_total", "reason=\"queue_full\"");
+}
+
+void Link::Impl::forgetIdlePeers() {
+  Timer.expires_after(PeerMemory);
+  Timer.async_wait([self = shared_from_this()](auto ec) {
+    if (ec)
+      return;
+    std::erase_if(self->Peers, [](const auto &it) {
+      return Clock::now() - it.second.LastUse > PeerMemory;
+    });
+    self->forgetIdlePeers();
+  });
+}
+
+Link::Link(asio::io_context &Io, LinkSelf Self, Metrics &Counts,
+           Handler OnMessage)
+    : Data(std::make_shared<Impl>(Io, std::move(Self), Counts,
+                                  std::move(OnMessage))) {}
+
+Link::~Link() { close(); }
+
+bool Link::start(std::string &Problem) {
+  Impl &data = *Data;
+  try {
+    data.Inbox.set(zmq::sockopt::rcvhwm, QueueLimit);
+    data.Inbox.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+    data.Inbox.set(zmq::sockopt::linger, 0);
+    data.Inbox.bind("tcp://" + data.Self.Listen);
+    std::string bound = data.Inbox.get(zmq::sockopt::last_endpoint);
+    data.Address = bound.substr(bound.find("//") + 2);
+    data.Descriptor.assign(data.Inbox.get(zmq::sockopt::fd));
+  } catch (const zmq::error_t &error) {
+    Problem = "cannot listen at " + data.Self.Listen + ": " + error.what();
+    return false;
+  }
+  // The descriptor signals changes only, so look once before waiting.
+  asio::post(data.Io, [self = Data] {
+    if (!self->IsClosed)
+      self->drain();
+  });
+  data.forgetIdlePeers();
+  return true;
+}
+
+const std::string &Link::address() const { return Data->Address; }
+
+void Link::send(const std::string &Address, wire::Envelope Message) {
+  asio::post(Data->Io,
+             [self = Data, Address, message = std::move(Message)]() mutable {
+               self->deliver(Address, message);
+             });
+}
+
+void Link::close() {
+  Impl &data = *Data;
+  if (data.IsClosed)
+    return;
+  data.IsClosed = true;
+  data.Timer.cancel();
+  if (data.Descriptor.is_open())
+    data.Descriptor.release();
+  data.Peers.clear();
+  data.Inbox.close();
+}
+
+} // namespace sassafras
