--- a/agent/agent_state.cpp
+++ b/agent/agent_state.cpp
@@ -29,7 +29,7 @@
   endpoint.set_slots(options.Slots);
   endpoint.set_leaving(State.IsStopping || State.Endpoint.IsLeaving);
   endpoint.set_engine_incarnation(State.Endpoint.Incarnation);
-  endpoint.set_ready(isAnnounced(State, Now));
+  endpoint.set_ready(isAnnounced(State, Now) && isEndpointKnown(State, Now));
   return endpoint;
 }
 
@@ -38,6 +38,7 @@
   wire::Heartbeat &beat = *message.mutable_heartbeat();
   beat.set_is_agent(true);
   *beat.mutable_endpoint() = describeEndpoint(State, Now);
+  beat.set_endpoint_gone(State.HasSeenEndpoint && !State.IsEndpointUp);
   for (wire::ReplicaReport &it : reportReplicas(State, Now))
     *beat.add_replicas() = std::move(it);
   for (const auto &[name, death] : State.Deaths)
--- a/agent/agent_state.h
+++ b/agent/agent_state.h
@@ -93,6 +93,10 @@
   EndpointReport Endpoint;
   bool IsEndpointUp = false;
   TimePoint LastAnnounce;
+  /// Reports lag, so a new agent process waits until one that must have been
+  /// made after its own start has come in.
+  TimePoint TrustFrom;
+  bool HasSeenEndpoint = false;
   std::map<std::string, RowState> Rows;
   std::map<std::string, OpenOrder> Orders; ///< By row.
   std::map<AttemptKey, ActiveAttempt> Attempts;
--- a/agent/attempts.cpp
+++ b/agent/attempts.cpp
@@ -12,6 +12,7 @@
 constexpr Millis ProgressPeriod{800};
 /// A broken exchange this shortly before a death counts as running there.
 constexpr Millis DeathWindow{3000};
+constexpr unsigned StatusNotFound = 404;
 /// Attempts of an earlier term are taken for this long after it ended.
 constexpr Millis TermGrace = timing::ViewLease;
 
@@ -83,7 +84,7 @@
     return "other_incarnation";
   if (State.IsStopping || State.Endpoint.IsLeaving)
     return "leaving";
-  if (!State.IsEndpointUp)
+  if (!isEndpointKnown(State, Now))
     return "endpoint_down";
   if (isStampStale(State, Attempt, Now))
     return "stale";
@@ -150,6 +151,18 @@
   auto active = State.Attempts.find(Head.Key);
   if (active == State.Attempts.end())
     return;
+  // An engine that does not know the row has not run the request; it may be
+  // a new process that has not announced itself yet.
+  bool isUnknownRow =
+      State.Options.Service.empty() && Head.Status == StatusNotFound;
+  if (isUnknownRow) {
+    std::string address = active->second.ReplyAddress;
+    State.Attempts.erase(active);
+    rememberEnd(State, Head.Key, wire::ATTEMPT_NOT_RUN);
+    Out.push_back(CancelExchange{Head.Key});
+    replyOutcome(Out, address, Head.Key, wire::ATTEMPT_NOT_RUN, "unknown_row");
+    return;
+  }
   active->second.HasHead = true;
   wire::AttemptReply answer;
   answer.set_outcome(wire::ATTEMPT_HEAD);
--- a/agent/orders.cpp
+++ b/agent/orders.cpp
@@ -101,13 +101,19 @@
 }
 
 void reconcileReplicas(AgentState &State, TimePoint Now, AgentEffects &Out) {
-  if (!State.IsEndpointUp || !State.Options.Service.empty())
+  if (!isEndpointKnown(State, Now) || !State.Options.Service.empty())
     return;
   // Nobody is obeyed before a current leader has answered this process.
   if (!isConfirmed(State.View, Now)) {
     unloadOrphans(State, Now, Out);
     return;
   }
+  // What an earlier process said of its orders has been recorded or is void
+  // once the record names this process.
+  const wire::Endpoint *own =
+      findEndpoint(State.View.Items, State.Options.Name);
+  if (!own || own->incarnation() != State.Options.Incarnation)
+    return;
   for (const wire::Replica *it :
        listReplicasOn(State.View.Items, State.Options.Name))
     if (it->engine_incarnation() == State.Endpoint.Incarnation)
@@ -116,8 +122,15 @@
     unloadStranger(State, it, Out);
 }
 
+bool isEndpointKnown(const AgentState &State, TimePoint Now) {
+  return State.IsEndpointUp && isPast(State.TrustFrom, Now);
+}
+
 void takeReport(AgentState &State, const EndpointReport &Report,
                 TimePoint Now) {
+  if (!State.HasSeenEndpoint && State.Options.Service.empty())
+    State.TrustFrom = Now + ReportLag;
+  State.HasSeenEndpoint = true;
   State.Endpoint = Report;
   State.IsEndpointUp = true;
   State.LastAnnounce = Now;
@@ -159,7 +172,7 @@
 std::vector<wire::ReplicaReport> reportReplicas(const AgentState &State,
                                                 TimePoint Now) {
   std::vector<wire::ReplicaReport> reports;
-  if (!State.IsEndpointUp)
+  if (!isEndpointKnown(State, Now))
     return reports;
   for (const wire::Replica *it :
        listReplicasOn(State.View.Items, State.Options.Name)) {
--- a/control/control_state.h
+++ b/control/control_state.h
@@ -34,6 +34,7 @@
   std::string Address;
   uint64_t Incarnation = 0;
   TimePoint LastHeard;
+  TimePoint EndpointKnownAt; ///< Agents: when it last knew its endpoint.
   uint64_t LastGrantRequest = 0;
   uint64_t PushedVersion = 0;
   wire::Heartbeat Beat;
--- a/control/leadership.cpp
+++ b/control/leadership.cpp
@@ -47,9 +47,13 @@
   propose(State, std::move(Command), std::move(proposal), Now, Raft);
 }
 
+/// \p Reporter is the agent incarnation whose report asks for the change, or
+/// 0 when the leader decided it.
 void proposeReplica(ControlState &State, const wire::Replica &Replica,
-                    bool Remove, TimePoint Now, RaftEffects &Raft) {
+                    bool Remove, uint64_t Reporter, TimePoint Now,
+                    RaftEffects &Raft) {
   wire::Command command;
+  command.mutable_replica_change()->set_reporter(Reporter);
   *command.mutable_replica_change()->mutable_replica() = Replica;
   command.mutable_replica_change()->set_remove(Remove);
   proposeOwn(State, replicaItemName(Replica.endpoint(), Replica.row()),
@@ -135,21 +139,29 @@
   return A.SerializeAsString() == B.SerializeAsString();
 }
 
-void takeEndpoint(ControlState &State, const wire::Endpoint &Reported,
-                  TimePoint Now, RaftEffects &Raft) {
+void takeEndpoint(ControlState &State, NodeInfo &Info, TimePoint Now,
+                  RaftEffects &Raft) {
+  wire::Endpoint reported = Info.Beat.endpoint();
   const wire::Endpoint *known =
-      findEndpoint(State.Fleet.Items, Reported.name());
-  if (known && isSameEndpoint(*known, Reported))
+      findEndpoint(State.Fleet.Items, reported.name());
+  bool isKnown = reported.engine_incarnation() != 0;
+  if (isKnown || Info.Beat.endpoint_gone())
+    Info.EndpointKnownAt = Now;
+  if (!known && !isKnown)
     return;
-  // An agent whose endpoint has not announced itself yet is not listed.
-  if (!known && Reported.engine_incarnation() == 0)
-    return;
-  proposeEndpoint(State, Reported, false, Now, Raft);
+  // An agent that has just started does not know its endpoint yet: what the
+  // endpoint holds still counts.
+  if (!isKnown && !Info.Beat.endpoint_gone()) {
+    reported.set_engine_incarnation(known->engine_incarnation());
+    reported.set_memory_mb(known->memory_mb());
+  }
+  if (!known || !isSameEndpoint(*known, reported))
+    proposeEndpoint(State, reported, false, Now, Raft);
 }
 
 void takeReplicaReport(ControlState &State, const std::string &Endpoint,
-                       const wire::ReplicaReport &Report, TimePoint Now,
-                       RaftEffects &Raft) {
+                       const wire::ReplicaReport &Report, uint64_t Reporter,
+                       TimePoint Now, RaftEffects &Raft) {
   const wire::Replica *known =
       findReplica(State.Fleet.Items, Endpoint, Report.row());
   // Reports about an earlier decision say nothing about this one.
@@ -162,17 +174,17 @@
     if (!isLoaded && !Report.failed())
       return;
     replica.set_phase(wire::PHASE_LOADED);
-    proposeReplica(State, replica, Report.failed(), Now, Raft);
+    proposeReplica(State, replica, Report.failed(), Reporter, Now, Raft);
     return;
   case wire::PHASE_UNLOADING:
     if (!isLoaded)
-      proposeReplica(State, replica, true, Now, Raft);
+      proposeReplica(State, replica, true, Reporter, Now, Raft);
     return;
   default:
     // The engine dropped it by itself: confirm that as an unload.
     replica.set_phase(wire::PHASE_UNLOADING);
     if (!isLoaded)
-      proposeReplica(State, replica, false, Now, Raft);
+      proposeReplica(State, replica, false, Reporter, Now, Raft);
     return;
   }
 }
@@ -201,8 +213,11 @@
                    Now - info.LastHeard < timing::EndpointWriteOff;
   if (isEarlier)
     return;
-  if (!isSameProcess)
+  if (!isSameProcess) {
+    TimePoint knownAt = info.EndpointKnownAt;
     info = NodeInfo();
+    info.EndpointKnownAt = knownAt;
+  }
   info.Address = Message.reply_address();
   info.Incarnation = Message.incarnation();
   info.LastHeard = Now;
@@ -211,9 +226,10 @@
     if (it.arrivals() > 0)
       recordArrivals(State.Idling, it.row(), Now);
   if (beat.is_agent()) {
-    takeEndpoint(State, beat.endpoint(), Now, Raft);
+    takeEndpoint(State, info, Now, Raft);
     for (const wire::ReplicaReport &it : beat.replicas())
-      takeReplicaReport(State, Message.from(), it, Now, Raft);
+      takeReplicaReport(State, Message.from(), it, Message.incarnation(), Now,
+                        Raft);
   }
   takeDeaths(State, beat, Now, Raft);
   replyToNode(State, Message.from(), info, Now, Out);
@@ -353,7 +369,7 @@
     auto node = State.Nodes.find(it->name());
     TimePoint heard = State.LedSince;
     if (node != State.Nodes.end())
-      heard = std::max(heard, node->second.LastHeard);
+      heard = std::max(heard, node->second.EndpointKnownAt);
     auto silence = Now - heard;
     if (silence >= timing::EndpointWriteOff) {
       proposeEndpoint(State, *it, true, Now, Raft);
@@ -425,10 +441,10 @@
   for (const wire::Replica &it : decision.Load) {
     if (!it.is_adapter())
       State.LoadTokens -= 1;
-    proposeReplica(State, it, false, Now, Raft);
+    proposeReplica(State, it, false, 0, Now, Raft);
   }
   for (const wire::Replica &it : decision.Unload)
-    proposeReplica(State, it, false, Now, Raft);
+    proposeReplica(State, it, false, 0, Now, Raft);
 }
 
 } // namespace
--- a/entry/answering.cpp
+++ b/entry/answering.cpp
@@ -16,6 +16,10 @@
 /// Retries are a share of the traffic.
 constexpr double RetryShare = 0.2;
 constexpr double MostRetryBudget = 20;
+/// A piece that others have overtaken must come within this time.
+constexpr Millis GapLimit{1000};
+/// Bytes at the end of a passed-on stream that are kept.
+constexpr size_t HeldTail = 64;
 constexpr std::string_view UsageField = "\"total_tokens\":";
 constexpr std::string_view EventMark = "data:";
 constexpr std::string_view StreamEnd = "data: [DONE]";
@@ -54,7 +58,13 @@
   return true;
 }
 
-/// Tokens that the answer says it used; all that was charged when unknown.
+/// Tokens that cannot be given back when the answer did not end well.
+uint64_t keptCharge(const RequestState &Request) {
+  return Request.Attempts == 0 ? 0 : Request.Charged;
+}
+
+/// Tokens that the whole answer says it used; all that was charged when it
+/// does not say.
 uint64_t usedTokens(const RequestState &Request) {
   size_t at = Request.Held.rfind(UsageField);
   if (at != std::string::npos) {
@@ -109,19 +119,6 @@
   return n;
 }
 
-void takeHead(RequestState &Request, const wire::AttemptReply &Reply,
-              TimePoint Now, EntryEffects &Out) {
-  if (Request.HasHead)
-    return;
-  Request.HasHead = true;
-  Request.Status = Reply.status();
-  Request.Headers.clear();
-  for (const wire::Header &it : Reply.headers())
-    Request.Headers.push_back({it.name(), it.value()});
-  if (Request.WasCold)
-    Out.push_back(ObserveCold{Now - Request.Arrived});
-}
-
 /// The answer cannot be completed: try again or end it openly.
 void breakAnswer(EntryState &State, const std::string &Id, RetryReason Reason,
                  TimePoint Now, EntryEffects &Out) {
@@ -132,43 +129,30 @@
   retryOrRefuse(State, Id, Reason, RefusalReason::EndpointFailed, Now, Out);
 }
 
-void takeBody(EntryState &State, RequestState &Request,
-              const wire::AttemptReply &Reply, TimePoint Now,
-              EntryEffects &Out) {
-  // A piece that was seen already is a duplicate; a gap breaks the answer.
-  if (Reply.offset() < Request.Received)
+/// Takes the piece that comes next in order.
+void appendPiece(RequestState &Request, std::string Bytes, EntryEffects &Out) {
+  Request.Received += Bytes.size();
+  Request.Held += Bytes;
+  if (!isPassedOn(Request))
     return;
-  bool isGap = Reply.offset() > Request.Received || !Request.HasHead;
-  bool isTooLarge = !isPassedOn(Request) &&
-                    Request.Held.size() + Reply.body().size() > MaxHeldAnswer;
-  if (isGap || isTooLarge) {
-    cancelAttempt(Request, Out);
-    breakAnswer(State, Request.Caller.Id, RetryReason::AnswerBroken, Now, Out);
-    return;
-  }
-  Request.Received += Reply.body().size();
-  if (!isPassedOn(Request)) {
-    Request.Held += Reply.body();
-    return;
-  }
-  Request.Events += countEvents(Reply.body());
+  Request.Events += countEvents(Bytes);
   // The last bytes are kept to see whether the stream ended as it should.
-  Request.Held += Reply.body();
-  if (Request.Held.size() > 64)
-    Request.Held.erase(0, Request.Held.size() - 64);
+  if (Request.Held.size() > HeldTail)
+    Request.Held.erase(0, Request.Held.size() - HeldTail);
   if (!Request.IsHeadSent)
     passHead(Request, Out);
-  Out.push_back(AnswerBody{Request.Caller.Id, Reply.body()});
+  Out.push_back(AnswerBody{Request.Caller.Id, std::move(Bytes)});
 }
 
-void takeEnd(EntryState &State, RequestState &Request,
-             const wire::AttemptReply &Reply, TimePoint Now,
-             EntryEffects &Out) {
-  bool isWhole = Request.HasHead && Reply.length() == Request.Received;
+bool isComplete(const RequestState &Request) {
   // An event stream of completions says itself when it is complete.
-  if (isPassedOn(Request))
-    isWhole = isWhole && Request.Held.find(StreamEnd) != std::string::npos;
-  if (!isWhole) {
+  return !isPassedOn(Request) ||
+         Request.Held.find(StreamEnd) != std::string::npos;
+}
+
+void finishAnswer(EntryState &State, RequestState &Request, TimePoint Now,
+                  EntryEffects &Out) {
+  if (!isComplete(Request)) {
     breakAnswer(State, Request.Caller.Id, RetryReason::AnswerBroken, Now, Out);
     return;
   }
@@ -183,6 +167,76 @@
   proposeClaim(State, Request, Now, Out);
 }
 
+/// Puts together what has come so far; links may change the order of pieces.
+void assemble(EntryState &State, RequestState &Request, TimePoint Now,
+              EntryEffects &Out) {
+  while (Request.HasHead && !Request.Early.empty()) {
+    auto next = Request.Early.begin();
+    if (next->first > Request.Received)
+      break;
+    // What was seen already is a duplicate.
+    if (next->first == Request.Received)
+      appendPiece(Request, std::move(next->second), Out);
+    Request.Early.erase(next);
+  }
+  bool isWhole = Request.HasHead && Request.Length == Request.Received;
+  if (isWhole)
+    finishAnswer(State, Request, Now, Out);
+}
+
+void takeHead(EntryState &State, RequestState &Request,
+              const wire::AttemptReply &Reply, TimePoint Now,
+              EntryEffects &Out) {
+  if (Request.HasHead)
+    return;
+  Request.HasHead = true;
+  Request.Status = Reply.status();
+  Request.Headers.clear();
+  for (const wire::Header &it : Reply.headers())
+    Request.Headers.push_back({it.name(), it.value()});
+  if (Request.WasCold)
+    Out.push_back(ObserveCold{Now - Request.Arrived});
+  assemble(State, Request, Now, Out);
+}
+
+bool isTooLarge(const RequestState &Request, size_t More) {
+  size_t early = 0;
+  for (const auto &[offset, bytes] : Request.Early)
+    early += bytes.size();
+  return Request.Held.size() + early + More > MaxHeldAnswer;
+}
+
+void takeBody(EntryState &State, RequestState &Request,
+              const wire::AttemptReply &Reply, TimePoint Now,
+              EntryEffects &Out) {
+  if (Reply.offset() < Request.Received)
+    return;
+  if (isTooLarge(Request, Reply.body().size())) {
+    cancelAttempt(Request, Out);
+    breakAnswer(State, Request.Caller.Id, RetryReason::AnswerBroken, Now, Out);
+    return;
+  }
+  if (Request.Early.empty())
+    Request.GapDeadline = Now + GapLimit;
+  Request.Early[Reply.offset()] = Reply.body();
+  assemble(State, Request, Now, Out);
+}
+
+void takeEnd(EntryState &State, RequestState &Request,
+             const wire::AttemptReply &Reply, TimePoint Now,
+             EntryEffects &Out) {
+  if (!Request.Length)
+    Request.GapDeadline = Now + GapLimit;
+  Request.Length = Reply.length();
+  assemble(State, Request, Now, Out);
+}
+
+/// A piece is missing for so long that it must have been lost.
+bool hasLostPiece(const RequestState &Request, TimePoint Now) {
+  bool hasGap = !Request.Early.empty() || Request.Length;
+  return hasGap && isPast(Request.GapDeadline, Now);
+}
+
 void takeNotRun(EntryState &State, RequestState &Request,
                 const wire::AttemptReply &Reply, TimePoint Now,
                 EntryEffects &Out) {
@@ -266,7 +320,7 @@
   request.Attempt->IsAcknowledged = true;
   switch (Reply.outcome()) {
   case wire::ATTEMPT_HEAD:
-    return takeHead(request, Reply, Now, Out);
+    return takeHead(State, request, Reply, Now, Out);
   case wire::ATTEMPT_BODY:
     return takeBody(State, request, Reply, Now, Out);
   case wire::ATTEMPT_END:
@@ -307,6 +361,9 @@
                      std::chrono::seconds(1),
                      {}},
                     Now, Out);
+    } else if (hasLostPiece(request, Now)) {
+      cancelAttempt(request, Out);
+      breakAnswer(State, it, RetryReason::AnswerBroken, Now, Out);
     } else if (isAttemptLost(State, request, Now)) {
       giveUpAttempt(State, request, Now, Out);
     } else if (isPast(request.Attempt->NextResend, Now) &&
@@ -335,7 +392,7 @@
   ++State.Counts.Cancelled;
   countEvent(Out, "cancelled_total",
              IsSlow ? "reason=\"slow_reader\"" : "reason=\"caller_gone\"");
-  closeRequest(State, Id, usedTokens(request), Now);
+  closeRequest(State, Id, keptCharge(request), Now);
 }
 
 void refuseRequest(EntryState &State, const std::string &Id, Refusal Why,
@@ -364,7 +421,7 @@
     Out.push_back(AnswerAbort{Id, std::move(Why)});
   else if (!request.IsCallerGone)
     Out.push_back(AnswerRefusal{Id, std::move(Why)});
-  closeRequest(State, Id, request.MayHaveRun ? usedTokens(request) : 0, Now);
+  closeRequest(State, Id, request.MayHaveRun ? keptCharge(request) : 0, Now);
 }
 
 void closeRequest(EntryState &State, const std::string &Id, uint64_t UsedTokens,
--- a/entry/dispatch.cpp
+++ b/entry/dispatch.cpp
@@ -128,6 +128,8 @@
   Request.Received = 0;
   Request.Events = 0;
   Request.Held.clear();
+  Request.Early.clear();
+  Request.Length.reset();
   ++State.InFlight[attempt.Endpoint];
   resendAttempt(State, Request, Now, Out);
 }
--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -74,6 +74,9 @@
   uint64_t Received = 0;
   uint64_t Events = 0; ///< Server-sent events seen.
   std::string Held;
+  std::map<uint64_t, std::string> Early; ///< Pieces that came before others.
+  std::optional<uint64_t> Length;        ///< Of the body, once it is told.
+  TimePoint GapDeadline; ///< What is missing must have come by then.
 };
 
 struct TenantQueue {
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -184,6 +184,13 @@
       findReplica(State.Items, replica.endpoint(), replica.row());
   if (!old || old->fence() != replica.fence())
     return invalid(State, "replica is not current");
+  // A later agent process may already act on what an earlier one disowned.
+  const wire::Endpoint *endpoint =
+      findEndpoint(State.Items, replica.endpoint());
+  bool isOutdated = Change.reporter() != 0 && endpoint &&
+                    endpoint->incarnation() != Change.reporter();
+  if (isOutdated)
+    return invalid(State, "report is of an earlier agent process");
   if (Change.remove()) {
     State.Items.erase(name, Index);
     return accepted(State, Index);
