--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -277,6 +277,7 @@
                         data.Options.AgentRole.Slots,
                         data.Options.AgentRole.Service};
   data.State.View.ControlAddresses = data.Options.Control;
+  data.State.View.NextNumber = incarnation;
   std::function<void(AgentEvent &)> step = [self = Data](AgentEvent &it) {
     self->step(it);
   };
--- a/agent/attempts.cpp
+++ b/agent/attempts.cpp
@@ -49,8 +49,9 @@
 /// on its way and what was checked before it was sent no longer counts.
 bool isStampStale(const AgentState &State, const wire::Attempt &Attempt,
                   TimePoint Now) {
+  // A later term's time cannot be judged before its leader has answered.
   if (Attempt.stamp_term() > State.View.Term)
-    return false;
+    return true;
   if (Attempt.stamp_term() < State.View.Term)
     return Now - State.View.TermSince >= TermGrace;
   return fleetTimeMs(State.View, Now) > Attempt.stamp_until_ms();
@@ -80,8 +81,6 @@
 /// Why the attempt is not admitted; empty when it is.
 std::string refuseAttempt(const AgentState &State, const wire::Attempt &Attempt,
                           TimePoint Now) {
-  if (Attempt.agent_incarnation() != State.Options.Incarnation)
-    return "other_incarnation";
   if (State.IsStopping || State.Endpoint.IsLeaving)
     return "leaving";
   if (!isEndpointKnown(State, Now))
@@ -110,6 +109,12 @@
     replyOutcome(Out, ReplyAddress, key, ended->second.Outcome, "ended");
     return;
   }
+  // An earlier process may have started it; this one can swear nothing.
+  if (Attempt.agent_incarnation() != State.Options.Incarnation) {
+    replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_FAILED,
+                 "other_incarnation");
+    return;
+  }
   std::string reason = refuseAttempt(State, Attempt, Now);
   if (!reason.empty()) {
     // Sworn: a late copy of this attempt will not be started either.
@@ -142,6 +147,8 @@
     replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_FAILED, "cancelled");
     return;
   }
+  if (Cancel.agent_incarnation() != State.Options.Incarnation)
+    return;
   if (!State.Ended.contains(key))
     rememberEnd(State, key, wire::ATTEMPT_NOT_RUN);
   replyOutcome(Out, ReplyAddress, key, State.Ended[key].Outcome, "cancelled");
--- a/entry/answering.cpp
+++ b/entry/answering.cpp
@@ -20,6 +20,8 @@
 constexpr Millis GapLimit{1000};
 /// Bytes at the end of a passed-on stream that are kept.
 constexpr size_t HeldTail = 64;
+/// Reason of an agent that is not the process an attempt was made for.
+constexpr std::string_view OtherProcess = "other_incarnation";
 constexpr std::string_view UsageField = "\"total_tokens\":";
 constexpr std::string_view EventMark = "data:";
 constexpr std::string_view StreamEnd = "data: [DONE]";
@@ -48,6 +50,8 @@
   wire::Envelope message;
   message.mutable_attempt_cancel()->set_request_id(Request.Caller.Id);
   message.mutable_attempt_cancel()->set_number(Request.Attempts);
+  message.mutable_attempt_cancel()->set_agent_incarnation(
+      Request.Attempt->Incarnation);
   Out.push_back(EntrySend{Request.Attempt->Address, std::move(message)});
 }
 
@@ -254,6 +258,16 @@
                 RefusalReason::NoCapacity, Now, Out);
 }
 
+/// The agent has restarted since the attempt was made for it.
+void takeOtherProcess(EntryState &State, RequestState &Request, TimePoint Now,
+                      EntryEffects &Out) {
+  Request.MayHaveRun = true;
+  Request.Avoid.insert(Request.Attempt->Endpoint);
+  Request.AvoidUntil = Now + timing::HeartbeatPeriod;
+  retryOrRefuse(State, Request.Caller.Id, RetryReason::EndpointLost,
+                RefusalReason::EndpointFailed, Now, Out);
+}
+
 /// The agent of an attempt is silent or another one now.
 bool isAttemptLost(const EntryState &State, const RequestState &Request,
                    TimePoint Now) {
@@ -328,6 +342,8 @@
   case wire::ATTEMPT_NOT_RUN:
     return takeNotRun(State, request, Reply, Now, Out);
   case wire::ATTEMPT_FAILED:
+    if (Reply.reason() == OtherProcess)
+      return takeOtherProcess(State, request, Now, Out);
     return breakAnswer(State, request.Caller.Id,
                        Reply.endpoint_died() ? RetryReason::EndpointDied
                                              : RetryReason::AnswerBroken,
@@ -388,7 +404,8 @@
     return;
   }
   cancelAttempt(request, Out);
-  releaseClaim(State, request);
+  if (!request.MayHaveRun || request.Attempts == 0)
+    releaseClaim(State, request);
   ++State.Counts.Cancelled;
   countEvent(Out, "cancelled_total",
              IsSlow ? "reason=\"slow_reader\"" : "reason=\"caller_gone\"");
@@ -405,7 +422,7 @@
                          Why.Reason == RefusalReason::EndpointFailed
                      ? RefusalReason::AnswerIncomplete
                      : Why.Reason;
-  if (!request.MayHaveRun)
+  if (!request.MayHaveRun || request.Attempts == 0)
     releaseClaim(State, request);
   bool isFailure = Why.Reason == RefusalReason::EndpointFailed ||
                    request.IsHeadSent || request.MayHaveRun;
--- a/entry/claims.cpp
+++ b/entry/claims.cpp
@@ -99,10 +99,11 @@
   }
 }
 
-/// A claim was granted to a request that has ended meanwhile.
+/// A claim was granted to a request that has ended meanwhile. Only what this
+/// process knows not to have run is set free.
 void releaseOrphan(EntryState &State, const wire::ProposalReply &Reply) {
   if (Reply.status() != wire::PROPOSAL_ACCEPTED || !Reply.has_claim() ||
-      Reply.claim().finished())
+      !State.NeverRun.contains(Reply.claim().request_id()))
     return;
   wire::ClaimOutcome release;
   release.set_digest(Reply.claim().digest());
@@ -133,6 +134,12 @@
   release.set_request_id(Request.Caller.Id);
   release.set_not_run(true);
   State.Releases.push_back(std::move(release));
+  if (State.NeverRun.insert(Request.Caller.Id).second)
+    State.NeverRunOrder.push_back(Request.Caller.Id);
+  if (State.NeverRunOrder.size() <= MaxNeverRun)
+    return;
+  State.NeverRun.erase(State.NeverRunOrder.front());
+  State.NeverRunOrder.pop_front();
 }
 
 void takeClaimReply(EntryState &State, const wire::ProposalReply &Reply,
--- a/entry/dispatch.cpp
+++ b/entry/dispatch.cpp
@@ -149,12 +149,15 @@
   return true;
 }
 
-enum class StartResult { Started, NoEndpoint, NoTokens, NoView };
+enum class StartResult { Started, NoEndpoint, NoTokens, NoView, NoKey };
 
 StartResult tryStart(EntryState &State, RequestState &Request, TimePoint Now,
                      EntryEffects &Out) {
   if (!Request.Tenant.empty() && !isConfirmed(State.View, Now))
     return StartResult::NoView;
+  // The key may have gone since the request was admitted.
+  if (!isKeyValid(State, Request))
+    return StartResult::NoKey;
   auto candidates = listCandidates(State, Request, Now);
   const Candidate *choice = chooseCandidate(candidates);
   if (!choice) {
@@ -192,7 +195,7 @@
     StartResult result = tryStart(State, request, Now, Out);
     if (result == StartResult::NoTokens || result == StartResult::NoView)
       break;
-    if (result == StartResult::NoEndpoint) {
+    if (result != StartResult::Started) {
       ++it;
       continue;
     }
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -315,6 +315,8 @@
     return false;
   data.State.Options = {data.Options.Node, data.Options.Zone};
   data.State.View.ControlAddresses = data.Options.Control;
+  data.State.View.NextNumber = data.Incarnation;
+  data.State.Tokens.NextNumber = data.Incarnation;
   std::function<void(EntryEvent &)> step = [self = Data](EntryEvent &it) {
     self->step(it);
   };
--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -24,6 +24,8 @@
 inline constexpr uint32_t MaxAttempts = 4;
 /// Broken answers of one request after which it is not tried again.
 inline constexpr uint32_t MaxBrokenAttempts = 2;
+/// Ended requests with a claim that are remembered as never run.
+inline constexpr size_t MaxNeverRun = 4096;
 /// Bytes of an answer that is held until it is whole.
 inline constexpr size_t MaxHeldAnswer = 16ULL * 1024 * 1024;
 
@@ -120,6 +122,9 @@
   std::set<std::string> ReportedDemand;
   std::deque<wire::ClaimOutcome> Releases; ///< Claims to set free.
   TimePoint NextRelease;
+  /// Requests with a claim that ended surely not run, the newest last.
+  std::set<std::string> NeverRun;
+  std::deque<std::string> NeverRunOrder;
   double RetryBudget = 10;
   OutcomeCounts Counts;
   bool IsStopping = false;
--- a/fleet/fleet_state.cpp
+++ b/fleet/fleet_state.cpp
@@ -248,6 +248,8 @@
   const wire::Item *old = State.Items.find(name);
   if (!old || old->claim().request_id() != Outcome.request_id())
     return invalid(State, "claim is not held by this request");
+  if (Outcome.not_run() && old->claim().finished())
+    return invalid(State, "claim has an outcome");
   if (Outcome.not_run()) {
     State.Items.erase(name, Index);
     return accepted(State, Index);
--- a/fleet/node_view.h
+++ b/fleet/node_view.h
@@ -23,6 +23,8 @@
   uint64_t Version = 0;
   uint64_t Term = 0;
   TimePoint TermSince;
+  /// Starts at the process's incarnation, so that no reply to an earlier
+  /// process is taken for one to this.
   uint64_t NextNumber = 1;
   std::map<uint64_t, TimePoint> SentAt;
   TimePoint LeaseEnd;       ///< The view is confirmed until then.
--- a/policy/wallet.h
+++ b/policy/wallet.h
@@ -29,7 +29,7 @@
   std::map<std::string, std::deque<HeldGrant>> Grants;
   std::map<std::string, TenantWish> Wishes;
   std::vector<wire::GrantReturn> Returns;
-  uint64_t NextNumber = 1;
+  uint64_t NextNumber = 1; ///< Starts at the process's incarnation.
   std::map<uint64_t, TimePoint> SentAt;
   TimePoint NextRequest;
 };
--- a/tests/fleet_run/fleet_driver.cpp
+++ b/tests/fleet_run/fleet_driver.cpp
@@ -165,11 +165,14 @@
     EntryState &state = Entries[Node].State = EntryState();
     state.Options = {Node, "zone"};
     state.View.ControlAddresses = controls;
+    state.View.NextNumber = process.Incarnation << 32;
+    state.Tokens.NextNumber = process.Incarnation << 32;
   } else {
     AgentState &state = Agents[Node].State = AgentState();
     state.Options = {Node, process.Incarnation, Node, "zone", 4,
                      Agents[Node].IsService ? "pay" : ""};
     state.View.ControlAddresses = controls;
+    state.View.NextNumber = process.Incarnation << 32;
   }
 }
 
--- a/tests/fleet_run/test_promises.cpp
+++ b/tests/fleet_run/test_promises.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr Millis InForceBound{7000};
-constexpr Millis SetupTime{9000};
 constexpr Millis FaultTime{20000};
 constexpr Millis QuietTime{22000};
 
@@ -66,14 +65,22 @@
 
 private:
   void setUp() {
-    Fleet.run(Millis(4000));
     Fleet.putTable("first table", 0, runTable());
-    Fleet.run(Millis(1500));
+    awaitReplies(1);
     for (const char *it : {"alpha:1", "alpha:2", "beta:1", "beta:2"})
       Fleet.grantKey(it, std::string(it).substr(0, std::string(it).find(':')));
-    Fleet.run(SetupTime - Millis(5500));
-    if (Fleet.OperationReplies.size() != 5)
-      Fleet.fail("set-up was not accepted");
+    awaitReplies(5);
+    for (const auto &[id, reply] : Fleet.OperationReplies)
+      if (reply.status() != wire::PROPOSAL_ACCEPTED)
+        Fleet.fail("set-up was refused: " + reply.reason());
+    Fleet.run(Millis(4000));
+  }
+
+  void awaitReplies(size_t Count) {
+    for (int i = 0; i < 200 && Fleet.OperationReplies.size() < Count; ++i)
+      Fleet.run(Millis(100));
+    if (Fleet.OperationReplies.size() < Count)
+      Fleet.fail("set-up was not answered");
   }
 
   std::string anyProcess() {
