--- a/agent/agent_parts.h
+++ b/agent/agent_parts.h
@@ -13,6 +13,8 @@
 void reconcileReplicas(AgentState &State, TimePoint Now, AgentEffects &Out);
 /// Takes the endpoint's report of what it holds.
 void takeReport(AgentState &State, const EndpointReport &Report, TimePoint Now);
+/// Believes no report before one must have been made after \p Now.
+void distrustReports(AgentState &State, TimePoint Now);
 /// True when it is known what the endpoint holds.
 bool isEndpointKnown(const AgentState &State, TimePoint Now);
 void takeOrderDone(AgentState &State, const OrderDone &Done, TimePoint Now);
--- a/agent/agent_state.cpp
+++ b/agent/agent_state.cpp
@@ -9,6 +9,8 @@
 
 /// An endpoint that has not announced itself for this long is not ready.
 constexpr Millis AnnounceLife{2000};
+/// Ticks further apart than this tell that the process was stopped.
+constexpr Millis FreezeGap{1000};
 /// A stopping agent waits this long for its leave to be known.
 constexpr Millis LeaveNotice{1500};
 
@@ -99,6 +101,14 @@
   }
 }
 
+/// A process that was stopped reads old reports first when it wakes.
+void noteFreeze(AgentState &State, TimePoint Now) {
+  bool hasRun = State.LastStep != TimePoint();
+  if (hasRun && Now - State.LastStep >= FreezeGap)
+    distrustReports(State, Now);
+  State.LastStep = Now;
+}
+
 void stop(AgentState &State, TimePoint Now) {
   if (State.IsStopping)
     return;
@@ -121,6 +131,7 @@
 AgentEffects stepAgent(AgentState &State, const AgentEvent &Event,
                        TimePoint Now) {
   AgentEffects out;
+  noteFreeze(State, Now);
   if (const auto *received = std::get_if<AgentReceived>(&Event))
     receive(State, received->Message, Now, out);
   else if (const auto *announced = std::get_if<EndpointAnnounced>(&Event))
--- a/agent/agent_state.h
+++ b/agent/agent_state.h
@@ -93,9 +93,10 @@
   EndpointReport Endpoint;
   bool IsEndpointUp = false;
   TimePoint LastAnnounce;
-  /// Reports lag, so a new agent process waits until one that must have been
-  /// made after its own start has come in.
+  /// Reports lag, so a new agent process, or one that was stopped for a
+  /// while, waits until one that must have been made later has come in.
   TimePoint TrustFrom;
+  TimePoint LastStep;
   bool HasSeenEndpoint = false;
   std::map<std::string, RowState> Rows;
   std::map<std::string, OpenOrder> Orders; ///< By row.
--- a/agent/orders.cpp
+++ b/agent/orders.cpp
@@ -122,14 +122,19 @@
     unloadStranger(State, it, Out);
 }
 
+void distrustReports(AgentState &State, TimePoint Now) {
+  if (State.Options.Service.empty())
+    State.TrustFrom = Now + ReportLag;
+}
+
 bool isEndpointKnown(const AgentState &State, TimePoint Now) {
   return State.IsEndpointUp && isPast(State.TrustFrom, Now);
 }
 
 void takeReport(AgentState &State, const EndpointReport &Report,
                 TimePoint Now) {
-  if (!State.HasSeenEndpoint && State.Options.Service.empty())
-    State.TrustFrom = Now + ReportLag;
+  if (!State.HasSeenEndpoint)
+    distrustReports(State, Now);
   State.HasSeenEndpoint = true;
   State.Endpoint = Report;
   State.IsEndpointUp = true;
