--- a/agent/orders.cpp
+++ b/agent/orders.cpp
@@ -140,7 +140,11 @@
   State.IsEndpointUp = true;
   State.LastAnnounce = Now;
   for (const std::string &it : Report.Loaded) {
-    RowState &row = State.Rows[it];
+    auto [known, isNew] = State.Rows.try_emplace(it);
+    RowState &row = known->second;
+    // Nobody knows when an earlier process saw it used last.
+    if (isNew)
+      row.LastUse = Now;
     row.IsAdapter = row.IsAdapter || Report.Adapters.contains(it);
   }
   for (auto &[name, row] : State.Rows) {
--- a/tests/fakes/fake_endpoint.cpp
+++ b/tests/fakes/fake_endpoint.cpp
@@ -55,6 +55,7 @@
   int KeysSeen = 0;
   int Strays = 0; ///< Requests for rows that are not loaded.
   std::map<std::string, int> RunsByBody;
+  std::vector<std::shared_ptr<HttpExchange>> Stalled;
 };
 
 using Exchange = std::shared_ptr<HttpExchange>;
@@ -258,8 +259,10 @@
   ++Fake.RunsByBody[Request.Body];
   if (Request.Body.find("CRASH") != std::string::npos)
     _exit(1);
-  if (Request.Body.find("STALL") != std::string::npos)
+  if (Request.Body.find("STALL") != std::string::npos) {
+    Fake.Stalled.push_back(Exchange);
     return;
+  }
   if (!Fake.IsService) {
     complete(Fake, Request, Exchange);
     return;
--- /dev/null
+++ b/tests/process/test_http_contract.cpp
@@ -0,0 +1,203 @@
+/// \file
+/// Contract of the callers' HTTP, byte by byte on a raw connection.
+#include "core/metrics.h"
+#include "http/address.h"
+#include "http/server.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace sassafras;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// A server that answers with what it got: method, target and body.
+class EchoServer {
+public:
+  EchoServer() : Server(Io, "127.0.0.1:0", limits(), Counts, calls()) {
+    std::string problem;
+    REQUIRE(Server.start(problem));
+    Runner = std::thread([this] { Io.run(); });
+  }
+  ~EchoServer() {
+    Io.stop();
+    Runner.join();
+  }
+
+  /// Sends \p Bytes, closes the sending side if asked, and reads to the end.
+  std::string talk(const std::string &Bytes, bool IsHalfClosed = true) {
+    auto address = parseAddress(Server.address());
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(address->Ip), address->Port});
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(Bytes), ec);
+    if (IsHalfClosed)
+      socket.shutdown(Tcp::socket::shutdown_send, ec);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+  }
+
+private:
+  static HttpLimits limits() {
+    HttpLimits limits;
+    limits.HeadBytes = 2048;
+    limits.BodyBytes = 1000;
+    return limits;
+  }
+
+  static HttpServer::Handlers calls() {
+    HttpServer::Handlers calls;
+    calls.OnRequest = [](const HttpRequest &Request,
+                         const std::shared_ptr<HttpExchange> &Exchange) {
+      std::string text =
+          Request.Method + " " + Request.Target + " " + Request.Body;
+      if (Request.Target == "/stream") {
+        Exchange->start(200, {});
+        Exchange->write("one ");
+        Exchange->write("two");
+        Exchange->finish();
+      } else if (Request.Target == "/broken") {
+        Exchange->start(200, {});
+        Exchange->write("one ");
+        Exchange->abort();
+      } else {
+        Exchange->respond(200, {}, text);
+      }
+    };
+    calls.OnLoss = [](const HttpExchange *, HttpLoss) {};
+    return calls;
+  }
+
+  asio::io_context Io;
+  Metrics Counts;
+  HttpServer Server;
+  std::thread Runner;
+};
+
+struct Talk {
+  const char *What;
+  std::string Sent;
+  std::vector<std::string> Expected;
+  std::vector<std::string> Absent;
+};
+
+} // namespace
+
+TEST_CASE("callers' HTTP: good and bad requests") {
+  EchoServer server;
+  std::string body(900, 'x');
+  const Talk cases[] = {
+      {"HTTP/1.1",
+       "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+       {"HTTP/1.1 200", "GET /a "},
+       {}},
+      {"HTTP/1.0",
+       "GET /a HTTP/1.0\r\n\r\n",
+       {"HTTP/1.0 200", "GET /a "},
+       {"chunked"}},
+      {"HTTP/1.0 stream ends with the connection",
+       "GET /stream HTTP/1.0\r\n\r\n",
+       {"HTTP/1.0 200", "one two"},
+       {"chunked", "\r\n0\r\n"}},
+      {"HTTP/1.1 stream is chunked",
+       "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n",
+       {"chunked", "4\r\none \r\n", "0\r\n\r\n"},
+       {}},
+      {"broken stream has no end",
+       "GET /broken HTTP/1.1\r\nHost: h\r\n\r\n",
+       {"4\r\none \r\n"},
+       {"0\r\n\r\n"}},
+      {"two requests in one go are both answered, in order",
+       "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+       {"GET /a ", "GET /b "},
+       {}},
+      {"body by length",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+       {"POST /a abc"},
+       {}},
+      {"body in chunks",
+       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+       {"POST /a abc"},
+       {}},
+      {"body at the limit",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" + body,
+       {"200", body},
+       {}},
+      {"body above the limit",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + body,
+       {"413", "body_too_large", "not_run"},
+       {}},
+      {"chunks above the limit",
+       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n500" +
+           std::string("\r\n") + std::string(0x500, 'x') + "\r\n0\r\n\r\n",
+       {"413", "body_too_large"},
+       {}},
+      {"head above the limit",
+       "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(4000, 'x') +
+           "\r\n\r\n",
+       {"431", "header_too_large"},
+       {}},
+      {"expect continue",
+       "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+       "Content-Length: 3\r\n\r\nabc",
+       {"HTTP/1.1 100 Continue", "POST /a abc"},
+       {}},
+      {"other expectation",
+       "POST /a HTTP/1.1\r\nHost: h\r\nExpect: tea\r\nContent-Length: "
+       "3\r\n\r\nabc",
+       {"417", "bad_expectation"},
+       {}},
+      {"not HTTP", "hello there\r\n\r\n", {"400", "bad_request"}, {}},
+      {"bad length",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
+       {"400", "bad_request"},
+       {}},
+      {"two lengths",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: "
+       "4\r\n\r\nabcd",
+       {"400"},
+       {}},
+      {"body cut short",
+       "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\nabc",
+       {"400", "bad_request"},
+       {}},
+      {"head request has no body",
+       "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n",
+       {"200"},
+       {"HEAD /a "}},
+  };
+  for (const Talk &it : cases) {
+    INFO(it.What);
+    std::string answer = server.talk(it.Sent);
+    INFO(answer);
+    for (const std::string &part : it.Expected)
+      CHECK(answer.find(part) != std::string::npos);
+    for (const std::string &part : it.Absent)
+      CHECK(answer.find(part) == std::string::npos);
+  }
+}
+
+TEST_CASE("callers' HTTP: no bytes end the server") {
+  EchoServer server;
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    std::string bytes = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                        "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    for (int i = 0; i < 3; ++i)
+      bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+    server.talk(bytes);
+  }
+  CHECK(server.talk("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").find("200") !=
+        std::string::npos);
+}
