--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
-.PHONY: demo check packages build
+.PHONY: demo check packages build bench slopes
 
 DEPLOYMENT ?= bloomline
+SEEDS ?= 5
+SECONDS_EACH ?= 600
 
 packages:
 	misc/install_packages.sh
@@ -14,3 +16,6 @@
 
 check:
 	.ci/run
+
+bench: build
+	build/bench/policy_bench $(SEEDS) $(SECONDS_EACH)
--- /dev/null
+++ b/bench/site.cpp
@@ -0,0 +1,500 @@
+#include "bench/site.h"
+
+#include "core/hash.h"
+#include "fleet/table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafras {
+
+namespace {
+
+constexpr int EngineCount = 20;
+constexpr int EntryCount = 4;
+constexpr int ModelCount = 100;
+constexpr int TenantCount = 5;
+constexpr uint64_t EngineMemoryMb = 24'000;
+constexpr Millis TickPeriod{100};
+constexpr Millis LinkDelay{2};
+constexpr Millis TokenTime{26};
+constexpr Millis ColdLoad{6000};
+constexpr Millis CachedLoad{1500};
+constexpr Millis AdapterLoad{8};
+constexpr int FullSpeedLoads = 4;
+/// One tenant sends this many times its rate.
+constexpr double GreedyFactor = 4;
+constexpr int GreedyTenant = 3;
+
+struct TenantPlan {
+  std::string Name;
+  uint64_t Rate;
+  uint64_t Burst;
+  uint32_t Weight;
+};
+
+const TenantPlan Tenants[TenantCount] = {
+    {"t0", 900, 9000, 8}, {"t1", 600, 6000, 4}, {"t2", 150, 3000, 2},
+    {"t3", 150, 3000, 2}, {"t4", 100, 2000, 1},
+};
+
+/// One request of the arrival list.
+struct Arrival {
+  TimePoint At;
+  int Entry = 0;
+  int Tenant = 0;
+  std::string Row;
+  uint64_t Prompt = 0;
+  uint64_t Output = 0;
+  Millis LongestWait{0};
+};
+
+struct EngineRow {
+  uint64_t MemoryMb = 0;
+  bool IsLoading = false;
+};
+
+struct Engine {
+  std::map<std::string, EngineRow> Rows;
+  std::set<std::string> Cached;
+  std::map<std::string, int> RunningOfRow;
+};
+
+struct Outcome {
+  bool IsServed = false;
+  bool IsRateRefused = false;
+  double Wait = 0;
+};
+
+class Site {
+public:
+  explicit Site(const SiteOptions &Options);
+  SiteResult run();
+
+private:
+  void after(Millis Wait, std::function<void()> Action) {
+    Queue.emplace(std::make_pair(Now + Wait, Serial++), std::move(Action));
+  }
+  void transmit(const std::string &From, const std::string &To,
+                wire::Envelope Message);
+  void step(const ControlEvent &Event);
+  void step(int Entry, const EntryEvent &Event);
+  void step(const std::string &Agent, const AgentEvent &Event);
+  void obey(const std::string &Agent, const GiveOrder &Order);
+  void answer(const std::string &Agent, const StartExchange &Start);
+  void grantLocally(int Entry, const wire::GrantRequest &Request);
+  void tick();
+  void announce();
+  void makeTable();
+  void planArrivals();
+  void addSession(TimePoint At, int Tenant, double Greed);
+  void countIdle();
+  SiteResult measure();
+
+  SiteOptions Options;
+  std::mt19937_64 Random;
+  TimePoint Start = TimePoint() + std::chrono::hours(1);
+  TimePoint Now = Start;
+  uint64_t Serial = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> Queue;
+  ControlState Control;
+  std::vector<EntryState> Entries;
+  std::vector<TokenBank> LocalBanks;
+  std::map<std::string, AgentState> Agents;
+  std::map<std::string, Engine> Engines;
+  std::vector<wire::TableRow> Rows;
+  std::vector<Arrival> Arrivals;
+  std::map<std::string, size_t> ArrivalOf;
+  std::vector<Outcome> Outcomes;
+  int LoadsUnderWay = 0;
+  SiteResult Result;
+};
+
+Site::Site(const SiteOptions &Options)
+    : Options(Options), Random(Options.Seed) {
+  ControlOptions control;
+  control.Store.LoadsPerSecond = Options.LoadsPerSecond;
+  control.Weights.LoadTime = ColdLoad;
+  control.Weights.ColdStartPrice = Options.ColdStartPrice;
+  if (Options.Policy.IsFixedIdle)
+    control.Weights.Shortest = control.Weights.Longest = Millis(600'000);
+  Control = makeControl(
+      control, makeBlankRaft({"control", 1, "control"}, {"control"}, 1, Now),
+      nullptr);
+  Entries.resize(EntryCount);
+  LocalBanks.resize(EntryCount);
+  for (int i = 0; i < EntryCount; ++i) {
+    Entries[i].Options = {"entry-" + std::to_string(i), "zone"};
+    Entries[i].View.ControlAddresses = {"control"};
+  }
+  for (int i = 0; i < EngineCount; ++i) {
+    std::string name = "engine-" + std::to_string(i);
+    Agents[name].Options = {name, 1, name, "zone", 16, ""};
+    Agents[name].View.ControlAddresses = {"control"};
+    Engines[name];
+  }
+  makeTable();
+  planArrivals();
+}
+
+void Site::makeTable() {
+  for (const TenantPlan &it : Tenants) {
+    wire::TableRow row;
+    row.set_kind(wire::ROW_TENANT);
+    row.set_name(it.Name);
+    row.set_rate(it.Rate);
+    row.set_burst(it.Burst);
+    row.set_weight(it.Weight);
+    Rows.push_back(row);
+  }
+  for (int i = 0; i < ModelCount + Options.Adapters; ++i) {
+    bool isModel = i < ModelCount;
+    wire::TableRow row;
+    row.set_kind(isModel ? wire::ROW_MODEL : wire::ROW_ADAPTER);
+    row.set_name((isModel ? "m" : "a") +
+                 std::to_string(isModel ? i : i - ModelCount));
+    if (!isModel)
+      row.set_base("m" + std::to_string((i - ModelCount) % 30));
+    row.set_memory_mb(isModel ? 4000 + 1000 * static_cast<uint64_t>(i % 8)
+                              : 200);
+    row.set_max_replicas(2);
+    row.set_weight(1);
+    row.set_longest_wait_ms(i % 3 == 0 ? 120'000 : 30'000);
+    row.set_repeatable(true);
+    Rows.push_back(row);
+  }
+}
+
+/// A caller's visit: a burst of first requests at many entries, then a few
+/// more with pauses.
+void Site::addSession(TimePoint At, int Tenant, double Greed) {
+  std::uniform_real_distribution<double> share(0, 1);
+  int total = ModelCount + Options.Adapters;
+  // Few rows are asked for often, most of them rarely.
+  int rank = static_cast<int>(std::pow(share(Random), 2.2) * total);
+  const wire::TableRow &row =
+      Rows[TenantCount + static_cast<size_t>(rank * 37 % total)];
+  int first = 1 + static_cast<int>(Random() % 4);
+  int later = static_cast<int>(Random() % 6);
+  if (Greed > 1)
+    first = 6;
+  TimePoint at = At;
+  for (int i = 0; i < first + later; ++i) {
+    at += i < first ? Millis(Random() % 400) : Millis(2000 + Random() % 40'000);
+    Arrival arrival;
+    arrival.At = at;
+    arrival.Entry = static_cast<int>(Random() % EntryCount);
+    arrival.Tenant = Tenant;
+    arrival.Row = row.name();
+    arrival.Prompt = 20 + Random() % 200;
+    arrival.Output = 20 + Random() % 180;
+    arrival.LongestWait = Millis(row.longest_wait_ms());
+    Arrivals.push_back(arrival);
+  }
+}
+
+void Site::planArrivals() {
+  for (int tenant = 0; tenant < TenantCount; ++tenant) {
+    double load = tenant == GreedyTenant ? GreedyFactor : 0.5;
+    // A session charges about 6 requests of 220 tokens.
+    double perSecond =
+        load * static_cast<double>(Tenants[tenant].Rate) / (6 * 220.0);
+    std::exponential_distribution<double> gap(perSecond);
+    double at = gap(Random);
+    while (at < static_cast<double>(Options.Length.count())) {
+      addSession(Start + std::chrono::seconds(10) +
+                     Millis(static_cast<int64_t>(at * 1000)),
+                 tenant, load);
+      at += gap(Random);
+    }
+  }
+  std::stable_sort(
+      Arrivals.begin(), Arrivals.end(),
+      [](const Arrival &A, const Arrival &B) { return A.At < B.At; });
+  Outcomes.resize(Arrivals.size());
+}
+
+void Site::transmit(const std::string &From, const std::string &To,
+                    wire::Envelope Message) {
+  Message.set_from(From);
+  Message.set_reply_address(From);
+  Message.set_incarnation(1);
+  after(LinkDelay, [this, To, message = std::move(Message)] {
+    if (To == "control")
+      step(ControlReceived{message});
+    else if (To.starts_with("entry-"))
+      step(std::stoi(To.substr(6)), EntryReceived{message});
+    else
+      step(To, AgentReceived{message});
+  });
+}
+
+void Site::step(const ControlEvent &Event) {
+  for (ControlEffect &it : stepControl(Control, Event, Now))
+    if (auto *message = std::get_if<RaftSend>(&it))
+      transmit("control", message->Address, std::move(message->Message));
+}
+
+void Site::step(int Entry, const EntryEvent &Event) {
+  EntryState &state = Entries[static_cast<size_t>(Entry)];
+  for (EntryEffect &it : stepEntry(state, Event, Now)) {
+    if (auto *message = std::get_if<EntrySend>(&it)) {
+      if (Options.Policy.IsLocalBucket && message->Message.has_grant_request())
+        grantLocally(Entry, message->Message.grant_request());
+      else
+        transmit(state.Options.Name, message->Address,
+                 std::move(message->Message));
+    } else if (auto *head = std::get_if<AnswerHead>(&it)) {
+      size_t index = ArrivalOf.at(head->Id);
+      std::chrono::duration<double> wait = Now - Arrivals[index].At;
+      Outcomes[index].Wait = wait.count();
+      Outcomes[index].IsServed = true;
+    } else if (auto *cold = std::get_if<ObserveCold>(&it)) {
+      std::chrono::duration<double> wait = cold->Wait;
+      Result.ColdSeconds.push_back(wait.count());
+    } else if (auto *refusal = std::get_if<AnswerRefusal>(&it)) {
+      Outcomes[ArrivalOf.at(refusal->Id)].IsRateRefused =
+          refusal->Why.Reason == RefusalReason::RateExceeded;
+    }
+  }
+}
+
+/// The simple limit: every entry spends its own part of the rate.
+void Site::grantLocally(int Entry, const wire::GrantRequest &Request) {
+  TokenBank &bank = LocalBanks[static_cast<size_t>(Entry)];
+  wire::Envelope message;
+  wire::GrantReply &reply = *message.mutable_grant_reply();
+  reply.set_number(Request.number());
+  auto rateOf = [](const std::string &Tenant) {
+    for (const TenantPlan &it : Tenants)
+      if (it.Name == Tenant)
+        return TenantRate{it.Rate / EntryCount, it.Burst / EntryCount};
+    return TenantRate{};
+  };
+  for (const wire::GrantReturn &it : Request.returned())
+    if (it.grant() != 0)
+      returnGrant(bank, it.tenant(), it.grant(), it.unspent(),
+                  rateOf(it.tenant()), Now);
+    else
+      refundCharge(bank, it.tenant(), it.unspent(),
+                   Now - Millis(it.charged_ago_ms()), rateOf(it.tenant()), Now);
+  for (const wire::TenantGrant &it : Request.wanted()) {
+    auto grant = takeGrant(bank, it.tenant(), rateOf(it.tenant()),
+                           {"e", it.tokens(), it.least()}, Now);
+    if (!grant)
+      continue;
+    wire::Grant &given = *reply.add_grants();
+    given.set_id(grant->Id);
+    given.set_tenant(it.tenant());
+    given.set_tokens(grant->Tokens);
+  }
+  transmit("control", "entry-" + std::to_string(Entry), std::move(message));
+}
+
+void Site::step(const std::string &Agent, const AgentEvent &Event) {
+  for (AgentEffect &it : stepAgent(Agents[Agent], Event, Now)) {
+    if (auto *message = std::get_if<AgentSend>(&it)) {
+      if (Options.Policy.IsCacheBlind && message->Message.has_heartbeat())
+        message->Message.mutable_heartbeat()->clear_cached_rows();
+      transmit(Agent, message->Address, std::move(message->Message));
+    } else if (auto *order = std::get_if<GiveOrder>(&it)) {
+      obey(Agent, *order);
+    } else if (auto *start = std::get_if<StartExchange>(&it)) {
+      answer(Agent, *start);
+    }
+  }
+}
+
+void Site::obey(const std::string &Agent, const GiveOrder &Order) {
+  Engine &engine = Engines[Agent];
+  if (Order.Kind == OrderKind::Unload) {
+    after(Millis(50), [this, Agent, Order] {
+      Engines[Agent].Rows.erase(Order.Row);
+      step(Agent, OrderDone{Order.Row, Order.Fence, true});
+    });
+    return;
+  }
+  bool isCached = engine.Cached.contains(Order.Row);
+  Millis wait = Order.IsAdapter ? AdapterLoad
+                : isCached      ? CachedLoad
+                                : ColdLoad;
+  bool usesStore = !Order.IsAdapter && !isCached;
+  LoadsUnderWay += usesStore;
+  if (usesStore && LoadsUnderWay > FullSpeedLoads)
+    wait = wait * LoadsUnderWay / FullSpeedLoads;
+  engine.Rows[Order.Row] = {Order.MemoryMb, true};
+  after(wait, [this, Agent, Order, usesStore] {
+    LoadsUnderWay -= usesStore;
+    Engine &held = Engines[Agent];
+    held.Rows[Order.Row].IsLoading = false;
+    held.Cached.insert(Order.Row);
+    step(Agent, OrderDone{Order.Row, Order.Fence, true});
+  });
+}
+
+void Site::answer(const std::string &Agent, const StartExchange &Start) {
+  const Arrival &arrival = Arrivals[ArrivalOf.at(Start.Key.RequestId)];
+  ++Engines[Agent].RunningOfRow[arrival.Row];
+  AttemptKey key = Start.Key;
+  Millis first = Millis(80) + Millis(arrival.Prompt);
+  Millis whole = first + TokenTime * static_cast<int64_t>(arrival.Output);
+  std::string body =
+      "{\"total_tokens\":" + std::to_string(arrival.Prompt + arrival.Output) +
+      "} data: [DONE]";
+  after(first, [this, Agent, key, body] {
+    step(Agent, EndpointHead{key, 200, {}});
+    step(Agent, EndpointBody{key, body});
+  });
+  std::string row = arrival.Row;
+  after(whole, [this, Agent, key, row] {
+    --Engines[Agent].RunningOfRow[row];
+    step(Agent, EndpointEnd{key});
+  });
+}
+
+void Site::announce() {
+  for (auto &[name, engine] : Engines) {
+    EndpointReport report;
+    report.Incarnation = 1;
+    report.MemoryMb = EngineMemoryMb;
+    for (const auto &[row, held] : engine.Rows)
+      (held.IsLoading ? report.Loading : report.Loaded).insert(row);
+    report.Cached = engine.Cached;
+    step(name, EndpointAnnounced{report});
+  }
+  after(Millis(500), [this] { announce(); });
+}
+
+void Site::countIdle() {
+  double hours =
+      std::chrono::duration<double, std::ratio<3600>>(TickPeriod).count();
+  for (auto &[name, engine] : Engines)
+    for (const auto &[row, held] : engine.Rows)
+      if (!held.IsLoading && engine.RunningOfRow[row] == 0)
+        Result.IdleHours += hours * static_cast<double>(held.MemoryMb) /
+                            static_cast<double>(EngineMemoryMb);
+}
+
+void Site::tick() {
+  step(ControlTick{});
+  for (int i = 0; i < EntryCount; ++i)
+    step(i, EntryTick{});
+  for (auto &[name, agent] : Agents)
+    step(name, AgentTick{});
+  countIdle();
+  after(TickPeriod, [this] { tick(); });
+}
+
+double percentile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  auto index = static_cast<size_t>(Share * static_cast<double>(Values.size()));
+  return Values[std::min(index, Values.size() - 1)];
+}
+
+SiteResult Site::measure() {
+  std::string trace;
+  for (int tenant = 0; tenant < TenantCount; ++tenant) {
+    // One bucket for all entries, first in first out, is the ideal.
+    double level = static_cast<double>(Tenants[tenant].Burst);
+    TimePoint last = Start;
+    std::vector<double> waits;
+    double served = 0;
+    double due = 0;
+    uint64_t idealRefusals = 0;
+    uint64_t refusals = 0;
+    uint64_t withinRate = 0;
+    for (size_t i = 0; i < Arrivals.size(); ++i) {
+      const Arrival &it = Arrivals[i];
+      if (it.Tenant != tenant)
+        continue;
+      auto rate = static_cast<double>(Tenants[tenant].Rate);
+      std::chrono::duration<double> passed = it.At - last;
+      level = std::min(static_cast<double>(Tenants[tenant].Burst),
+                       level + rate * passed.count());
+      last = it.At;
+      auto cost = static_cast<double>(it.Prompt + it.Output);
+      std::chrono::duration<double> longest = it.LongestWait;
+      bool isIdeal = level - cost >= -rate * longest.count();
+      if (isIdeal) {
+        level -= cost;
+        due += cost;
+      }
+      const Outcome &outcome = Outcomes[i];
+      if (outcome.IsServed) {
+        served += cost;
+        waits.push_back(outcome.Wait);
+      }
+      idealRefusals += !isIdeal;
+      refusals += outcome.IsRateRefused;
+      withinRate += isIdeal && outcome.IsRateRefused;
+      Result.Served += outcome.IsServed;
+      trace += outcome.IsServed ? 's' : outcome.IsRateRefused ? 'r' : 'x';
+    }
+    // Above its rate a tenant may be refused other requests than the ideal
+    // would refuse, only not more of them.
+    if (idealRefusals > 0)
+      withinRate = refusals > idealRefusals ? refusals - idealRefusals : 0;
+    Result.WithinRateRefusals += withinRate;
+    if (due > 0)
+      Result.WorstShare = std::min(Result.WorstShare, served / due);
+    Result.WorstP95 = std::max(Result.WorstP95, percentile(waits, 0.95));
+  }
+  Result.Requests = Arrivals.size();
+  Result.Checksum = checksumOf(trace);
+  return Result;
+}
+
+SiteResult Site::run() {
+  announce();
+  tick();
+  after(Millis(5000), [this] {
+    wire::Command edit;
+    for (const wire::TableRow &it : Rows)
+      *edit.mutable_table_edit()->add_rows() = it;
+    wire::Envelope message;
+    *message.mutable_proposal()->mutable_command() = edit;
+    transmit("operator", "control", message);
+    for (const TenantPlan &it : Tenants) {
+      wire::Envelope grant;
+      wire::KeyGrant &key =
+          *grant.mutable_proposal()->mutable_command()->mutable_key_grant();
+      key.set_key_id(it.Name);
+      key.set_key_hash(it.Name);
+      key.set_tenant(it.Name);
+      transmit("operator", "control", grant);
+    }
+  });
+  for (size_t i = 0; i < Arrivals.size(); ++i)
+    Queue.emplace(std::make_pair(Arrivals[i].At, Serial++), [this, i] {
+      const Arrival &arrival = Arrivals[i];
+      CallerRequest request;
+      request.Id = "r" + std::to_string(i);
+      request.Method = "POST";
+      request.Target = request.Path = "/v1/completions";
+      request.Body = request.Id;
+      request.KeyHash = Tenants[arrival.Tenant].Name;
+      request.Row = arrival.Row;
+      request.IsStream = true;
+      request.Prompt = arrival.Prompt;
+      request.Cost = arrival.Prompt + arrival.Output;
+      ArrivalOf[request.Id] = i;
+      step(arrival.Entry, CallerArrived{request});
+    });
+  TimePoint end = Start + Options.Length + std::chrono::seconds(180);
+  while (!Queue.empty() && Queue.begin()->first.first <= end) {
+    auto next = Queue.begin();
+    Now = next->first.first;
+    auto action = std::move(next->second);
+    Queue.erase(next);
+    action();
+  }
+  return measure();
+}
+
+} // namespace
+
+SiteResult runSite(const SiteOptions &Options) { return Site(Options).run(); }
+
+} // namespace sassafras
