Wake models only for requests whose tokens are in sight

Cause: the greedy organisation's queued requests, which had no tokens to run with, still woke models; they took the store's loads and evicted what others used. Ruled out: load time (cold p50 was 15 s at 6 s a load, with every store slot busy) and cache tier (cache-blind is worse still).

--- a/entry/entry_state.cpp
+++ b/entry/entry_state.cpp
@@ -3,27 +3,54 @@
 #include "core/timing.h"
 #include "entry/entry_parts.h"
 
+#include <limits>
+
 namespace sassafras {
 
 namespace {
 
 /// A row newly waited for is reported at once, but not more often than this.
 constexpr Millis DemandSpacing{50};
+/// How far ahead tokens are counted on for waking a model.
+constexpr std::chrono::seconds LoadHorizon{10};
+
+/// Tokens that \p Tenant can spend before a load that starts now would end:
+/// what waits beyond that must not wake a model, since it could not run.
+uint64_t tokensInSight(const EntryState &State, const std::string &Tenant,
+                       TimePoint Now) {
+  const wire::TableRow *row = findRow(State.View.Items, Tenant);
+  if (!row)
+    return std::numeric_limits<uint64_t>::max();
+  if (!State.Tokens.Short.contains(Tenant))
+    return row->burst();
+  return heldTokens(State.Tokens, Tenant, Now) +
+         row->rate() * static_cast<uint64_t>(LoadHorizon.count());
+}
+
+void addDemand(wire::ModelDemand &Row, const RequestState &Request,
+               TimePoint Now) {
+  Row.set_waiting(Row.waiting() + 1);
+  uint64_t waited = toMillis(Now - Request.Arrived);
+  if (waited < Row.oldest_wait_ms())
+    return;
+  Row.set_oldest_wait_ms(waited);
+  Row.set_tenant(Request.Tenant);
+}
 
 std::map<std::string, wire::ModelDemand> sumDemand(const EntryState &State,
                                                    TimePoint Now) {
   std::map<std::string, wire::ModelDemand> sum;
   for (const auto &[row, n] : State.Arrivals)
     sum[row].set_arrivals(n);
-  for (const auto &[id, request] : State.Requests) {
-    if (request.Stage != RequestStage::Queued)
-      continue;
-    wire::ModelDemand &row = sum[request.Row];
-    row.set_waiting(row.waiting() + 1);
-    uint64_t waited = toMillis(Now - request.Arrived);
-    if (waited >= row.oldest_wait_ms()) {
-      row.set_oldest_wait_ms(waited);
-      row.set_tenant(request.Tenant);
+  for (const auto &[tenant, queue] : State.Queues) {
+    uint64_t inSight = tokensInSight(State, tenant, Now);
+    uint64_t ahead = 0;
+    for (const std::string &it : queue.Requests) {
+      const RequestState &request = State.Requests.at(it);
+      ahead += request.Charged > 0 ? 0 : request.Caller.Cost;
+      if (ahead > inSight)
+        break;
+      addDemand(sum[request.Row], request, Now);
     }
   }
   return sum;
@@ -35,10 +62,12 @@
   State.ReportedDemand.clear();
   for (auto &[row, demand] : sumDemand(State, Now)) {
     demand.set_row(row);
-    if (demand.waiting() > 0)
-      State.ReportedDemand.insert(row);
     *beat.add_demand() = demand;
   }
+  // Rows that wait for tokens only are no news either.
+  for (const auto &[id, request] : State.Requests)
+    if (request.Stage == RequestStage::Queued)
+      State.ReportedDemand.insert(request.Row);
   State.Arrivals.clear();
   for (const std::string &it : stampHeartbeat(State.View, beat, Now))
     Out.push_back(EntrySend{it, message});
--- a/policy/wallet.cpp
+++ b/policy/wallet.cpp
@@ -94,9 +94,12 @@
   }
   for (wire::GrantReturn &it : Wallet.Returns)
     *request.add_returned() = std::move(it);
-  Wallet.SentAt[request.number()] = Now;
-  std::erase_if(Wallet.SentAt, [&](const auto &it) {
-    return Now - it.second > timing::GrantLife;
+  SentGrantRequest &sent = Wallet.Sent[request.number()];
+  sent.At = Now;
+  for (const wire::TenantGrant &it : request.wanted())
+    sent.Wanted.push_back(it.tenant());
+  std::erase_if(Wallet.Sent, [&](const auto &it) {
+    return Now - it.second.At > timing::GrantLife;
   });
   Wallet.Wishes.clear();
   Wallet.Returns.clear();
@@ -105,15 +108,18 @@
 }
 
 void takeGrants(Wallet &Wallet, const wire::GrantReply &Reply) {
-  auto sent = Wallet.SentAt.find(Reply.number());
-  if (sent == Wallet.SentAt.end())
+  auto sent = Wallet.Sent.find(Reply.number());
+  if (sent == Wallet.Sent.end())
     return;
+  Wallet.Short.insert(sent->second.Wanted.begin(), sent->second.Wanted.end());
   // The life counts from the sending, which was before the giving.
-  TimePoint expires = sent->second + timing::GrantLife;
-  for (const wire::Grant &it : Reply.grants())
+  TimePoint expires = sent->second.At + timing::GrantLife;
+  for (const wire::Grant &it : Reply.grants()) {
     Wallet.Grants[it.tenant()].push_back({it.id(), it.tokens(), expires});
+    Wallet.Short.erase(it.tenant());
+  }
   // A second copy of the reply finds no request.
-  Wallet.SentAt.erase(sent);
+  Wallet.Sent.erase(sent);
   Wallet.NextRequest = TimePoint();
 }
 
--- a/policy/wallet.h
+++ b/policy/wallet.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,12 +26,20 @@
   uint64_t Least = 0;
 };
 
+/// A request for grants that was not answered yet.
+struct SentGrantRequest {
+  TimePoint At;
+  std::vector<std::string> Wanted; ///< Tenants.
+};
+
 struct Wallet {
   std::map<std::string, std::deque<HeldGrant>> Grants;
   std::map<std::string, TenantWish> Wishes;
   std::vector<wire::GrantReturn> Returns;
   uint64_t NextNumber = 1; ///< Starts at the process's incarnation.
-  std::map<uint64_t, TimePoint> SentAt;
+  std::map<uint64_t, SentGrantRequest> Sent;
+  /// Tenants whose bucket had too little when last asked.
+  std::set<std::string> Short;
   TimePoint NextRequest;
 };
 
