Ask for a further replica only on waiting seen after the first was loaded

Cause: for up to half a second after a load ended the leader still held a report of requests that had waited for it; it took that for crowding and loaded a second replica, which took store loads and evicted what others used.

Tokens in sight stays, since a model must not be woken for a request that cannot run.

--- a/control/leadership.cpp
+++ b/control/leadership.cpp
@@ -394,6 +394,7 @@
       if (wait < row.OldestWait)
         continue;
       row.OldestWait = wait;
+      row.IsLoaded = it.loaded();
       row.Tenant = it.tenant();
     }
   }
--- a/entry/admission.cpp
+++ b/entry/admission.cpp
@@ -134,10 +134,11 @@
 
 } // namespace
 
-void refreshIndex(EntryState &State) {
+void refreshIndex(EntryState &State, TimePoint Now) {
   ViewIndex &index = State.Index;
   if (index.Version == State.View.Version)
     return;
+  auto loadedSince = std::move(index.LoadedSince);
   index = ViewIndex();
   index.Version = State.View.Version;
   for (const wire::Item *it : State.View.Items.list("key/"))
@@ -151,6 +152,10 @@
   for (const wire::Item *it : State.View.Items.list("row/"))
     if (it->row().kind() == wire::ROW_SERVICE)
       index.Services.emplace_back(it->row().path(), it->row().name());
+  for (const auto &[row, endpoints] : index.EndpointsOfRow) {
+    auto known = loadedSince.find(row);
+    index.LoadedSince[row] = known == loadedSince.end() ? Now : known->second;
+  }
 }
 
 bool isKeyValid(const EntryState &State, const RequestState &Request) {
--- a/entry/entry_parts.h
+++ b/entry/entry_parts.h
@@ -13,7 +13,7 @@
 void admitRequest(EntryState &State, const CallerRequest &Caller, TimePoint Now,
                   EntryEffects &Out);
 /// Makes the look-ups anew when the view has changed.
-void refreshIndex(EntryState &State);
+void refreshIndex(EntryState &State, TimePoint Now);
 /// True while the key that came with the request is the tenant's.
 bool isKeyValid(const EntryState &State, const RequestState &Request);
 /// True when the request's digest is barred.
--- a/entry/entry_state.cpp
+++ b/entry/entry_state.cpp
@@ -27,10 +27,15 @@
          row->rate() * static_cast<uint64_t>(LoadHorizon.count());
 }
 
-void addDemand(wire::ModelDemand &Row, const RequestState &Request,
-               TimePoint Now) {
+void addDemand(const EntryState &State, wire::ModelDemand &Row,
+               const RequestState &Request, TimePoint Now) {
   Row.set_waiting(Row.waiting() + 1);
-  uint64_t waited = toMillis(Now - Request.Arrived);
+  TimePoint since = Request.Arrived;
+  auto loaded = State.Index.LoadedSince.find(Request.Row);
+  Row.set_loaded(loaded != State.Index.LoadedSince.end());
+  if (Row.loaded())
+    since = std::max(since, loaded->second);
+  uint64_t waited = toMillis(Now - since);
   if (waited < Row.oldest_wait_ms())
     return;
   Row.set_oldest_wait_ms(waited);
@@ -50,7 +55,7 @@
       ahead += request.Charged > 0 ? 0 : request.Caller.Cost;
       if (ahead > inSight)
         break;
-      addDemand(sum[request.Row], request, Now);
+      addDemand(State, sum[request.Row], request, Now);
     }
   }
   return sum;
@@ -97,7 +102,7 @@
 
 /// Everything that may have become possible or due.
 void advance(EntryState &State, TimePoint Now, EntryEffects &Out) {
-  refreshIndex(State);
+  refreshIndex(State, Now);
   dispatchRequests(State, Now, Out);
   hastenDemand(State, Now);
   sendGrantRequest(State, Now, Out);
@@ -106,7 +111,7 @@
 }
 
 void tick(EntryState &State, TimePoint Now, EntryEffects &Out) {
-  refreshIndex(State);
+  refreshIndex(State, Now);
   checkAttempts(State, Now, Out);
   refuseOverdue(State, Now, Out);
   repeatClaims(State, Now, Out);
@@ -162,7 +167,7 @@
   if (const auto *received = std::get_if<EntryReceived>(&Event)) {
     receive(State, received->Message, Now, out);
   } else if (const auto *arrived = std::get_if<CallerArrived>(&Event)) {
-    refreshIndex(State);
+    refreshIndex(State, Now);
     admitRequest(State, arrived->Request, Now, out);
     advance(State, Now, out);
   } else if (const auto *gone = std::get_if<CallerGone>(&Event)) {
--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -106,6 +106,7 @@
   uint64_t Version = 0;
   std::map<std::string, std::string> TenantOfKey; ///< By key hash.
   std::map<std::string, std::vector<std::string>> EndpointsOfRow;
+  std::map<std::string, TimePoint> LoadedSince; ///< By row, as seen here.
   std::vector<std::pair<std::string, std::string>> Services; ///< Path, row.
 };
 
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -277,7 +277,10 @@
   }
   if (coming > 0)
     return;
-  if (ready > 0 && Wish.Demand.OldestWait < ScaleOutWait)
+  // Reports made before the load ended say nothing about a further replica.
+  bool isCrowded =
+      Wish.Demand.IsLoaded && Wish.Demand.OldestWait >= ScaleOutWait;
+  if (ready > 0 && !isCrowded)
     return;
   if (ByRow[Wish.Row->name()].size() >= Wish.Row->max_replicas())
     return;
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -26,6 +26,8 @@
   uint32_t Waiting = 0;
   Millis OldestWait{0};
   std::string Tenant; ///< Whose request has waited longest.
+  /// They wait although the row is loaded, for as long as OldestWait says.
+  bool IsLoaded = false;
 };
 
 /// What an agent said last of one replica.
