--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -22,8 +22,8 @@
     {"all simple", true, true, true},
 };
 
-SiteOptions bloomlineSite() { return {"bloomline", 120, 1, 5}; }
-SiteOptions fixItSite() { return {"fixit", 90, 4, 10}; }
+SiteOptions bloomlineSite() { return {"bloomline", 120, 2, 5}; }
+SiteOptions fixItSite() { return {"fixit", 90, 12, 10}; }
 
 double share(std::vector<double> Values, double At) {
   if (Values.empty())
