Share actors' work by waiting instead of polling

Cause: every process used 8 % of a core at rest, whatever its role and size, two thirds of it in the system: the actor library's stealing scheduler polls for work.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 bench: build
 	build/bench/policy_bench $(SEEDS) $(SECONDS_EACH)
+
+slopes: build
+	build/tests/harness/slopes
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -104,6 +104,9 @@
   boost::asio::io_context io;
   caf::actor_system_config config;
   config.set("scheduler.max-threads", 1);
+  // One actor a process has nobody to steal work from; the stealing policy
+  // polls for it all the same.
+  config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system system(config);
   switch (Settings.Role) {
   case NodeRole::Control:
--- a/tests/harness/process_fleet.h
+++ b/tests/harness/process_fleet.h
@@ -74,6 +74,9 @@
   int waitForExit(const std::string &Process, std::chrono::seconds Limit);
   void kill(const std::string &Process);
   bool isRunning(const std::string &Process);
+  pid_t pidOf(const std::string &Process) const {
+    return Processes.at(Process);
+  }
   std::vector<std::string> running();
 
   std::string entry(int Number) const { return Http.at(entryName(Number)); }
