--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -233,6 +233,7 @@
   for (AgentEffect &it : effects)
     perform(it);
   IsReady = isAgentReady(State, now);
+  Counts.set("idle_accelerator_seconds", "", State.IdleTime.count());
   Counts.set("attempts_running", "",
              static_cast<double>(State.Attempts.size()));
 }
--- a/agent/agent_state.cpp
+++ b/agent/agent_state.cpp
@@ -117,7 +117,25 @@
   State.View.NextHeartbeat = Now;
 }
 
+void countIdle(AgentState &State, TimePoint Now) {
+  bool isFirst = State.IdleCountedAt == TimePoint();
+  std::chrono::duration<double> passed = Now - State.IdleCountedAt;
+  State.IdleCountedAt = Now;
+  if (isFirst || State.Endpoint.MemoryMb == 0)
+    return;
+  for (const wire::Replica *it :
+       listReplicasOn(State.View.Items, State.Options.Name)) {
+    auto row = State.Rows.find(it->row());
+    bool isIdle = row != State.Rows.end() && row->second.IsLoaded &&
+                  countRunning(State, it->row()) == 0;
+    if (isIdle)
+      State.IdleTime += passed * static_cast<double>(it->memory_mb()) /
+                        static_cast<double>(State.Endpoint.MemoryMb);
+  }
+}
+
 void tick(AgentState &State, TimePoint Now, AgentEffects &Out) {
+  countIdle(State, Now);
   sendProgress(State, Now, Out);
   // The entries have time to learn of the leave before the door closes.
   bool isDone = State.IsStopping && State.Attempts.empty() &&
--- a/agent/agent_state.h
+++ b/agent/agent_state.h
@@ -105,6 +105,9 @@
   std::deque<AttemptKey> EndedOrder;
   std::deque<RecentFailure> Failures;
   std::map<std::string, wire::DeathReport> Deaths; ///< Not yet recorded.
+  /// Time that loaded rows served nobody, by their share of the memory.
+  std::chrono::duration<double> IdleTime{0};
+  TimePoint IdleCountedAt;
   bool IsStopping = false;
   TimePoint StopSince;
 };
--- a/tests/fleet_run/fleet_driver.cpp
+++ b/tests/fleet_run/fleet_driver.cpp
@@ -484,6 +484,8 @@
     }
   }
   checkEntry(Node);
+  if (std::holds_alternative<EntryTick>(Event))
+    checkWaiting(Node);
   check();
 }
 
@@ -708,6 +710,20 @@
     fail("members differ at index " + std::to_string(fleet.Version));
 }
 
+/// A waiting request is started or refused by its deadline, and an answer has
+/// begun by then or is given up.
+void FleetDriver::checkWaiting(const EntryNode &Node) {
+  for (const auto &[id, request] : Node.State.Requests) {
+    bool isWaiting = request.Stage == RequestStage::Queued ||
+                     request.Stage == RequestStage::Claiming;
+    bool isLate = isWaiting ? request.Deadline < Now
+                            : request.Attempt && !request.HasHead &&
+                                  request.Attempt->HeadDeadline < Now;
+    if (isLate)
+      fail("request " + id + " waits past its deadline");
+  }
+}
+
 void FleetDriver::checkSpending(const std::string &Tenant, double Rate,
                                 double Burst) {
   double level = Burst;
--- a/tests/fleet_run/fleet_driver.h
+++ b/tests/fleet_run/fleet_driver.h
@@ -178,6 +178,7 @@
   void check();
   void checkEngines();
   void checkEntry(const EntryNode &Node);
+  void checkWaiting(const EntryNode &Node);
   void checkReplication(const ControlNode &Node);
   bool isReachable(const std::string &From, const std::string &To) const;
   /// Runs \p Action for a node now, or when it thaws.
--- /dev/null
+++ b/tests/wire/test_link.cpp
@@ -0,0 +1,105 @@
+/// \file
+/// Contract of the inner links: who is heard, who is refused, and that no
+/// bytes end the process.
+#include "core/metrics.h"
+#include "wire/link.h"
+
+#include <catch2/catch.hpp>
+#include <zmq.hpp>
+
+using namespace sassafras;
+
+namespace {
+
+/// Two links in one thread, with what each has received.
+struct LinkPair {
+  LinkPair(const char *FleetA, const char *FleetB)
+      : A(Io, {FleetA, "a", 7, "127.0.0.1:0"}, CountsA,
+          [this](wire::Envelope It) { AtA.push_back(std::move(It)); }),
+        B(Io, {FleetB, "b", 9, "127.0.0.1:0"}, CountsB,
+          [this](wire::Envelope It) { AtB.push_back(std::move(It)); }) {
+    std::string problem;
+    REQUIRE(A.start(problem));
+    REQUIRE(B.start(problem));
+  }
+
+  template <class Check> bool runUntil(Check IsDone) {
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!IsDone() && std::chrono::steady_clock::now() < end)
+      Io.run_one_for(std::chrono::milliseconds(20));
+    return IsDone();
+  }
+
+  boost::asio::io_context Io;
+  Metrics CountsA;
+  Metrics CountsB;
+  std::vector<wire::Envelope> AtA;
+  std::vector<wire::Envelope> AtB;
+  Link A;
+  Link B;
+};
+
+wire::Envelope makeBeat(uint64_t Number) {
+  wire::Envelope message;
+  message.mutable_heartbeat()->set_number(Number);
+  return message;
+}
+
+} // namespace
+
+TEST_CASE("link names its sender and keeps the order") {
+  LinkPair pair("fleet", "fleet");
+  for (uint64_t i = 0; i < 500; ++i)
+    pair.A.send(pair.B.address(), makeBeat(i));
+  REQUIRE(pair.runUntil([&] { return pair.AtB.size() == 500; }));
+  for (uint64_t i = 0; i < 500; ++i) {
+    CHECK(pair.AtB[i].heartbeat().number() == i);
+    CHECK(pair.AtB[i].from() == "a");
+    CHECK(pair.AtB[i].incarnation() == 7);
+    CHECK(pair.AtB[i].reply_address() == pair.A.address());
+  }
+}
+
+TEST_CASE("link refuses another fleet and tells it") {
+  LinkPair pair("fleet", "other");
+  pair.A.send(pair.B.address(), makeBeat(1));
+  REQUIRE(pair.runUntil([&] {
+    return pair.CountsA.print().find("by_peer") != std::string::npos;
+  }));
+  CHECK(pair.AtA.empty());
+  CHECK(pair.AtB.empty());
+  CHECK(pair.CountsB.print().find("other fleet") != std::string::npos);
+}
+
+TEST_CASE("link refuses unknown versions and unreadable bytes") {
+  LinkPair pair("fleet", "fleet");
+  zmq::context_t context;
+  zmq::socket_t socket(context, zmq::socket_type::push);
+  socket.connect("tcp://" + pair.B.address());
+  wire::Envelope message = makeBeat(1);
+  message.set_fleet("fleet");
+  message.set_version(ProtocolVersion + 1);
+  std::string bytes = message.SerializeAsString();
+  socket.send(zmq::buffer(bytes), zmq::send_flags::none);
+  std::string noise = "\xff\xff\xff\xffnoise";
+  socket.send(zmq::buffer(noise), zmq::send_flags::none);
+  REQUIRE(pair.runUntil([&] {
+    std::string counts = pair.CountsB.print();
+    return counts.find("unreadable") != std::string::npos &&
+           counts.find("unknown protocol version") != std::string::npos;
+  }));
+  CHECK(pair.AtB.empty());
+  pair.A.send(pair.B.address(), makeBeat(2));
+  CHECK(pair.runUntil([&] { return pair.AtB.size() == 1; }));
+}
+
+TEST_CASE("link says why it cannot listen") {
+  LinkPair pair("fleet", "fleet");
+  boost::asio::io_context io;
+  Metrics counts;
+  Link taken(io, {"fleet", "c", 1, pair.A.address()}, counts,
+             [](const wire::Envelope &) {});
+  std::string problem;
+  CHECK_FALSE(taken.start(problem));
+  CHECK(problem.find(pair.A.address()) != std::string::npos);
+}
