--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -7,6 +7,7 @@
 #include "core/role_actor.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "http/status_pages.h"
 #include "wire/link.h"
 
 #include <boost/asio/post.hpp>
@@ -28,14 +29,19 @@
 constexpr Millis ProbeSilence{2000};
 constexpr unsigned StatusOk = 200;
 
-} // namespace
+class AgentShell : public RoleShell,
+                   public std::enable_shared_from_this<AgentShell> {
+public:
+  explicit AgentShell(const ShellParts &Parts)
+      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
+        Counts(Parts.Counts), ProbeTimer(Io) {}
+  AgentShell(const AgentShell &) = delete;
+  AgentShell &operator=(const AgentShell &) = delete;
 
-struct AgentShell::Impl : std::enable_shared_from_this<AgentShell::Impl> {
-  Impl(boost::asio::io_context &Io, caf::actor_system &System,
-       const Settings &Options, Metrics &Counts)
-      : Io(Io), System(System), Options(Options), Counts(Counts),
-        ProbeTimer(Io) {}
+  bool start(std::string &Problem) override;
+  void stop() override;
 
+private:
   bool startHttp(std::string &Problem);
   void takeAnnouncement(const HttpRequest &Request, HttpExchange &Exchange);
   void step(const AgentEvent &Event);
@@ -64,22 +70,14 @@
   std::map<AttemptKey, std::shared_ptr<HttpCall>> Calls;
 };
 
-bool AgentShell::Impl::startHttp(std::string &Problem) {
+bool AgentShell::startHttp(std::string &Problem) {
   HttpServer::Handlers calls;
   calls.OnRequest = [this](const HttpRequest &Request,
                            const std::shared_ptr<HttpExchange> &Exchange) {
-    std::vector<HttpField> fields{{"content-type", "text/plain"}};
     if (Request.Target == "/announce" && Request.Method == "POST")
       takeAnnouncement(Request, *Exchange);
-    else if (Request.Target == "/metrics")
-      Exchange->respond(StatusOk, fields, Counts.print());
-    else if (Request.Target == "/healthz")
-      Exchange->respond(StatusOk, fields, "ok\n");
-    else if (Request.Target == "/readyz")
-      Exchange->respond(IsReady ? StatusOk : 503, fields,
-                        IsReady ? "ready\n" : "not ready\n");
-    else
-      Exchange->respond(404, fields, "not found\n");
+    else if (!serveStatusPage(Request, *Exchange, Counts, IsReady))
+      Exchange->respond(404, {}, "not found\n");
   };
   calls.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
@@ -87,8 +85,8 @@
   return Server->start(Problem);
 }
 
-void AgentShell::Impl::takeAnnouncement(const HttpRequest &Request,
-                                        HttpExchange &Exchange) {
+void AgentShell::takeAnnouncement(const HttpRequest &Request,
+                                  HttpExchange &Exchange) {
   std::vector<HttpField> fields{{"content-type", "text/plain"}};
   std::string problem;
   auto announcement = parseAnnouncement(Request.Body, problem);
@@ -103,7 +101,7 @@
   Exchange.respond(StatusOk, fields, "ok\n");
 }
 
-void AgentShell::Impl::startExchange(const StartExchange &Start) {
+void AgentShell::startExchange(const StartExchange &Start) {
   AttemptKey key = Start.Key;
   HttpRequest request{
       Start.Request.method(), Start.Request.target(), {}, Start.Request.body()};
@@ -139,7 +137,7 @@
                              std::move(calls));
 }
 
-void AgentShell::Impl::giveOrder(const GiveOrder &Order) {
+void AgentShell::giveOrder(const GiveOrder &Order) {
   bool isLoad = Order.Kind == OrderKind::Load;
   HttpRequest request{"POST",
                       isLoad ? "/admin/load" : "/admin/unload",
@@ -169,7 +167,7 @@
 }
 
 /// A port that refuses connections proves that a silent endpoint is gone.
-void AgentShell::Impl::probe() {
+void AgentShell::probe() {
   ProbeTimer.expires_after(ProbePeriod);
   ProbeTimer.async_wait([this](auto ec) {
     if (ec)
@@ -194,7 +192,7 @@
   });
 }
 
-void AgentShell::Impl::perform(AgentEffect &Effect) {
+void AgentShell::perform(AgentEffect &Effect) {
   if (auto *message = std::get_if<AgentSend>(&Effect)) {
     Peers->send(message->Address, std::move(message->Message));
     return;
@@ -219,7 +217,7 @@
       });
 }
 
-void AgentShell::Impl::step(const AgentEvent &Event) {
+void AgentShell::step(const AgentEvent &Event) {
   if (IsExiting)
     return;
   if (const auto *broken = std::get_if<EndpointBroken>(&Event))
@@ -238,7 +236,7 @@
              static_cast<double>(State.Attempts.size()));
 }
 
-void AgentShell::Impl::exit() {
+void AgentShell::exit() {
   IsExiting = true;
   boost::asio::post(Io, [self = shared_from_this()] {
     self->ProbeTimer.cancel();
@@ -246,48 +244,44 @@
         std::make_unique<boost::asio::steady_timer>(self->Io, ExitDelay);
     self->ExitTimer->async_wait([self](auto) {
       self->Peers->close();
+      // The actor holds the shell and would keep the process alive.
+      caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
       self->Io.stop();
     });
   });
 }
 
-AgentShell::AgentShell(boost::asio::io_context &Io, caf::actor_system &System,
-                       const Settings &Options, Metrics &Counts)
-    : Data(std::make_shared<Impl>(Io, System, Options, Counts)) {}
-
-AgentShell::~AgentShell() {
-  caf::anon_send_exit(Data->Role, caf::exit_reason::user_shutdown);
-}
-
 bool AgentShell::start(std::string &Problem) {
-  Impl &data = *Data;
   uint64_t incarnation = drawIncarnation();
-  data.Peers =
-      std::make_unique<Link>(data.Io,
-                             LinkSelf{data.Options.Fleet, data.Options.Node,
-                                      incarnation, data.Options.Listen},
-                             data.Counts, [&data](wire::Envelope Message) {
-                               data.post(AgentReceived{std::move(Message)});
-                             });
-  if (!data.Peers->start(Problem))
+  Peers = std::make_unique<Link>(
+      Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
+      Counts, [this](wire::Envelope Message) {
+        post(AgentReceived{std::move(Message)});
+      });
+  if (!Peers->start(Problem) || !startHttp(Problem))
     return false;
-  data.State.Options = {data.Options.Node,
-                        incarnation,
-                        data.Peers->address(),
-                        data.Options.Zone,
-                        data.Options.AgentRole.Slots,
-                        data.Options.AgentRole.Service};
-  data.State.View.ControlAddresses = data.Options.Control;
-  data.State.View.NextNumber = incarnation;
-  std::function<void(AgentEvent &)> step = [self = Data](AgentEvent &it) {
-    self->step(it);
-  };
-  data.Role = data.System.spawn(makeRoleBehavior<AgentEvent>, step,
-                                AgentEvent(AgentTick{}), TickPeriod);
-  data.probe();
-  return data.startHttp(Problem);
+  State.Options = {Options.Node,
+                   incarnation,
+                   Peers->address(),
+                   Options.Zone,
+                   Options.AgentRole.Slots,
+                   Options.AgentRole.Service};
+  State.View.ControlAddresses = Options.Control;
+  State.View.NextNumber = incarnation;
+  std::function<void(AgentEvent &)> step =
+      [self = shared_from_this()](AgentEvent &it) { self->step(it); };
+  Role = System.spawn(makeRoleBehavior<AgentEvent>, step,
+                      AgentEvent(AgentTick{}), TickPeriod);
+  probe();
+  return true;
 }
 
-void AgentShell::stop() { sendEvent<AgentEvent>(Data->Role, AgentStop{}); }
+void AgentShell::stop() { sendEvent<AgentEvent>(Role, AgentStop{}); }
+
+} // namespace
+
+std::shared_ptr<RoleShell> makeAgentShell(const ShellParts &Parts) {
+  return std::make_shared<AgentShell>(Parts);
+}
 
 } // namespace sassafras
--- a/agent/agent_shell.h
+++ b/agent/agent_shell.h
@@ -1,41 +1,15 @@
 /// \file
-/// Process of an agent: link, endpoint exchanges and actor around the
+/// Shell of a process: link, endpoint exchanges and actor around an agent's
 /// decisions.
 #ifndef SASSAFRAS_AGENT_AGENT_SHELL_H
 #define SASSAFRAS_AGENT_AGENT_SHELL_H
 
-#include "core/settings.h"
-
-#include <boost/asio/io_context.hpp>
-
-#include <memory>
-#include <string>
-
-namespace caf {
-class actor_system;
-} // namespace caf
+#include "core/role_shell.h"
 
 namespace sassafras {
 
-class Metrics;
-
-class AgentShell {
-public:
-  AgentShell(boost::asio::io_context &Io, caf::actor_system &System,
-             const Settings &Options, Metrics &Counts);
-  ~AgentShell();
-  AgentShell(const AgentShell &) = delete;
-  AgentShell &operator=(const AgentShell &) = delete;
-
-  /// Binds and starts. False with the reason on failure. Call once.
-  bool start(std::string &Problem);
-  /// Asks for a graceful stop; the context's run ends then. Thread safe.
-  void stop();
-
-private:
-  struct Impl;
-  std::shared_ptr<Impl> Data;
-};
+/// Makes the shell; nothing runs before its start.
+std::shared_ptr<RoleShell> makeAgentShell(const ShellParts &Parts);
 
 } // namespace sassafras
 
--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "core/role_actor.h"
 #include "http/server.h"
+#include "http/status_pages.h"
 #include "replication/disk_log.h"
 #include "wire/link.h"
 
@@ -32,14 +33,19 @@
   return options;
 }
 
-} // namespace
+class ControlShell : public RoleShell,
+                     public std::enable_shared_from_this<ControlShell> {
+public:
+  explicit ControlShell(const ShellParts &Parts)
+      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
+        Counts(Parts.Counts), Disk(Options.ControlRole.DataFolder) {}
+  ControlShell(const ControlShell &) = delete;
+  ControlShell &operator=(const ControlShell &) = delete;
 
-struct ControlShell::Impl : std::enable_shared_from_this<ControlShell::Impl> {
-  Impl(boost::asio::io_context &Io, caf::actor_system &System,
-       const Settings &Options, Metrics &Counts)
-      : Io(Io), System(System), Options(Options), Counts(Counts),
-        Disk(Options.ControlRole.DataFolder) {}
+  bool start(std::string &Problem) override;
+  void stop() override;
 
+private:
   bool restore(std::string &Problem);
   bool startHttp(std::string &Problem);
   void step(const ControlEvent &Event);
@@ -64,7 +70,7 @@
   uint64_t LastTerm = 0;
 };
 
-bool ControlShell::Impl::restore(std::string &Problem) {
+bool ControlShell::restore(std::string &Problem) {
   DiskProblem problem;
   auto content = Disk.open(problem);
   if (!content) {
@@ -91,20 +97,12 @@
   return true;
 }
 
-bool ControlShell::Impl::startHttp(std::string &Problem) {
+bool ControlShell::startHttp(std::string &Problem) {
   HttpServer::Handlers calls;
   calls.OnRequest = [this](const HttpRequest &Request,
                            const std::shared_ptr<HttpExchange> &Exchange) {
-    std::vector<HttpField> fields{{"content-type", "text/plain"}};
-    if (Request.Target == "/metrics")
-      Exchange->respond(200, fields, Counts.print());
-    else if (Request.Target == "/healthz")
-      Exchange->respond(200, fields, "ok\n");
-    else if (Request.Target == "/readyz")
-      Exchange->respond(IsReady ? 200 : 503, fields,
-                        IsReady ? "ready\n" : "not ready\n");
-    else
-      Exchange->respond(404, fields, "not found\n");
+    if (!serveStatusPage(Request, *Exchange, Counts, IsReady))
+      Exchange->respond(404, {}, "not found\n");
   };
   calls.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
@@ -113,7 +111,7 @@
 }
 
 /// A member that cannot write must not vote or answer.
-void ControlShell::Impl::requireDisk(bool IsDone) {
+void ControlShell::requireDisk(bool IsDone) {
   if (IsDone)
     return;
   logEvent(LogLevel::Error, "disk_failed",
@@ -122,7 +120,7 @@
   std::abort();
 }
 
-void ControlShell::Impl::perform(ControlEffect &Effect) {
+void ControlShell::perform(ControlEffect &Effect) {
   if (auto *record = std::get_if<PersistRecord>(&Effect)) {
     requireDisk(Disk.append(record->Record));
   } else if (auto *whole = std::get_if<PersistSnapshot>(&Effect)) {
@@ -136,7 +134,7 @@
   }
 }
 
-void ControlShell::Impl::step(const ControlEvent &Event) {
+void ControlShell::step(const ControlEvent &Event) {
   if (IsExiting)
     return;
   // The time is read at use: a process that was stopped for a while finds
@@ -148,7 +146,7 @@
   publish();
 }
 
-void ControlShell::Impl::publish() {
+void ControlShell::publish() {
   IsReady = State.Raft.Role != RaftRole::Blank && State.Raft.Leader != 0;
   bool hasChanged = LastRole != State.Raft.Role || LastTerm != State.Raft.Term;
   if (!hasChanged)
@@ -163,49 +161,42 @@
             {"leader", isLeader ? "yes" : "no"}});
 }
 
-void ControlShell::Impl::exit() {
+void ControlShell::exit() {
   IsExiting = true;
   boost::asio::post(Io, [self = shared_from_this()] {
     self->ExitTimer =
         std::make_unique<boost::asio::steady_timer>(self->Io, ExitDelay);
     self->ExitTimer->async_wait([self](auto) {
       self->Peers->close();
+      // The actor holds the shell and would keep the process alive.
+      caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
       self->Io.stop();
     });
   });
 }
 
-ControlShell::ControlShell(boost::asio::io_context &Io,
-                           caf::actor_system &System, const Settings &Options,
-                           Metrics &Counts)
-    : Data(std::make_shared<Impl>(Io, System, Options, Counts)) {}
-
-ControlShell::~ControlShell() {
-  caf::anon_send_exit(Data->Role, caf::exit_reason::user_shutdown);
-}
-
 bool ControlShell::start(std::string &Problem) {
-  Impl &data = *Data;
-  data.Peers = std::make_unique<Link>(
-      data.Io,
-      LinkSelf{data.Options.Fleet, data.Options.Node, drawIncarnation(),
-               data.Options.Listen},
-      data.Counts, [&data](wire::Envelope Message) {
-        sendEvent<ControlEvent>(data.Role, ControlReceived{std::move(Message)});
+  Peers = std::make_unique<Link>(
+      Io,
+      LinkSelf{Options.Fleet, Options.Node, drawIncarnation(), Options.Listen},
+      Counts, [this](wire::Envelope Message) {
+        sendEvent<ControlEvent>(Role, ControlReceived{std::move(Message)});
       });
-  if (!data.Peers->start(Problem) || !data.restore(Problem) ||
-      !data.startHttp(Problem))
+  if (!Peers->start(Problem) || !restore(Problem) || !startHttp(Problem))
     return false;
-  std::function<void(ControlEvent &)> step = [self = Data](ControlEvent &it) {
-    self->step(it);
-  };
-  data.Role = data.System.spawn(makeRoleBehavior<ControlEvent>, step,
-                                ControlEvent(ControlTick{}), TickPeriod);
+  std::function<void(ControlEvent &)> step =
+      [self = shared_from_this()](ControlEvent &it) { self->step(it); };
+  Role = System.spawn(makeRoleBehavior<ControlEvent>, step,
+                      ControlEvent(ControlTick{}), TickPeriod);
   return true;
 }
 
-void ControlShell::stop() {
-  sendEvent<ControlEvent>(Data->Role, ControlStop{});
+void ControlShell::stop() { sendEvent<ControlEvent>(Role, ControlStop{}); }
+
+} // namespace
+
+std::shared_ptr<RoleShell> makeControlShell(const ShellParts &Parts) {
+  return std::make_shared<ControlShell>(Parts);
 }
 
 } // namespace sassafras
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -6,6 +6,7 @@
 #include "entry/caller_reader.h"
 #include "entry/entry_state.h"
 #include "http/server.h"
+#include "http/status_pages.h"
 #include "wire/link.h"
 
 #include <boost/asio/post.hpp>
@@ -32,14 +33,19 @@
   return fields;
 }
 
-} // namespace
+class EntryShell : public RoleShell,
+                   public std::enable_shared_from_this<EntryShell> {
+public:
+  explicit EntryShell(const ShellParts &Parts)
+      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
+        Counts(Parts.Counts), StopTimer(Io) {}
+  EntryShell(const EntryShell &) = delete;
+  EntryShell &operator=(const EntryShell &) = delete;
 
-struct EntryShell::Impl : std::enable_shared_from_this<EntryShell::Impl> {
-  Impl(boost::asio::io_context &Io, caf::actor_system &System,
-       const Settings &Options, Metrics &Counts)
-      : Io(Io), System(System), Options(Options), Counts(Counts),
-        StopTimer(Io) {}
+  bool start(std::string &Problem) override;
+  void stop() override;
 
+private:
   bool startHttp(std::string &Problem);
   void serve(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange);
   bool serveOwn(const HttpRequest &Request, HttpExchange &Exchange);
@@ -76,15 +82,13 @@
   uint64_t ModelListVersion = 0;
 };
 
-std::shared_ptr<HttpExchange>
-EntryShell::Impl::exchangeOf(const std::string &Id) {
+std::shared_ptr<HttpExchange> EntryShell::exchangeOf(const std::string &Id) {
   std::lock_guard guard(ExchangeLock);
   auto it = Exchanges.find(Id);
   return it == Exchanges.end() ? nullptr : it->second;
 }
 
-std::shared_ptr<HttpExchange>
-EntryShell::Impl::takeExchange(const std::string &Id) {
+std::shared_ptr<HttpExchange> EntryShell::takeExchange(const std::string &Id) {
   std::lock_guard guard(ExchangeLock);
   auto it = Exchanges.find(Id);
   if (it == Exchanges.end())
@@ -95,7 +99,7 @@
   return exchange;
 }
 
-bool EntryShell::Impl::startHttp(std::string &Problem) {
+bool EntryShell::startHttp(std::string &Problem) {
   HttpServer::Handlers calls;
   calls.OnRequest = [this](HttpRequest Request,
                            std::shared_ptr<HttpExchange> Exchange) {
@@ -124,32 +128,24 @@
   return Server->start(Problem);
 }
 
-void EntryShell::Impl::listModels(HttpExchange &Exchange) {
+void EntryShell::listModels(HttpExchange &Exchange) {
   std::lock_guard guard(ExchangeLock);
   std::vector<HttpField> fields{{"content-type", "application/json"}};
   Exchange.respond(200, fields, ModelList);
 }
 
 /// Answers the entry's own paths; false for callers' requests.
-bool EntryShell::Impl::serveOwn(const HttpRequest &Request,
-                                HttpExchange &Exchange) {
-  std::vector<HttpField> fields{{"content-type", "text/plain"}};
-  if (Request.Target == "/metrics")
-    Exchange.respond(200, fields, Counts.print());
-  else if (Request.Target == "/healthz")
-    Exchange.respond(200, fields, "ok\n");
-  else if (Request.Target == "/readyz")
-    Exchange.respond(IsReady && !IsLeaving ? 200 : 503, fields,
-                     IsReady && !IsLeaving ? "ready\n" : "not ready\n");
-  else if (Request.Target == "/v1/models" && Request.Method == "GET")
-    listModels(Exchange);
-  else
+bool EntryShell::serveOwn(const HttpRequest &Request, HttpExchange &Exchange) {
+  if (serveStatusPage(Request, Exchange, Counts, IsReady && !IsLeaving))
+    return true;
+  if (Request.Target != "/v1/models" || Request.Method != "GET")
     return false;
+  listModels(Exchange);
   return true;
 }
 
-void EntryShell::Impl::serve(HttpRequest Request,
-                             std::shared_ptr<HttpExchange> Exchange) {
+void EntryShell::serve(HttpRequest Request,
+                       std::shared_ptr<HttpExchange> Exchange) {
   if (serveOwn(Request, *Exchange))
     return;
   std::string id = Options.Node + "-" + std::to_string(Incarnation) + "-" +
@@ -172,7 +168,7 @@
   post(CallerArrived{std::move(*caller)});
 }
 
-void EntryShell::Impl::refuse(const AnswerRefusal &Effect) {
+void EntryShell::refuse(const AnswerRefusal &Effect) {
   auto exchange = takeExchange(Effect.Id);
   if (!exchange)
     return;
@@ -189,7 +185,7 @@
                     printRefusal(Effect.Why, Effect.Id));
 }
 
-void EntryShell::Impl::abort(const AnswerAbort &Effect) {
+void EntryShell::abort(const AnswerAbort &Effect) {
   auto exchange = takeExchange(Effect.Id);
   if (!exchange)
     return;
@@ -201,7 +197,7 @@
   exchange->abort();
 }
 
-void EntryShell::Impl::perform(EntryEffect &Effect) {
+void EntryShell::perform(EntryEffect &Effect) {
   if (auto *message = std::get_if<EntrySend>(&Effect)) {
     Peers->send(message->Address, std::move(message->Message));
   } else if (auto *head = std::get_if<AnswerHead>(&Effect)) {
@@ -228,7 +224,7 @@
   }
 }
 
-void EntryShell::Impl::step(const EntryEvent &Event) {
+void EntryShell::step(const EntryEvent &Event) {
   TimePoint now = Clock::now();
   auto effects = stepEntry(State, Event, now);
   for (EntryEffect &it : effects)
@@ -237,7 +233,7 @@
     publish(now);
 }
 
-void EntryShell::Impl::publish(TimePoint Now) {
+void EntryShell::publish(TimePoint Now) {
   IsReady = isEntryReady(State, Now);
   const OutcomeCounts &counts = State.Counts;
   auto set = [&](const char *Outcome, uint64_t Value) {
@@ -268,7 +264,7 @@
 
 /// First the balancer is told, then the door closes, then all that runs
 /// comes to its end.
-void EntryShell::Impl::beginStop() {
+void EntryShell::beginStop() {
   if (IsLeaving.exchange(true))
     return;
   StopTimer.expires_after(BalancerNotice);
@@ -278,7 +274,7 @@
   });
 }
 
-void EntryShell::Impl::waitForAnswers() {
+void EntryShell::waitForAnswers() {
   bool isEmpty = Server->countOpen() == 0;
   if (isEmpty)
     post(EntryStop{});
@@ -289,44 +285,40 @@
       return;
     }
     self->Peers->close();
+    // The actor holds the shell and would keep the process alive.
+    caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
     self->Io.stop();
   });
 }
 
-EntryShell::EntryShell(boost::asio::io_context &Io, caf::actor_system &System,
-                       const Settings &Options, Metrics &Counts)
-    : Data(std::make_shared<Impl>(Io, System, Options, Counts)) {}
-
-EntryShell::~EntryShell() {
-  caf::anon_send_exit(Data->Role, caf::exit_reason::user_shutdown);
-}
-
 bool EntryShell::start(std::string &Problem) {
-  Impl &data = *Data;
-  data.Incarnation = drawIncarnation();
-  data.Peers =
-      std::make_unique<Link>(data.Io,
-                             LinkSelf{data.Options.Fleet, data.Options.Node,
-                                      data.Incarnation, data.Options.Listen},
-                             data.Counts, [&data](wire::Envelope Message) {
-                               data.post(EntryReceived{std::move(Message)});
-                             });
-  if (!data.Peers->start(Problem))
+  Incarnation = drawIncarnation();
+  Peers = std::make_unique<Link>(
+      Io, LinkSelf{Options.Fleet, Options.Node, Incarnation, Options.Listen},
+      Counts, [this](wire::Envelope Message) {
+        post(EntryReceived{std::move(Message)});
+      });
+  if (!Peers->start(Problem) || !startHttp(Problem))
     return false;
-  data.State.Options = {data.Options.Node, data.Options.Zone};
-  data.State.View.ControlAddresses = data.Options.Control;
-  data.State.View.NextNumber = data.Incarnation;
-  data.State.Tokens.NextNumber = data.Incarnation;
-  std::function<void(EntryEvent &)> step = [self = Data](EntryEvent &it) {
-    self->step(it);
-  };
-  data.Role = data.System.spawn(makeRoleBehavior<EntryEvent>, step,
-                                EntryEvent(EntryTick{}), TickPeriod);
-  return data.startHttp(Problem);
+  State.Options = {Options.Node, Options.Zone};
+  State.View.ControlAddresses = Options.Control;
+  State.View.NextNumber = Incarnation;
+  State.Tokens.NextNumber = Incarnation;
+  std::function<void(EntryEvent &)> step =
+      [self = shared_from_this()](EntryEvent &it) { self->step(it); };
+  Role = System.spawn(makeRoleBehavior<EntryEvent>, step,
+                      EntryEvent(EntryTick{}), TickPeriod);
+  return true;
 }
 
 void EntryShell::stop() {
-  boost::asio::post(Data->Io, [self = Data] { self->beginStop(); });
+  boost::asio::post(Io, [self = shared_from_this()] { self->beginStop(); });
+}
+
+} // namespace
+
+std::shared_ptr<RoleShell> makeEntryShell(const ShellParts &Parts) {
+  return std::make_shared<EntryShell>(Parts);
 }
 
 } // namespace sassafras
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -71,34 +71,30 @@
   return ExitUsage;
 }
 
-/// Runs \p Shell until it has stopped gracefully.
-template <class Shell>
-int run(boost::asio::io_context &Io, caf::actor_system &System,
-        const Settings &Settings, Metrics &Counts) {
-  Shell shell(Io, System, Settings, Counts);
-  std::string problem;
-  if (!shell.start(problem)) {
-    logEvent(LogLevel::Error, "start_failed", {{"reason", problem}});
-    return ExitFailed;
+std::shared_ptr<RoleShell> makeShell(const ShellParts &Parts) {
+  switch (Parts.Options.Role) {
+  case NodeRole::Control:
+    return makeControlShell(Parts);
+  case NodeRole::Agent:
+    return makeAgentShell(Parts);
+  case NodeRole::Entry:
+    return makeEntryShell(Parts);
   }
-  logEvent(LogLevel::Info, "started", {{"version", VersionText}});
-  // A second signal changes nothing: the stop goes on as it began.
-  boost::asio::signal_set signals(Io, SIGTERM, SIGINT);
-  std::function<void()> wait = [&] {
-    signals.async_wait([&](auto ec, int) {
-      if (ec)
-        return;
-      logEvent(LogLevel::Info, "stopping");
-      shell.stop();
-      wait();
-    });
-  };
-  wait();
-  Io.run();
-  logEvent(LogLevel::Info, "stopped");
-  return ExitOk;
+  return nullptr;
+}
+
+/// A second signal changes nothing: the stop goes on as it began.
+void stopOnSignal(boost::asio::signal_set &Signals, RoleShell &Shell) {
+  Signals.async_wait([&](auto ec, int) {
+    if (ec)
+      return;
+    logEvent(LogLevel::Info, "stopping");
+    Shell.stop();
+    stopOnSignal(Signals, Shell);
+  });
 }
 
+/// Runs the role until it has stopped gracefully.
 int runRole(const Settings &Settings) {
   Metrics counts;
   boost::asio::io_context io;
@@ -108,15 +104,18 @@
   // polls for it all the same.
   config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system system(config);
-  switch (Settings.Role) {
-  case NodeRole::Control:
-    return run<ControlShell>(io, system, Settings, counts);
-  case NodeRole::Agent:
-    return run<AgentShell>(io, system, Settings, counts);
-  case NodeRole::Entry:
-    return run<EntryShell>(io, system, Settings, counts);
+  auto shell = makeShell({io, system, Settings, counts});
+  std::string problem;
+  if (!shell->start(problem)) {
+    logEvent(LogLevel::Error, "start_failed", {{"reason", problem}});
+    return ExitFailed;
   }
-  return ExitFailed;
+  logEvent(LogLevel::Info, "started", {{"version", VersionText}});
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  stopOnSignal(signals, *shell);
+  io.run();
+  logEvent(LogLevel::Info, "stopped");
+  return ExitOk;
 }
 
 int start(int Count, char **Words) {
