--- a/tests/policy/test_token_bank.cpp
+++ b/tests/policy/test_token_bank.cpp
@@ -110,9 +110,9 @@
   REQUIRE(take(bank, 400, now) == 400);
   // Ten seconds later the bucket has been full again: nothing is owed.
   TimePoint later = now + std::chrono::seconds(10);
-  take(bank, 1, later);
+  REQUIRE(take(bank, 400, later) == 400);
   refundCharge(bank, "alpha", 400, now, Rate, later);
-  CHECK(take(bank, 1000, later + Millis(1)) <= 400);
+  CHECK(take(bank, 1000, later + Millis(1)) == 0);
 }
 
 TEST_CASE("spending stays within the bound under loss, doubles and failover") {
