--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -1,5 +1,6 @@
 #include "control/control_state.h"
 
+#include "control/control_parts.h"
 #include "control/leadership.h"
 
 namespace sassafras {
--- a/control/leadership.h
+++ b/control/leadership.h
@@ -16,9 +16,6 @@
 /// Leader's periodic work: endpoints' silence, placement, pushes.
 void tickLeader(ControlState &State, TimePoint Now, RaftEffects &Raft,
                 ControlEffects &Out);
-/// Sends \p Reply to whoever proposed; the leader itself needs none.
-void answerProposal(const ControlState &State, const PendingProposal &Proposal,
-                    wire::ProposalReply Reply, ControlEffects &Out);
 
 } // namespace sassafras
 
