--- a/tests/fleet_run/fleet_driver.cpp
+++ b/tests/fleet_run/fleet_driver.cpp
@@ -566,7 +566,7 @@
   uint64_t engine = Node.Engine.Incarnation;
   uint64_t agent = Processes[name].Incarnation;
   std::string answer = answerTo(caller.Request);
-  auto pass = [this, name, engine, agent](AgentEvent Event) {
+  auto pass = [this, name, engine, agent](const AgentEvent &Event) {
     whenAwake(name, [this, name, engine, agent, Event] {
       if (Processes[name].Incarnation != agent)
         return;
@@ -664,7 +664,7 @@
           listStrangers(node.State).empty() && node.State.Orders.empty();
       bool isReported = node.State.Rows.contains(row);
       if (isListed && isReported && !findReplica(fleet.Items, name, row))
-        fail("row " + row + " is loaded on " + name + " undecided");
+        fail("undecided on " + name + ": " + row);
     }
     if (memory > EngineMemory)
       fail("memory of " + name + " is overcommitted");
--- a/tests/fleet_run/test_promises.cpp
+++ b/tests/fleet_run/test_promises.cpp
@@ -306,7 +306,8 @@
   for (uint64_t seed = FirstSeed; seed < FirstSeed + Count; ++seed) {
     std::string violation = Chaos(seed, Mix).run();
     INFO("replay with FLEET_SEED=" << seed << ", faults: " << Mix.Name);
-    REQUIRE(violation == "");
+    CAPTURE(violation);
+    REQUIRE(violation.empty());
   }
 }
 
