--- a/tests/fleet_run/fleet_driver.cpp
+++ b/tests/fleet_run/fleet_driver.cpp
@@ -663,8 +663,11 @@
           node.State.IsEndpointUp && isConfirmed(node.State.View, Now) &&
           listStrangers(node.State).empty() && node.State.Orders.empty();
       bool isReported = node.State.Rows.contains(row);
-      if (isListed && isReported && !findReplica(fleet.Items, name, row))
-        fail("undecided on " + name + ": " + row);
+      if (!isListed || !isReported || findReplica(fleet.Items, name, row))
+        continue;
+      std::string what = "undecided row on ";
+      what += name;
+      fail(what);
     }
     if (memory > EngineMemory)
       fail("memory of " + name + " is overcommitted");
