--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -108,10 +108,9 @@
   for (const wire::Header &it : Start.Request.headers())
     request.Fields.push_back({it.name(), it.value()});
   HttpCalls calls;
-  calls.OnHead = [this, key](unsigned Status,
-                             const std::vector<HttpField> &Fields) {
-    EndpointHead head{key, Status, {}};
-    for (const HttpField &it : Fields) {
+  calls.OnHead = [this, key](const HttpHead &Head) {
+    EndpointHead head{key, Head.Status, {}};
+    for (const HttpField &it : Head.Fields) {
       if (isHopField(it.Name))
         continue;
       wire::Header header;
@@ -121,8 +120,8 @@
     }
     post(std::move(head));
   };
-  calls.OnBody = [this, key](std::string Bytes) {
-    post(EndpointBody{key, std::move(Bytes)});
+  calls.OnBody = [this, key](std::string_view Bytes) {
+    post(EndpointBody{key, std::string(Bytes)});
   };
   calls.OnEnd = [this, key] {
     Calls.erase(key);
@@ -148,10 +147,10 @@
   Counts.count("orders_total", isLoad ? "kind=\"load\"" : "kind=\"unload\"");
   auto isDone = std::make_shared<bool>(false);
   HttpCalls calls;
-  calls.OnHead = [isDone](unsigned Status, const std::vector<HttpField> &) {
-    *isDone = Status == StatusOk;
+  calls.OnHead = [isDone](const HttpHead &Head) {
+    *isDone = Head.Status == StatusOk;
   };
-  calls.OnBody = [](const std::string &) {};
+  calls.OnBody = [](std::string_view) {};
   auto finish = [this, Order, isDone](bool IsWhole) {
     bool isGood = IsWhole && *isDone;
     bool isOver = IsWhole;
@@ -176,8 +175,8 @@
         !EndpointAddress.empty() && Clock::now() - LastAnnounce > ProbePeriod;
     if (isSilent) {
       HttpCalls calls;
-      calls.OnHead = [](unsigned, const std::vector<HttpField> &) {};
-      calls.OnBody = [](const std::string &) {};
+      calls.OnHead = [](const HttpHead &) {};
+      calls.OnBody = [](std::string_view) {};
       calls.OnEnd = [] {};
       calls.OnBreak = [this](HttpBreak Break) {
         if (!Break.IsRefused)
--- /dev/null
+++ b/control/serving_store.cpp
@@ -0,0 +1,202 @@
+#include "control/serving_store.h"
+
+namespace sassafras {
+
+namespace {
+
+wire::Snapshot makeSnapshot(const ServingStore &Store) {
+  wire::Snapshot snapshot;
+  fillSnapshotHeader(Store.Raft, Store.Applied, snapshot);
+  *snapshot.mutable_serving_table() = Store.Table;
+  return snapshot;
+}
+
+void applyTable(ServingStore &Store, const wire::ServingTableChange &Change,
+                StoreEffects &Out) {
+  if (Change.version() <= Store.Table.version())
+    return;
+  Store.Table = Change;
+  Out.push_back(StorePublish{Change.version(), Change.content()});
+}
+
+void answerWrites(ServingStore &Store, StoreEffects &Out) {
+  std::erase_if(Store.Pending, [&](const PendingWrite &it) {
+    if (it.Index > Store.Applied)
+      return false;
+    Out.push_back(StoreAnswer{it.Number, StoreOutcome::Done,
+                              Store.Table.version(), {}});
+    return true;
+  });
+}
+
+void applyCommitted(ServingStore &Store, StoreEffects &Out) {
+  uint64_t before = Store.Applied;
+  while (Store.Applied < Store.Raft.Commit) {
+    uint64_t index = Store.Applied + 1;
+    const wire::Command &command = entryAt(Store.Raft, index).command();
+    Store.Applied = index;
+    if (command.has_serving_table())
+      applyTable(Store, command.serving_table(), Out);
+  }
+  if (Store.Applied == before)
+    return;
+  // After a restart the table can be served before a leader is known.
+  PersistRecord record;
+  wire::HardState &state = *record.Record.mutable_hard_state();
+  state.set_term(Store.Raft.Term);
+  state.set_voted_for(Store.Raft.VotedFor);
+  state.set_commit(Store.Raft.Commit);
+  Out.push_back(std::move(record));
+  answerWrites(Store, Out);
+}
+
+void sendSnapshot(const ServingStore &Store, const wire::Member &Target,
+                  StoreEffects &Out) {
+  RaftSend effect;
+  effect.Address = Target.address();
+  wire::InstallSnapshot &install = *effect.Message.mutable_install_snapshot();
+  install.set_term(Store.Raft.Term);
+  install.set_leader(Store.Raft.Self.Identity);
+  install.set_target(Target.identity());
+  install.set_round(Store.Raft.Round);
+  *install.mutable_snapshot() = makeSnapshot(Store);
+  Out.push_back(std::move(effect));
+}
+
+void takeRaftEffects(ServingStore &Store, RaftEffects &Effects,
+                     StoreEffects &Out) {
+  for (RaftEffect &it : Effects) {
+    if (auto *record = std::get_if<PersistRecord>(&it)) {
+      Out.push_back(std::move(*record));
+    } else if (auto *snapshot = std::get_if<PersistSnapshot>(&it)) {
+      Out.push_back(std::move(*snapshot));
+    } else if (auto *message = std::get_if<RaftSend>(&it)) {
+      Out.push_back(std::move(*message));
+    } else if (auto *needed = std::get_if<SnapshotNeeded>(&it)) {
+      sendSnapshot(Store, needed->Target, Out);
+    } else if (auto *load = std::get_if<LoadSnapshot>(&it)) {
+      Store.Applied = load->Snapshot.index();
+      applyTable(Store, load->Snapshot.serving_table(), Out);
+    }
+  }
+  Effects.clear();
+}
+
+/// Newest table in the log, committed or not, and where it stands.
+std::pair<uint64_t, uint64_t> newestTable(const ServingStore &Store) {
+  for (uint64_t i = lastIndex(Store.Raft); i > Store.Applied; --i) {
+    const wire::Command &command = entryAt(Store.Raft, i).command();
+    if (command.has_serving_table())
+      return {command.serving_table().version(), i};
+  }
+  return {Store.Table.version(), Store.Applied};
+}
+
+StoreOutcome whyNot(const ServingStore &Store) {
+  bool knowsLeader = Store.Raft.Leader != 0 &&
+                     Store.Raft.Leader != Store.Raft.Self.Identity;
+  return knowsLeader ? StoreOutcome::NotLeader : StoreOutcome::Unavailable;
+}
+
+void write(ServingStore &Store, const StoreWrite &Write, TimePoint Now,
+           RaftEffects &Raft, StoreEffects &Out) {
+  if (!canPropose(Store.Raft, Now) || Store.IsStopping) {
+    Out.push_back(StoreAnswer{Write.Number, whyNot(Store), 0, {}});
+    return;
+  }
+  auto [version, index] = newestTable(Store);
+  if (Write.Version > version) {
+    wire::Command command;
+    command.mutable_serving_table()->set_version(Write.Version);
+    command.mutable_serving_table()->set_content(Write.Content);
+    index = proposeRaft(Store.Raft, std::move(command), Now, Raft);
+  }
+  // A version that is not higher changes nothing, but is acknowledged only
+  // once what overtook it lasts.
+  Store.Pending.push_back({Write.Number, index});
+  answerWrites(Store, Out);
+}
+
+void read(const ServingStore &Store, const StoreRead &Read, TimePoint Now,
+          StoreEffects &Out) {
+  bool isSure = canPropose(Store.Raft, Now) && Store.Table.version() > 0;
+  if (isSure)
+    Out.push_back(StoreAnswer{Read.Number, StoreOutcome::Done,
+                              Store.Table.version(), Store.Table.content()});
+  else
+    Out.push_back(StoreAnswer{Read.Number, whyNot(Store), 0, {}});
+}
+
+/// Writes whose leader lost its term may or may not last.
+void dropPending(ServingStore &Store, StoreEffects &Out) {
+  if (Store.Raft.Role == RaftRole::Leader)
+    return;
+  for (const PendingWrite &it : Store.Pending)
+    Out.push_back(StoreAnswer{it.Number, StoreOutcome::Unavailable, 0, {}});
+  Store.Pending.clear();
+}
+
+void compactIfLarge(ServingStore &Store, RaftEffects &Effects) {
+  if (Store.Raft.Role == RaftRole::Blank ||
+      Store.Applied <
+          Store.Raft.SnapshotIndex + StoreSnapshotEntries + StoreSnapshotTail)
+    return;
+  compactRaft(Store.Raft, makeSnapshot(Store), StoreSnapshotTail, Effects);
+}
+
+void take(ServingStore &Store, const StoreEvent &Event, TimePoint Now,
+          RaftEffects &Raft, StoreEffects &Out) {
+  if (auto *received = std::get_if<StoreReceived>(&Event)) {
+    receiveRaft(Store.Raft, received->Message, Now, Raft);
+  } else if (auto *put = std::get_if<StoreWrite>(&Event)) {
+    write(Store, *put, Now, Raft, Out);
+  } else if (auto *get = std::get_if<StoreRead>(&Event)) {
+    read(Store, *get, Now, Out);
+  } else if (auto *greet = std::get_if<StoreGreet>(&Event)) {
+    Store.Raft.GreetAddresses = greet->Addresses;
+  } else if (std::holds_alternative<StoreStop>(Event)) {
+    Store.IsStopping = true;
+    transferLeadership(Store.Raft, Now, Raft);
+  } else {
+    tickRaft(Store.Raft, Now, Raft);
+    removeSilentMember(Store.Raft, LeastVoters, MemberSilence, Now, Raft);
+  }
+}
+
+} // namespace
+
+ServingStore makeServingStore(RaftState Raft, const wire::Snapshot *Snapshot) {
+  ServingStore store;
+  store.Raft = std::move(Raft);
+  if (!Snapshot)
+    return store;
+  store.Applied = Snapshot->index();
+  store.Table = Snapshot->serving_table();
+  return store;
+}
+
+StoreEffects stepServingStore(ServingStore &Store, const StoreEvent &Event,
+                              TimePoint Now) {
+  StoreEffects out;
+  RaftEffects raft;
+  take(Store, Event, Now, raft, out);
+  takeRaftEffects(Store, raft, out);
+  applyCommitted(Store, out);
+  compactIfLarge(Store, raft);
+  takeRaftEffects(Store, raft, out);
+  dropPending(Store, out);
+  return out;
+}
+
+StoreView viewOf(const ServingStore &Store, TimePoint Now) {
+  StoreView view;
+  view.IsLeader = canPropose(Store.Raft, Now) && !Store.IsStopping;
+  view.Term = Store.Raft.Term;
+  view.LeaderAddress = leaderAddress(Store.Raft);
+  for (const wire::Member &it : Store.Raft.Members)
+    view.Voters += it.voter();
+  view.Members = Store.Raft.Members.size();
+  return view;
+}
+
+} // namespace sassafras
--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -1,12 +1,18 @@
 #include "core/logging.h"
 
+#include "core/time.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <chrono>
-#include <iostream>
+#include <cstdint>
+#include <poll.h>
+#include <unistd.h>
 
 namespace sassafras {
 
@@ -14,8 +20,48 @@
 
 namespace trivial = boost::log::trivial;
 
+namespace sinks = boost::log::sinks;
+
+/// Lines in one second at most; the rest is counted and told of.
+constexpr uint64_t MostLines = 400;
+constexpr std::chrono::seconds LineSpan{1};
+
 std::string NodeName;
 
+/// Writes lines to standard output and never waits for its reader: what it
+/// does not take, and what is beyond the bound, is dropped and counted.
+class OutputBackend
+    : public sinks::basic_formatted_sink_backend<char,
+                                                 sinks::synchronized_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    TimePoint now = Clock::now();
+    if (now >= SpanEnd) {
+      SpanEnd = now + LineSpan;
+      Lines = 0;
+      if (Dropped > 0 && write("event=log_lines_dropped node=" + NodeName +
+                               " count=" + std::to_string(Dropped)))
+        Dropped = 0;
+    }
+    if (++Lines > MostLines || !write(Line))
+      ++Dropped;
+  }
+
+private:
+  static bool write(const std::string &Line) {
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+      return false;
+    std::string text = Line + '\n';
+    return ::write(STDOUT_FILENO, text.data(), text.size()) ==
+           static_cast<ssize_t>(text.size());
+  }
+
+  TimePoint SpanEnd;
+  uint64_t Lines = 0;
+  uint64_t Dropped = 0;
+};
+
 trivial::severity_level severityOf(LogLevel Level) {
   switch (Level) {
   case LogLevel::Debug:
@@ -50,10 +96,10 @@
 void startLogging(LogLevel Least, const std::string &Node) {
   NodeName = Node;
   namespace expressions = boost::log::expressions;
-  boost::log::add_console_log(std::clog,
-                              boost::log::keywords::format =
-                                  expressions::stream << expressions::smessage,
-                              boost::log::keywords::auto_flush = true);
+  auto sink = boost::make_shared<sinks::synchronous_sink<OutputBackend>>(
+      boost::make_shared<OutputBackend>());
+  sink->set_formatter(expressions::stream << expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(trivial::severity >= severityOf(Least));
 }
 
--- a/core/reason.cpp
+++ b/core/reason.cpp
@@ -30,6 +30,10 @@
     {RefusalReason::EndpointFailed, "endpoint_failed", 502, true},
     {RefusalReason::AnswerIncomplete, "answer_incomplete", 502, true},
     {RefusalReason::SlowReader, "slow_reader", 408, false},
+    {RefusalReason::TableUnknown, "table_unknown", 503, true},
+    {RefusalReason::TimeoutWaiting, "timeout_waiting", 503, true},
+    {RefusalReason::TimeoutRunning, "timeout_running", 504, true},
+    {RefusalReason::RetriesExhausted, "retries_exhausted", 503, true},
 };
 
 const RefusalTraits &traitsOf(RefusalReason Reason) {
@@ -54,6 +58,12 @@
     return "endpoint_died";
   case RetryReason::AnswerBroken:
     return "answer_broken";
+  case RetryReason::EndpointRejected:
+    return "endpoint_rejected";
+  case RetryReason::EndpointUnreachable:
+    return "endpoint_unreachable";
+  case RetryReason::EndpointError:
+    return "endpoint_error";
   }
   return "unknown";
 }
--- a/core/reason.h
+++ b/core/reason.h
@@ -28,6 +28,10 @@
   EndpointFailed,
   AnswerIncomplete,
   SlowReader,
+  TableUnknown,
+  TimeoutWaiting,
+  TimeoutRunning,
+  RetriesExhausted,
 };
 
 /// All reasons, in the order of their declaration.
@@ -41,6 +45,8 @@
     RefusalReason::Duplicate,        RefusalReason::ClaimUnavailable,
     RefusalReason::Stopping,         RefusalReason::EndpointFailed,
     RefusalReason::AnswerIncomplete, RefusalReason::SlowReader,
+    RefusalReason::TableUnknown,     RefusalReason::TimeoutWaiting,
+    RefusalReason::TimeoutRunning,   RefusalReason::RetriesExhausted,
 };
 
 /// Stable name of \p Reason, as in bodies, counters and docs.
@@ -58,6 +64,9 @@
   EndpointLost,
   EndpointDied,
   AnswerBroken,
+  EndpointRejected,
+  EndpointUnreachable,
+  EndpointError,
 };
 
 /// Stable name of \p Reason.
--- a/core/role_shell.h
+++ b/core/role_shell.h
@@ -35,6 +35,9 @@
   /// Asks for a graceful stop; the context's run ends then. Thread safe; a
   /// second call changes nothing.
   virtual void stop() = 0;
+  /// The settings file has changed. Call on the context's thread. What a role
+  /// cannot change while it runs stays as it was.
+  virtual void reload(const Settings &) {}
 };
 
 } // namespace sassafras
--- a/core/settings.h
+++ b/core/settings.h
@@ -12,7 +12,7 @@
 
 namespace sassafras {
 
-enum class NodeRole { Entry, Control, Agent };
+enum class NodeRole { Entry, Control, Agent, Front, EngineAgent };
 
 /// [control_role]: only read by control processes.
 struct ControlSettings {
@@ -39,6 +39,24 @@
   uint64_t BodyBytes = 8ULL * 1024 * 1024;
 };
 
+/// [front_role]: entry and control in one process, on a prepared platform.
+struct FrontSettings {
+  std::string Ready;   ///< The balancer's question is answered here.
+  std::string Control; ///< Operators and endpoints call here.
+  std::vector<std::string> Seeds; ///< Control addresses of some fronts.
+  bool MayForm = false;   ///< The fleet starts for the first time.
+  std::string DataFolder; ///< Empty: keeps no log.
+  double RetryRatio = 0.2; ///< Retries for each request of a service.
+  double RetrySlack = 60;  ///< Retries beyond that in a window, all fronts.
+  Millis StopGrace{8'000}; ///< From the signal to stop to the end.
+};
+
+/// [engine_agent_role]: the process beside a model engine.
+struct EngineAgentSettings {
+  std::string Engine; ///< Address of the engine.
+  std::vector<std::string> Seeds;
+};
+
 struct Settings {
   std::string Fleet;
   std::string Node;
@@ -52,6 +70,8 @@
   ControlSettings ControlRole;
   AgentSettings AgentRole;
   EntrySettings EntryRole;
+  FrontSettings FrontRole;
+  EngineAgentSettings EngineAgentRole;
 };
 
 } // namespace sassafras
--- a/core/time.h
+++ b/core/time.h
@@ -6,10 +6,29 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace sassafras {
 
-using Clock = std::chrono::steady_clock;
+/// Time since the host booted, suspension included: a lease must not look
+/// fresh to a process whose host was suspended meanwhile, which the steady
+/// clock of the library would allow.
+struct Clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true; // NOLINT: name of the standard.
+
+  /// Thread safe.
+  static time_point now() noexcept {
+    timespec reading{};
+    ::clock_gettime(CLOCK_BOOTTIME, &reading);
+    return time_point(std::chrono::seconds(reading.tv_sec) +
+                      std::chrono::nanoseconds(reading.tv_nsec));
+  }
+};
+
 using TimePoint = Clock::time_point;
 using Millis = std::chrono::milliseconds;
 
--- /dev/null
+++ b/front/dispatch.cpp
@@ -0,0 +1,463 @@
+#include "front/dispatch.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+/// A request that waits is looked at again after this time at the latest.
+constexpr Millis WaitPeriod{200};
+/// From an order to a loaded model beyond the load itself: the way to the
+/// leader and the agent, an unload, and the report back.
+constexpr Millis LoadOverhead{300};
+/// An adapter that was asked for and is not there is asked for again.
+constexpr Millis AdapterRetry{150};
+constexpr Millis WishPeriod{100};
+/// A running request holds its slot about so long; from the sheets' sizes.
+constexpr Millis MeanService{1'700};
+constexpr Millis MeanPlainService{80};
+/// Callers told to come back are spread over this part more of the time.
+constexpr double RetrySpread = 0.5;
+constexpr Millis LeastRetryAfter{200};
+/// A service without any endpoint has one again after a restart of some
+/// seconds.
+constexpr Millis NoEndpointRetry{1'000};
+/// An endpoint that rejects a request is full or changing its models.
+constexpr Millis RejectPause{60};
+/// A caller's tokens are waited for no longer than this part of its objective.
+constexpr int AllowanceWaitPart = 4;
+/// Sends of one request, refusals of endpoints included.
+constexpr uint32_t MostSends = 4;
+
+Millis spreadRetry(FrontState &State, Millis After) {
+  std::uniform_real_distribution<double> spread(1, 1 + RetrySpread);
+  double ms = static_cast<double>(std::max(After, LeastRetryAfter).count());
+  return Millis(static_cast<int64_t>(ms * spread(State.Random)));
+}
+
+FrontRefusal refuse(FrontState &State, RefusalReason Reason, Millis After) {
+  return {Reason, spreadRetry(State, After)};
+}
+
+/// Everything a request's model needs to know of the endpoints of its service.
+struct Field {
+  std::vector<EndpointCandidate> Candidates; ///< Could run it now.
+  std::vector<const EngineState *> Engines;  ///< Of the candidates.
+  std::vector<const KnownEndpoint *> Endpoints;
+  size_t ModelHolders = 0; ///< Have the model, with or without the adapter.
+  bool IsNear = false;     ///< Some engine has the weights in memory or disk.
+  size_t Usable = 0;
+};
+
+bool hasAdapter(const EngineState &Engine, const FrontRequest &Request) {
+  auto model = Engine.Models.find(Request.Facts.Model);
+  return model != Engine.Models.end() &&
+         (Request.Facts.Adapter.empty() ||
+          model->second.contains(Request.Facts.Adapter));
+}
+
+EndpointCandidate makeCandidate(FrontState &State,
+                                const FrontRequest &Request,
+                                const KnownEndpoint &Known, TimePoint Now) {
+  EndpointCandidate out;
+  out.Id = Known.Id;
+  out.Zone = Known.Zone;
+  out.Slots = Known.Slots;
+  out.IsSlow = !isPast(Known.SlowUntil, Now);
+  if (!Request.Facts.PromptHead.empty())
+    out.Affinity =
+        static_cast<double>(checksumOf(Request.Facts.PromptHead + Known.Id) %
+                            1'000) /
+        1'000.0;
+  out.Record = &State.Records[Known.Id];
+  return out;
+}
+
+Field surveyEndpoints(FrontState &State, const FrontRequest &Request,
+                      bool IsEngine, TimePoint Now) {
+  Field out;
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    if (known.Service != Request.Service || !isUsable(known, Now) ||
+        Request.Tried.contains(id))
+      continue;
+    ++out.Usable;
+    const EngineState *engine =
+        IsEngine ? engineOf(State.Directory, known) : nullptr;
+    if (IsEngine) {
+      if (!engine || engine->IsSilent)
+        continue;
+      const std::string &model = Request.Facts.Model;
+      out.IsNear = out.IsNear || engine->OnDisk.contains(model) ||
+                   engine->InMemory.contains(model);
+      if (!engine->Models.contains(model))
+        continue;
+      ++out.ModelHolders;
+    }
+    out.Candidates.push_back(makeCandidate(State, Request, known, Now));
+    out.Engines.push_back(engine);
+    out.Endpoints.push_back(&known);
+  }
+  return out;
+}
+
+/// Picks among the engines that hold the model one for the adapter, spread by
+/// rendezvous hashing so that each adapter stays on few engines.
+std::optional<AskForAdapter> wishForAdapter(FrontState &State,
+                                            const FrontRequest &Request,
+                                            const Field &Found,
+                                            TimePoint Now) {
+  std::optional<size_t> best;
+  uint64_t bestRank = 0;
+  for (size_t i = 0; i < Found.Candidates.size(); ++i) {
+    const EndpointCandidate &it = Found.Candidates[i];
+    bool isFull = estimateLoad(*it.Record) >= it.Slots;
+    if (Found.Engines[i]->Agent.empty() || isFull ||
+        !isPast(it.Record->PausedUntil, Now))
+      continue;
+    uint64_t rank = checksumOf(Request.Facts.Model + '/' +
+                               Request.Facts.Adapter + '@' + it.Id);
+    if (best && rank <= bestRank)
+      continue;
+    best = i;
+    bestRank = rank;
+  }
+  const EngineSpec *spec = engineSpecOf(State, Request.Service);
+  if (!best || !spec)
+    return std::nullopt;
+  const KnownEndpoint &target = *Found.Endpoints[*best];
+  std::string key = target.Id + '/' + Request.Facts.Model + '/' +
+                    Request.Facts.Adapter;
+  TimePoint &next = State.AdapterWishes[key];
+  if (!isPast(next, Now))
+    return std::nullopt;
+  next = Now + AdapterRetry;
+  AskForAdapter out;
+  out.Agent = Found.Engines[*best]->Agent;
+  out.Wish.set_engine_address(target.Address);
+  out.Wish.set_endpoint(target.Id);
+  out.Wish.set_model(Request.Facts.Model);
+  out.Wish.set_adapter(Request.Facts.Adapter);
+  *out.Wish.mutable_sizes() = sizesFor(*spec);
+  return out;
+}
+
+void keepAdapterHolders(const FrontRequest &Request, Field &Found) {
+  if (Request.Facts.Adapter.empty())
+    return;
+  Field kept = Found;
+  kept.Candidates.clear();
+  kept.Engines.clear();
+  kept.Endpoints.clear();
+  for (size_t i = 0; i < Found.Candidates.size(); ++i) {
+    if (!hasAdapter(*Found.Engines[i], Request))
+      continue;
+    kept.Candidates.push_back(Found.Candidates[i]);
+    kept.Engines.push_back(Found.Engines[i]);
+    kept.Endpoints.push_back(Found.Endpoints[i]);
+  }
+  Found = std::move(kept);
+}
+
+void noteWaiting(RowUse &Row, const FrontRequest &Request) {
+  if (Row.Waiting.insert(Request.Number).second)
+    Row.WaitingWorth += Request.Worth;
+}
+
+void noteServed(RowUse &Row, const FrontRequest &Request) {
+  if (Row.Waiting.erase(Request.Number) > 0)
+    Row.WaitingWorth -= Request.Worth;
+  if (Row.Waiting.empty())
+    Row.WaitingWorth = 0;
+}
+
+std::optional<wire::RowDemand> wishForModel(RowUse &Row,
+                                            const std::string &Model,
+                                            TimePoint Now) {
+  if (!isPast(Row.NextWish, Now))
+    return std::nullopt;
+  Row.NextWish = Now + WishPeriod;
+  wire::RowDemand out;
+  out.set_model(Model);
+  out.set_waiting(static_cast<uint32_t>(std::max<size_t>(Row.Waiting.size(), 1)));
+  out.set_waiting_worth(
+      std::max(Row.WaitingWorth, isPast(Row.WantedUntil, Now) ? 0.0
+                                                              : Row.WantedWorth));
+  out.set_busy(Row.Open + static_cast<uint32_t>(Row.Waiting.size()));
+  return out;
+}
+
+/// When a model that no engine holds could start this request.
+Millis predictLoad(const FrontState &State, const FrontRequest &Request,
+                   const Field &Found) {
+  const EngineSpec *spec = engineSpecOf(State, Request.Service);
+  auto model = spec->Models.find(Request.Facts.Model);
+  if (model == spec->Models.end())
+    return Millis::max();
+  return LoadOverhead +
+         (Found.IsNear ? model->second.DiskLoad * 2 : model->second.StoreLoad);
+}
+
+/// No engine holds the model: it waits while a load can be over in time.
+DispatchResult awaitModel(FrontState &State, FrontRequest &Request,
+                          const Field &Found, TimePoint Now) {
+  DispatchResult out;
+  RowUse &row = State.Rows[Request.Facts.Model];
+  Millis predicted = predictLoad(State, Request, Found);
+  Millis waited = std::chrono::duration_cast<Millis>(Now - Request.ArrivedAt);
+  Millis left = predicted > waited ? predicted - waited : LoadOverhead;
+  if (predicted == Millis::max()) {
+    out.Decision = refuse(State, RefusalReason::NoCapacity, LoadOverhead);
+    return out;
+  }
+  if (Now + left > Request.PatienceEnd) {
+    row.WantedUntil = Now + State.Limits.WishMemory;
+    row.WantedWorth = Request.Worth;
+    out.Wish = wishForModel(row, Request.Facts.Model, Now);
+    out.Decision = refuse(State, RefusalReason::DeadlineUnreachable, left);
+    return out;
+  }
+  noteWaiting(row, Request);
+  out.Wish = wishForModel(row, Request.Facts.Model, Now);
+  out.Decision = WaitUntil{Now + WaitPeriod};
+  return out;
+}
+
+/// Time until a slot frees for a request behind \p Ahead others.
+Millis predictQueue(const Field &Found, size_t Ahead, Millis Service) {
+  double slots = 0;
+  for (const EndpointCandidate &it : Found.Candidates)
+    slots += it.Slots;
+  if (slots <= 0)
+    return Service;
+  return Millis(static_cast<int64_t>(static_cast<double>(Service.count()) *
+                                     static_cast<double>(Ahead + 1) / slots));
+}
+
+DispatchResult awaitSlot(FrontState &State, FrontRequest &Request,
+                         const Field &Found, bool IsEngine, TimePoint Now) {
+  DispatchResult out;
+  RowUse &row =
+      State.Rows[IsEngine ? Request.Facts.Model : "service " + Request.Service];
+  size_t ahead = row.Waiting.size() * countFronts(State, Now);
+  Millis wait =
+      predictQueue(Found, ahead, IsEngine ? MeanService : MeanPlainService);
+  bool isKnown = row.Waiting.contains(Request.Number);
+  if ((!isKnown && row.Waiting.size() >= State.Limits.MostWaiting) ||
+      Now + (isKnown ? Millis(0) : wait) > Request.PatienceEnd) {
+    out.Decision = refuse(State, RefusalReason::NoCapacity, wait);
+    return out;
+  }
+  noteWaiting(row, Request);
+  if (IsEngine)
+    out.Wish = wishForModel(row, Request.Facts.Model, Now);
+  out.Decision = WaitUntil{Now + WaitPeriod};
+  return out;
+}
+
+/// Charges the organisation. A decision only when the request must not go on.
+std::optional<DispatchDecision> charge(FrontState &State, FrontRequest &Request,
+                                       TimePoint Now) {
+  if (Request.IsCharged || Request.Organisation.empty())
+    return std::nullopt;
+  // The limit in force now, not the one at arrival, is what binds.
+  const OrganisationSpec *organisation =
+      findOrganisation(*State.Table, Request.Facts.Key);
+  if (!organisation)
+    return FrontRefusal{RefusalReason::KeyUnknown, {}};
+  AllowanceLimit limit = limitOf(*organisation);
+  LocalAllowance &allowance = State.Allowances[organisation->Name];
+  size_t fronts = countFronts(State, Now);
+  if (takeAllowance(allowance, limit, Request.Cost, fronts, Now)) {
+    Request.IsCharged = true;
+    return std::nullopt;
+  }
+  Millis wait = waitForAllowance(allowance, limit, Request.Cost, fronts, Now);
+  Clock::duration patience =
+      (Request.ObjectiveEnd - Request.ArrivedAt) / AllowanceWaitPart;
+  if (Now + wait > Request.ArrivedAt + patience)
+    return refuse(State, RefusalReason::RateExceeded, wait);
+  return WaitUntil{Now + wait};
+}
+
+void returnCharge(FrontState &State, FrontRequest &Request) {
+  if (!Request.IsCharged || Request.Runs > 0)
+    return;
+  Request.IsCharged = false;
+  returnAllowance(State.Allowances[Request.Organisation], Request.Cost);
+}
+
+RetryReason retryReasonOf(ExchangeFailure Failure) {
+  switch (Failure) {
+  case ExchangeFailure::Unreachable:
+    return RetryReason::EndpointUnreachable;
+  case ExchangeFailure::Rejected:
+    return RetryReason::EndpointRejected;
+  case ExchangeFailure::Broken:
+    return RetryReason::AnswerBroken;
+  case ExchangeFailure::Error:
+    return RetryReason::EndpointError;
+  }
+  return RetryReason::AnswerBroken;
+}
+
+/// A refusal that says "not run" is given only when that is certain.
+FrontRefusal refusalAfter(FrontState &State, const FrontRequest &Request,
+                          TimePoint Now) {
+  if (Request.Runs > 0)
+    return {isPast(Request.Deadline, Now) ? RefusalReason::TimeoutRunning
+                                          : RefusalReason::EndpointFailed,
+            {}};
+  return refuse(State, RefusalReason::RetriesExhausted, LeastRetryAfter);
+}
+
+} // namespace
+
+DispatchResult decideDispatch(FrontState &State, FrontRequest &Request,
+                              TimePoint Now) {
+  DispatchResult out;
+  if (isPast(Request.Deadline, Now)) {
+    out.Decision = FrontRefusal{Request.Runs > 0
+                                    ? RefusalReason::TimeoutRunning
+                                    : RefusalReason::TimeoutWaiting,
+                                {}};
+    return out;
+  }
+  if (auto decision = charge(State, Request, Now)) {
+    out.Decision = *decision;
+    return out;
+  }
+  const EngineSpec *spec = engineSpecOf(State, Request.Service);
+  bool isEngine = spec && !Request.Facts.Model.empty();
+  Field found = surveyEndpoints(State, Request, isEngine, Now);
+  if (found.Usable == 0 && !Request.Tried.empty()) {
+    // All have failed it once; whichever is there may try again.
+    Request.Tried.clear();
+    found = surveyEndpoints(State, Request, isEngine, Now);
+  }
+  if (found.Usable == 0) {
+    out.Decision = refuse(State, RefusalReason::NoCapacity, NoEndpointRetry);
+    return out;
+  }
+  if (isEngine && found.ModelHolders == 0)
+    return awaitModel(State, Request, found, Now);
+  if (isEngine && !Request.Facts.Adapter.empty()) {
+    Field all = found;
+    keepAdapterHolders(Request, found);
+    if (!chooseEndpoint(found.Candidates, State.Self.zone(), Now))
+      if (auto wish = wishForAdapter(State, Request, all, Now))
+        out.Wishes.push_back(std::move(*wish));
+    if (found.Candidates.empty()) {
+      DispatchResult wait = awaitSlot(State, Request, all, isEngine, Now);
+      wait.Wishes = std::move(out.Wishes);
+      wait.Wish.reset();
+      return wait;
+    }
+  }
+  auto chosen = chooseEndpoint(found.Candidates, State.Self.zone(), Now);
+  if (!chosen) {
+    DispatchResult wait = awaitSlot(State, Request, found, isEngine, Now);
+    wait.Wishes = std::move(out.Wishes);
+    return wait;
+  }
+  const KnownEndpoint &target = *found.Endpoints[*chosen];
+  out.Decision = SendTo{target.Id, target.Address};
+  return out;
+}
+
+namespace {
+
+RowUse &rowOf(FrontState &State, const FrontRequest &Request) {
+  bool isEngine = engineSpecOf(State, Request.Service) != nullptr &&
+                  !Request.Facts.Model.empty();
+  return State
+      .Rows[isEngine ? Request.Facts.Model : "service " + Request.Service];
+}
+
+} // namespace
+
+void noteDispatched(FrontState &State, FrontRequest &Request,
+                    const std::string &Endpoint) {
+  RowUse &row = rowOf(State, Request);
+  noteServed(row, Request);
+  ++row.Open;
+  ++Request.Sends;
+  noteSent(State.Records[Endpoint]);
+}
+
+void noteExchangeOver(FrontState &State, const FrontRequest &Request,
+                      const std::string &Endpoint) {
+  RowUse &row = rowOf(State, Request);
+  if (row.Open > 0)
+    --row.Open;
+  noteClosed(State.Records[Endpoint]);
+}
+
+void forgetRequest(FrontState &State, const FrontRequest &Request) {
+  noteServed(rowOf(State, Request), Request);
+}
+
+AfterFailure decideAfterFailure(FrontState &State, FrontRequest &Request,
+                                const std::string &Endpoint,
+                                ExchangeFailure Failure, bool HasAnswer,
+                                TimePoint Now) {
+  EndpointRecord &record = State.Records[Endpoint];
+  bool isRun =
+      Failure == ExchangeFailure::Broken || Failure == ExchangeFailure::Error;
+  if (Failure == ExchangeFailure::Rejected) {
+    record.PausedUntil = std::max(record.PausedUntil, Now + RejectPause);
+  } else {
+    noteFailure(record, Failure == ExchangeFailure::Unreachable, Now);
+    Request.Tried.insert(Endpoint);
+  }
+  Request.Runs += isRun;
+  returnCharge(State, Request);
+  AfterFailure out;
+  out.Refusal = refusalAfter(State, Request, Now);
+  bool mayRepeat = !isRun || Request.IsRepeatable;
+  bool hasAttempts = Request.Runs < std::max<uint32_t>(
+                                        Request.Route->MaxAttempts, 1);
+  if (!mayRepeat || !hasAttempts || Request.Sends >= MostSends ||
+      isPast(Request.Deadline, Now) || (State.IsStopping && HasAnswer))
+    return out;
+  // A send that never reached an endpoint costs the fleet nothing.
+  if (Failure != ExchangeFailure::Unreachable &&
+      !takeRetry(State.Retries[Request.Service], State.Limits.Retries,
+                 countFronts(State, Now)))
+    return out;
+  out.IsRetry = true;
+  out.Why = retryReasonOf(Failure);
+  return out;
+}
+
+void noteAbsent(FrontState &State, const FrontRequest &Request,
+                const std::string &Endpoint) {
+  auto known = State.Directory.Endpoints.find(Endpoint);
+  if (known == State.Directory.Endpoints.end())
+    return;
+  auto forget = [&](EngineState &Engine) {
+    auto model = Engine.Models.find(Request.Facts.Model);
+    if (model == Engine.Models.end())
+      return;
+    if (Request.Facts.Adapter.empty())
+      Engine.Models.erase(model);
+    else
+      model->second.erase(Request.Facts.Adapter);
+  };
+  auto reading = State.Directory.Readings.find(known->second.Address);
+  if (reading != State.Directory.Readings.end())
+    forget(reading->second.State);
+  auto announced = State.Directory.Announced.find(Endpoint);
+  if (announced != State.Directory.Announced.end())
+    forget(announced->second);
+}
+
+bool goesBefore(const FrontRequest &A, const FrontRequest &B) {
+  if (A.Urgency != B.Urgency)
+    return A.Urgency < B.Urgency;
+  return A.Number < B.Number;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/front/fleet_view.h
@@ -0,0 +1,71 @@
+/// \file
+/// Messages by which fronts keep one another's views alike: nodes, endpoints,
+/// the table's version and demand. Each message may be lost; the next one
+/// repairs it.
+#ifndef SASSAFRAS_FRONT_FLEET_VIEW_H
+#define SASSAFRAS_FRONT_FLEET_VIEW_H
+
+#include "front/front_state.h"
+
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// Fronts tell one another that they live at this pace.
+inline constexpr Millis BeatPeriod{300};
+/// Whole views are sent to one node at most this often.
+inline constexpr Millis RepairPeriod{700};
+
+struct NodeMessage {
+  std::string Address;
+  wire::Envelope Message;
+};
+using NodeMessages = std::vector<NodeMessage>;
+
+/// What the gossip keeps beside the front's state.
+struct GossipState {
+  std::vector<std::string> Seeds; ///< Inner addresses.
+  std::vector<wire::EndpointSighting> Heard; ///< Since the last beat.
+  std::map<std::string, TimePoint> NextRepair; ///< By address and subject.
+  std::map<std::string, uint64_t> ToldModels; ///< Digest by endpoint.
+};
+
+/// What the leader keeps of the fronts' demand.
+struct FleetDemand {
+  struct FrontPart {
+    TimePoint HeardAt;
+    std::map<std::string, double> Organisations; ///< Tokens a second.
+    std::map<std::string, wire::RowDemand> Rows;
+  };
+  std::map<std::string, FrontPart> Fronts;
+  std::map<std::string, ArrivalRates> Rates; ///< By model.
+};
+
+/// One beat to every front.
+void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
+               uint64_t Term, TimePoint Now, NodeMessages &Out);
+/// A beat of another front. \p Demand takes its demand where this one leads.
+void takeBeat(FrontState &State, GossipState &Gossip, FleetDemand &Demand,
+              const wire::NodeBeat &Beat, TimePoint Now, NodeMessages &Out);
+void takeRoster(FrontState &State, const wire::RosterUpdate &Update,
+                TimePoint Now);
+void takeNews(FrontState &State, const wire::EndpointNews &News, TimePoint Now);
+/// An endpoint spoke to this front: passes on at once what changed.
+SightingResult takeAnnouncement(FrontState &State, GossipState &Gossip,
+                                const wire::EndpointSighting &Sighting,
+                                TimePoint Now, NodeMessages &Out);
+/// Answers a node that lacks a table.
+void sendTable(const FrontState &State, const std::string &Address,
+               NodeMessages &Out);
+/// A new table, to the fronts that keep no log.
+void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out);
+/// Takes demand of one front, this one included.
+void noteDemandOf(FleetDemand &Demand, const std::string &Front,
+                  const wire::NodeBeat &Beat, TimePoint Now);
+/// Fills the demand part of a beat and starts to count anew.
+void takeOwnDemand(FrontState &State, wire::NodeBeat &Beat, TimePoint Now);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/front/front_shell.cpp
@@ -0,0 +1,546 @@
+#include "front/front_shell.h"
+
+#include "control/serving_group.h"
+#include "core/compress.h"
+#include "core/hash.h"
+#include "core/logging.h"
+#include "core/metrics.h"
+#include "front/fleet_api.h"
+#include "front/front_core.h"
+#include "front/leader_work.h"
+#include "front/relay.h"
+#include "http/address.h"
+#include "platform/caller_codec.h"
+#include "platform/table_codec.h"
+#include "wire/link.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+
+namespace sassafras {
+
+namespace {
+
+/// Waiting requests are looked at again at this pace when something changed.
+constexpr Millis TickPeriod{20};
+/// And at the latest after this.
+constexpr Millis PumpPeriod{100};
+constexpr Millis SweepPeriod{1'000};
+/// A balancer that asks once a second turns elsewhere after two misses.
+constexpr Millis RotationTime{3'200};
+/// Left of the grace at the end, for messages to leave.
+constexpr Millis StopMargin{700};
+constexpr Millis ExitDelay{150};
+/// A front that has just started hears its fleet's endpoints within this.
+constexpr Millis LearnSpan{1'500};
+/// Fleet calls carry whole tables. Bytes.
+constexpr uint64_t FleetBodyBytes = 8ULL * 1024 * 1024;
+constexpr size_t MostTableBytes = 8ULL * 1024 * 1024;
+
+class FrontShell : public RoleShell,
+                   public std::enable_shared_from_this<FrontShell> {
+public:
+  explicit FrontShell(const ShellParts &Parts);
+  FrontShell(const FrontShell &) = delete;
+  FrontShell &operator=(const FrontShell &) = delete;
+
+  bool start(std::string &Problem) override;
+  void stop() override;
+  void reload(const Settings &Settings) override;
+
+private:
+  bool startServers(std::string &Problem);
+  bool startServer(std::unique_ptr<HttpServer> &Server,
+                   const std::string &Address, HttpLimits Limits,
+                   HttpServer::Handlers Calls, std::string &Problem);
+  void startGroup();
+  void takeRequest(HttpRequest Request,
+                   const std::shared_ptr<HttpExchange> &Exchange);
+  void refuseAtDoor(const RequestFacts &Facts, const FrontRefusal &Refusal,
+                    HttpExchange &Exchange);
+  void takeLoss(const HttpExchange *Exchange, HttpLoss Loss);
+  void takeMessage(wire::Envelope Message);
+  void takeHello(const wire::Envelope &Message);
+  void takeReport(const wire::EngineReport &Report);
+  void takeTable(uint64_t Version, const std::string &Content);
+  void takeView(const StoreView &View);
+  void send(NodeMessages Messages);
+  void wish(const wire::RowDemand &Row);
+  bool isReady() const;
+  std::string leaderControl() const;
+  void tick();
+  void pump();
+  void lead(TimePoint Now);
+  void beat(TimePoint Now);
+  void stopIfDone(TimePoint Now);
+  void exit();
+
+  boost::asio::io_context &Io;
+  caf::actor_system &System;
+  Settings Options;
+  Metrics &Counts;
+  FrontCore Core;
+  GossipState Gossip;
+  LeaderState Leader;
+  StoreView View;
+  std::unique_ptr<Link> Peers;
+  std::unique_ptr<ServingGroup> Group;
+  std::unique_ptr<FleetApi> Api;
+  std::unique_ptr<HttpServer> Callers;
+  std::unique_ptr<HttpServer> ReadyServer;
+  std::unique_ptr<HttpServer> Control;
+  boost::asio::steady_timer Timer;
+  TimePoint StartedAt;
+  TimePoint NextBeat;
+  TimePoint NextSweep;
+  TimePoint NextPump;
+  TimePoint StopRotationEnd;
+  TimePoint StopEnd;
+  bool HasChanged = false; ///< Waiting requests may be able to go on.
+  bool IsExiting = false;
+};
+
+FrontShell::FrontShell(const ShellParts &Parts)
+    : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
+      Counts(Parts.Counts),
+      Core(
+          Parts.Io, Parts.Counts,
+          [this](NodeMessages it) { send(std::move(it)); },
+          [this](const wire::RowDemand &it) { wish(it); }),
+      Timer(Parts.Io) {}
+
+bool FrontShell::start(std::string &Problem) {
+  StartedAt = Clock::now();
+  uint64_t incarnation = drawIncarnation();
+  Peers = std::make_unique<Link>(
+      Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
+      Counts,
+      [this](wire::Envelope Message) { takeMessage(std::move(Message)); });
+  if (!Peers->start(Problem))
+    return false;
+  FrontState &state = Core.State;
+  state.Self.set_name(Options.Node);
+  state.Self.set_address(Peers->address());
+  state.Self.set_incarnation(incarnation);
+  state.Self.set_kind(wire::NODE_FRONT);
+  state.Self.set_zone(Options.Zone);
+  state.Self.set_is_voter(!Options.FrontRole.DataFolder.empty());
+  state.Self.set_control_address(Options.FrontRole.Control);
+  state.Limits.Retries = {Options.FrontRole.RetryRatio,
+                          Options.FrontRole.RetrySlack};
+  state.Random.seed(drawIdentity());
+  for (const std::string &it : Options.FrontRole.Seeds)
+    Gossip.Seeds.push_back(atPortOf(it, Peers->address()));
+  Api = std::make_unique<FleetApi>(FleetApi::Parts{
+      Core, Gossip, [this] { return isReady(); }, [this] { return Group.get(); },
+      [this] { return leaderControl(); }});
+  if (!startServers(Problem))
+    return false;
+  if (!Options.FrontRole.DataFolder.empty())
+    startGroup();
+  tick();
+  return true;
+}
+
+bool FrontShell::startServer(std::unique_ptr<HttpServer> &Server,
+                             const std::string &Address, HttpLimits Limits,
+                             HttpServer::Handlers Calls,
+                             std::string &Problem) {
+  Server = std::make_unique<HttpServer>(Io, Address, Limits, Counts,
+                                        std::move(Calls));
+  return Server->start(Problem);
+}
+
+bool FrontShell::startServers(std::string &Problem) {
+  HttpServer::Handlers callers;
+  callers.OnRequest = [this](HttpRequest Request,
+                             const std::shared_ptr<HttpExchange> &Exchange) {
+    takeRequest(std::move(Request), Exchange);
+  };
+  callers.OnLoss = [this](const HttpExchange *Exchange, HttpLoss Loss) {
+    takeLoss(Exchange, Loss);
+  };
+  HttpServer::Handlers fleet;
+  fleet.OnRequest = [this](const HttpRequest &Request,
+                           const std::shared_ptr<HttpExchange> &Exchange) {
+    Api->take(Request, Exchange);
+  };
+  fleet.OnLoss = [](const HttpExchange *, HttpLoss) {};
+  HttpLimits fleetLimits;
+  fleetLimits.BodyBytes = FleetBodyBytes;
+  return startServer(Callers, Options.Http, HttpLimits(), std::move(callers),
+                     Problem) &&
+         startServer(ReadyServer, Options.FrontRole.Ready, HttpLimits(), fleet,
+                     Problem) &&
+         startServer(Control, Options.FrontRole.Control, fleetLimits, fleet,
+                     Problem);
+}
+
+void FrontShell::startGroup() {
+  ServingGroupOptions options;
+  options.Node = Options.Node;
+  options.DataFolder = Options.FrontRole.DataFolder;
+  options.Seeds = Gossip.Seeds;
+  options.MayForm = Options.FrontRole.MayForm;
+  ServingGroupCalls calls;
+  calls.OnPublish = [this](const StorePublish &Table) {
+    takeTable(Table.Version, Table.Content);
+  };
+  calls.OnAnswer = [this](const StoreAnswer &Answer) {
+    Api->takeAnswer(Answer);
+  };
+  calls.OnView = [this](const StoreView &NewView) { takeView(NewView); };
+  Group = std::make_unique<ServingGroup>(Io, System, *Peers, Counts,
+                                         std::move(options), std::move(calls));
+  Group->start();
+}
+
+// ---- Callers ----
+
+void FrontShell::takeRequest(HttpRequest Request,
+                             const std::shared_ptr<HttpExchange> &Exchange) {
+  TimePoint now = Clock::now();
+  platform::CallerFields fields = platform::takeCallerFields(Request);
+  RequestFacts facts;
+  facts.Id = fields.RequestId;
+  facts.Method = Request.Method;
+  facts.Host = fields.Host;
+  facts.Path = Request.Target;
+  facts.Key = fields.Key;
+  facts.TimeLeft = fields.TimeLeft;
+  facts.Model = fields.Model;
+  facts.Adapter = fields.Adapter;
+  facts.HasTokenCounts = fields.HasTokenCounts;
+  facts.PromptTokens = fields.PromptTokens;
+  facts.OutputTokens = fields.OutputTokens;
+  facts.PromptHead = fields.PromptHead;
+  facts.LastEvent = fields.LastEvent;
+  auto admitted = admitRequest(Core.State, facts, now);
+  if (auto *refusal = std::get_if<FrontRefusal>(&admitted)) {
+    refuseAtDoor(facts, *refusal, *Exchange);
+    return;
+  }
+  auto &request = std::get<FrontRequest>(admitted);
+  request.Number = Core.NextNumber++;
+  if (!request.Facts.Model.empty()) {
+    RowUse &row = Core.State.Rows[request.Facts.Model];
+    ++row.Arrivals;
+    row.Worth += request.Worth;
+  }
+  if (!request.Organisation.empty())
+    noteDemand(Core.State.Allowances[request.Organisation], request.Cost, now);
+  noteRequest(Core.State.Retries[request.Service], Core.State.Limits.Retries,
+              countFronts(Core.State, now));
+  std::make_shared<Relay>(Core, std::move(request), std::move(Request),
+                          Exchange)
+      ->start();
+}
+
+void FrontShell::refuseAtDoor(const RequestFacts &Facts,
+                              const FrontRefusal &Refusal,
+                              HttpExchange &Exchange) {
+  std::string reason(nameOf(Refusal.Reason));
+  Counts.count("refusals_total", "reason=\"" + reason + "\"");
+  uint64_t version = Core.State.Table ? Core.State.Table->Version : 0;
+  logEvent(LogLevel::Info, "request_refused",
+           {{"id", Facts.Id},
+            {"reason", reason},
+            {"host", Facts.Host},
+            {"path", Facts.Path},
+            {"table", std::to_string(version)}});
+  std::vector<HttpField> fields{{"content-type", "application/json"},
+                                platform::printRequestId(Facts.Id)};
+  if (Refusal.RetryAfter)
+    fields.push_back(platform::printRetryAfter(*Refusal.RetryAfter));
+  Exchange.respond(statusOf(Refusal.Reason), std::move(fields),
+                   R"({"error":{"reason":")" + reason +
+                       R"(","ran":"not_run"}})"
+                       "\n");
+}
+
+void FrontShell::takeLoss(const HttpExchange *Exchange, HttpLoss Loss) {
+  auto number = Core.ByExchange.find(Exchange);
+  if (number == Core.ByExchange.end())
+    return;
+  auto relay = Core.Relays.find(number->second);
+  if (relay == Core.Relays.end())
+    return;
+  std::shared_ptr<Relay> kept = relay->second;
+  kept->loseCaller(Loss);
+  HasChanged = true;
+}
+
+// ---- Peers ----
+
+void FrontShell::takeMessage(wire::Envelope Message) {
+  TimePoint now = Clock::now();
+  NodeMessages out;
+  FrontState &state = Core.State;
+  switch (Message.body_case()) {
+  case wire::Envelope::kNodeBeat:
+    takeBeat(state, Gossip, Leader.Demand, Message.node_beat(), now, out);
+    HasChanged = true;
+    break;
+  case wire::Envelope::kRosterUpdate:
+    takeRoster(state, Message.roster_update(), now);
+    break;
+  case wire::Envelope::kEndpointNews:
+    takeNews(state, Message.endpoint_news(), now);
+    HasChanged = true;
+    break;
+  case wire::Envelope::kEngineReport:
+    takeReport(Message.engine_report());
+    break;
+  case wire::Envelope::kTableRequest:
+    sendTable(state, Message.reply_address(), out);
+    break;
+  case wire::Envelope::kTableUpdate:
+    takeTable(Message.table_update().version(),
+              Message.table_update().content());
+    break;
+  case wire::Envelope::kRateShares:
+    takeShares(state, Message.rate_shares(), now);
+    break;
+  case wire::Envelope::kModelWish:
+    if (View.IsLeader)
+      takeWish(Leader, Message.from(), Message.model_wish().row(), now);
+    break;
+  case wire::Envelope::kBlankHello:
+    takeHello(Message);
+    break;
+  default:
+    if (Group)
+      Group->post(StoreReceived{std::move(Message)});
+    break;
+  }
+  send(std::move(out));
+}
+
+void FrontShell::takeHello(const wire::Envelope &Message) {
+  if (Group) {
+    Group->post(StoreReceived{Message});
+    return;
+  }
+  // This front keeps no log: it says so, and passes on who asks to be taken in.
+  const wire::BlankHello &hello = Message.blank_hello();
+  if (hello.is_diskless() || Message.from() != hello.name())
+    return;
+  NodeMessages out;
+  wire::Envelope answer;
+  wire::BlankHello &own = *answer.mutable_blank_hello();
+  own.set_name(Options.Node);
+  own.set_address(Peers->address());
+  own.set_is_blank(true);
+  own.set_is_diskless(true);
+  out.push_back({hello.address(), std::move(answer)});
+  if (!Core.State.Leader.Address.empty()) {
+    wire::Envelope forward;
+    *forward.mutable_blank_hello() = hello;
+    out.push_back({Core.State.Leader.Address, std::move(forward)});
+  }
+  send(std::move(out));
+}
+
+void FrontShell::takeReport(const wire::EngineReport &Report) {
+  TimePoint now = Clock::now();
+  if (!applyReport(Core.State.Directory, Report, now))
+    return;
+  auto id = Core.State.Directory.IdByAddress.find(Report.address());
+  if (id != Core.State.Directory.IdByAddress.end())
+    noteLoad(Core.State.Records[id->second], Report.active() + Report.queued(),
+             now);
+  HasChanged = true;
+}
+
+void FrontShell::takeTable(uint64_t Version, const std::string &Content) {
+  FrontState &state = Core.State;
+  if (state.Table && Version <= state.Table->Version)
+    return;
+  std::string problem;
+  auto text = expandText(Content, MostTableBytes);
+  ServingTablePtr table = text ? platform::readTable(*text, problem) : nullptr;
+  if (!table) {
+    logEvent(LogLevel::Error, "table_unreadable",
+             {{"version", std::to_string(Version)}, {"reason", problem}});
+    return;
+  }
+  uint64_t before = state.Table ? state.Table->Version : 0;
+  state.Table = table;
+  state.TableContent = Content;
+  HttpLimits limits;
+  limits.HeadBytes = table->Limits.HeadBytes;
+  limits.BodyBytes = table->Limits.BodyBytes;
+  limits.HeadTime = table->Limits.HeadTime;
+  limits.IdleTime = table->Limits.IdleTime;
+  Callers->setLimits(limits);
+  logEvent(LogLevel::Info, "table_in_force",
+           {{"version", std::to_string(Version)},
+            {"before", std::to_string(before)},
+            {"routes", std::to_string(table->Routes.size())}});
+  Counts.set("table_version", "", static_cast<double>(Version));
+  NodeMessages out;
+  if (View.IsLeader)
+    pushTable(state, Clock::now(), out);
+  send(std::move(out));
+  HasChanged = true;
+}
+
+void FrontShell::takeView(const StoreView &NewView) {
+  bool isNew = NewView.IsLeader && (!View.IsLeader || Leader.Term != NewView.Term);
+  View = NewView;
+  Counts.set("group_leader", "", View.IsLeader ? 1 : 0);
+  Counts.set("group_term", "", static_cast<double>(View.Term));
+  if (isNew)
+    openLeader(Leader, View.Term, Clock::now());
+}
+
+void FrontShell::send(NodeMessages Messages) {
+  for (NodeMessage &it : Messages)
+    Peers->send(it.Address, std::move(it.Message));
+}
+
+void FrontShell::wish(const wire::RowDemand &Row) {
+  if (View.IsLeader) {
+    takeWish(Leader, Options.Node, Row, Clock::now());
+    return;
+  }
+  wire::Envelope message;
+  *message.mutable_model_wish()->mutable_row() = Row;
+  Peers->send(Core.State.Leader.Address, std::move(message));
+}
+
+std::string FrontShell::leaderControl() const {
+  if (!View.LeaderAddress.empty() && !View.IsLeader)
+    return atPortOf(View.LeaderAddress, Options.FrontRole.Control);
+  bool isHeard = Clock::now() - Core.State.Leader.HeardAt < NodeSilence;
+  return isHeard && !View.IsLeader ? Core.State.Leader.ControlAddress
+                                   : std::string();
+}
+
+bool FrontShell::isReady() const {
+  return Core.State.Table && !Core.State.IsStopping &&
+         Clock::now() - StartedAt > LearnSpan;
+}
+
+// ---- Time ----
+
+void FrontShell::tick() {
+  if (IsExiting)
+    return;
+  TimePoint now = Clock::now();
+  if (HasChanged || isPast(NextPump, now)) {
+    HasChanged = false;
+    NextPump = now + PumpPeriod;
+    pump();
+  }
+  if (isPast(NextBeat, now))
+    beat(now);
+  if (View.IsLeader)
+    lead(now);
+  if (isPast(NextSweep, now)) {
+    NextSweep = now + SweepPeriod;
+    Core.Client.sweep();
+    expireNodes(Core.State.Roster, now);
+    expireEndpoints(Core.State.Directory, now);
+    std::erase_if(Core.State.AdapterWishes,
+                  [&](const auto &it) { return isPast(it.second, now); });
+  }
+  if (Core.State.IsStopping)
+    stopIfDone(now);
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec)
+      self->tick();
+  });
+}
+
+/// Gives waiting requests another try, the most urgent first.
+void FrontShell::pump() {
+  std::set<WaitingKey> waiting = Core.Waiting;
+  for (const WaitingKey &it : waiting) {
+    auto relay = Core.Relays.find(it.second);
+    if (relay == Core.Relays.end())
+      continue;
+    std::shared_ptr<Relay> kept = relay->second;
+    kept->dispatch();
+  }
+}
+
+void FrontShell::lead(TimePoint Now) {
+  NodeMessages out;
+  planPlacement(Leader, Core.State, Now, out);
+  divideRates(Leader, Core.State, Now, out);
+  send(std::move(out));
+}
+
+void FrontShell::beat(TimePoint Now) {
+  NextBeat = Now + BeatPeriod;
+  NodeMessages out;
+  if (View.IsLeader) {
+    wire::NodeBeat own;
+    takeOwnDemand(Core.State, own, Now);
+    noteDemandOf(Leader.Demand, Options.Node, own, Now);
+  }
+  sendBeats(Core.State, Gossip, View.IsLeader, View.Term, Now, out);
+  send(std::move(out));
+  Counts.set("requests_open", "", static_cast<double>(Core.Relays.size()));
+  Counts.set("requests_waiting", "", static_cast<double>(Core.Waiting.size()));
+  if (!Group)
+    return;
+  std::vector<std::string> addresses = Gossip.Seeds;
+  for (const auto &[name, it] : Core.State.Roster.Nodes)
+    if (it.Entry.is_voter())
+      addresses.push_back(it.Entry.address());
+  Group->post(StoreGreet{std::move(addresses)});
+}
+
+void FrontShell::stopIfDone(TimePoint Now) {
+  if (!isPast(StopRotationEnd, Now))
+    return;
+  Callers->stopAccepting();
+  if (Core.Relays.empty() || isPast(StopEnd, Now))
+    exit();
+}
+
+void FrontShell::exit() {
+  IsExiting = true;
+  if (Group)
+    Group->close();
+  Timer.expires_after(ExitDelay);
+  Timer.async_wait([self = shared_from_this()](auto) {
+    self->Peers->close();
+    self->Io.stop();
+  });
+}
+
+void FrontShell::stop() {
+  boost::asio::post(Io, [self = shared_from_this()] {
+    if (self->Core.State.IsStopping)
+      return;
+    TimePoint now = Clock::now();
+    self->Core.State.IsStopping = true;
+    self->StopRotationEnd = now + RotationTime;
+    self->StopEnd = now + self->Options.FrontRole.StopGrace - StopMargin;
+    self->Callers->windDown();
+    if (self->Group)
+      self->Group->post(StoreStop{});
+  });
+}
+
+void FrontShell::reload(const Settings &NewSettings) {
+  Gossip.Seeds.clear();
+  for (const std::string &it : NewSettings.FrontRole.Seeds)
+    Gossip.Seeds.push_back(atPortOf(it, Peers->address()));
+  Core.State.Limits.Retries = {NewSettings.FrontRole.RetryRatio,
+                               NewSettings.FrontRole.RetrySlack};
+}
+
+} // namespace
+
+std::shared_ptr<RoleShell> makeFrontShell(const ShellParts &Parts) {
+  return std::make_shared<FrontShell>(Parts);
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/front/front_state.cpp
@@ -0,0 +1,36 @@
+#include "front/front_state.h"
+
+namespace sassafras {
+
+size_t countFronts(const FrontState &State, TimePoint Now) {
+  return countInView(State.Roster, wire::NODE_FRONT, Now) + 1;
+}
+
+AllowanceLimit limitOf(const OrganisationSpec &Organisation) {
+  return {Organisation.RatePerSecond, Organisation.Burst};
+}
+
+const EngineSpec *engineSpecOf(const FrontState &State,
+                               const std::string &Service) {
+  if (!State.Table)
+    return nullptr;
+  auto it = State.Table->Services.find(Service);
+  if (it == State.Table->Services.end() || !it->second.Engine)
+    return nullptr;
+  return &*it->second.Engine;
+}
+
+wire::EngineSizes sizesFor(const EngineSpec &Spec) {
+  wire::EngineSizes out;
+  out.set_weights_mb(Spec.WeightsMb);
+  out.set_adapter_slots(Spec.AdapterSlots);
+  for (const auto &[name, it] : Spec.Models) {
+    wire::ModelSize &size = *out.add_models();
+    size.set_name(name);
+    size.set_weights_mb(it.WeightsMb);
+    size.set_adapter_mb(it.AdapterMb);
+  }
+  return out;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/front/front_state.h
@@ -0,0 +1,85 @@
+/// \file
+/// What a front knows and decides on: table, nodes, endpoints, demand and
+/// limits. Plain data; one thread.
+#ifndef SASSAFRAS_FRONT_FRONT_STATE_H
+#define SASSAFRAS_FRONT_FRONT_STATE_H
+
+#include "core/time.h"
+#include "fleet/endpoint_directory.h"
+#include "fleet/roster.h"
+#include "fleet/serving_table.h"
+#include "policy/endpoint_choice.h"
+#include "policy/rate_share.h"
+#include "policy/retry_budget.h"
+#include "policy/row_demand.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// Settings that the decisions of a front depend on.
+struct FrontLimits {
+  RetryLimits Retries;
+  /// A refused model stays wanted for this long: its callers come back.
+  Millis WishMemory{3'000};
+  /// Requests that may wait at one front; each holds its body in memory.
+  size_t MostWaiting = 1'000;
+};
+
+/// Use of one model at this front.
+struct RowUse {
+  uint32_t Arrivals = 0; ///< Since the last beat.
+  double Worth = 0;      ///< Of those arrivals.
+  uint32_t Open = 0;     ///< Under way at endpoints.
+  std::set<uint64_t> Waiting; ///< Numbers of requests.
+  double WaitingWorth = 0;
+  TimePoint WantedUntil; ///< A caller was told to come back.
+  double WantedWorth = 0;
+  TimePoint NextWish; ///< The leader is told at once, but not too often.
+};
+
+struct KnownLeader {
+  std::string Node;
+  std::string Address;        ///< Inner.
+  std::string ControlAddress; ///< Operators'.
+  uint64_t Term = 0;
+  TimePoint HeardAt;
+};
+
+struct FrontState {
+  wire::NodeEntry Self;
+  FrontLimits Limits;
+  ServingTablePtr Table; ///< Null until one is known.
+  std::string TableContent; ///< As it is passed on.
+  sassafras::Roster Roster;
+  EndpointDirectory Directory;
+  std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
+  std::map<std::string, LocalAllowance> Allowances;
+  std::map<std::string, RetryBudget> Retries; ///< By service.
+  std::map<std::string, RowUse> Rows;         ///< By model.
+  /// When an adapter may be asked for again, by engine and adapter.
+  std::map<std::string, TimePoint> AdapterWishes;
+  KnownLeader Leader;
+  uint64_t SharesTerm = 0;
+  uint64_t SharesNumber = 0;
+  bool IsStopping = false;
+  std::mt19937_64 Random;
+};
+
+/// Fronts in view, this one included.
+size_t countFronts(const FrontState &State, TimePoint Now);
+/// Limit of the organisation in force, none when it has none.
+AllowanceLimit limitOf(const OrganisationSpec &Organisation);
+/// Engine parameters of \p Service, or null for plain services.
+const EngineSpec *engineSpecOf(const FrontState &State,
+                               const std::string &Service);
+/// Sizes that an agent needs to keep within its engine's memory.
+wire::EngineSizes sizesFor(const EngineSpec &Spec);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/front/leader_work.cpp
@@ -0,0 +1,252 @@
+#include "front/leader_work.h"
+
+#include "core/logging.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+/// A new leader learns the fronts' demand and the agents' reports first.
+constexpr Millis LearnSpan{700};
+/// Part of the store's allowed loads that is used; the rest covers loads that
+/// an earlier leader ordered.
+constexpr double StoreMargin = 0.75;
+constexpr double StoreBurst = 2;
+/// An order that is not reported as over is given up after its load time and
+/// this much for unloads that wait for running requests.
+constexpr Millis OrderSlack{4'000};
+/// A load takes longer while others are under way.
+constexpr int OrderLoadFactor = 3;
+/// Orders of one term.
+constexpr unsigned OrderTermShift = 24;
+/// A front's demand counts for this long after its last beat.
+constexpr Millis DemandMemory{2'000};
+
+double secondsOf(Clock::duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+void refillStore(LeaderState &Leader, const EngineSpec &Spec, TimePoint Now) {
+  if (Leader.StoreTokensAt != TimePoint())
+    Leader.StoreTokens =
+        std::min(StoreBurst, Leader.StoreTokens +
+                                 secondsOf(Now - Leader.StoreTokensAt) *
+                                     Spec.LoadsPerSecond * StoreMargin);
+  Leader.StoreTokensAt = Now;
+}
+
+std::map<std::string, ModelDemand> sumDemand(const LeaderState &Leader,
+                                             TimePoint Now) {
+  std::map<std::string, ModelDemand> out;
+  for (const auto &[model, rates] : Leader.Demand.Rates)
+    out[model].WorthPerSecond =
+        std::max(readRate(rates.ShortWorth, ShortSpan, Now),
+                 readRate(rates.LongWorth, LongSpan, Now));
+  for (const auto &[front, part] : Leader.Demand.Fronts) {
+    if (Now - part.HeardAt > DemandMemory)
+      continue;
+    for (const auto &[model, row] : part.Rows) {
+      ModelDemand &demand = out[model];
+      demand.Busy += row.busy();
+      demand.Waiting += row.waiting();
+      demand.WaitingWorth += row.waiting_worth();
+    }
+  }
+  return out;
+}
+
+bool isOver(const OpenOrder &Order, const EngineState &Engine, TimePoint Now) {
+  return Engine.OrderDone >= Order.Number || isPast(Order.Expires, Now);
+}
+
+/// Engines of \p Service as the plan sees them, with their addresses.
+struct EngineField {
+  std::vector<PlanEngine> Engines;
+  std::vector<const KnownEndpoint *> Endpoints;
+  std::vector<const EngineState *> States;
+  size_t LoadsUnderWay = 0;
+};
+
+EngineField surveyEngines(LeaderState &Leader, const FrontState &State,
+                          const std::string &Service, const EngineSpec &Spec,
+                          TimePoint Now) {
+  EngineField out;
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    if (known.Service != Service || known.HasLeft)
+      continue;
+    const EngineState *engine = engineOf(State.Directory, known);
+    if (!engine)
+      continue;
+    PlanEngine plan;
+    plan.Endpoint = id;
+    plan.IsLeaving = !isUsable(known, Now) || engine->IsSilent;
+    plan.CanOrder = engine->IsFromAgent && !engine->IsBusy && !plan.IsLeaving;
+    plan.LoadShare = static_cast<double>(engine->Active + engine->Queued) /
+                     std::max<uint32_t>(known.Slots, 1);
+    for (const auto &[model, adapters] : engine->Models) {
+      plan.Models.insert(model);
+      auto spec = Spec.Models.find(model);
+      if (spec != Spec.Models.end())
+        plan.ReservedMb += adapters.size() * spec->second.AdapterMb;
+    }
+    plan.InMemory = engine->InMemory;
+    plan.OnDisk = engine->OnDisk;
+    auto order = Leader.Orders.find(known.Address);
+    if (order != Leader.Orders.end()) {
+      if (isOver(order->second, *engine, Now)) {
+        Leader.Orders.erase(order);
+      } else {
+        plan.CanOrder = false;
+        plan.Loading = order->second.Model;
+        for (const std::string &it : order->second.Evict)
+          plan.Models.erase(it);
+        ++out.LoadsUnderWay;
+      }
+    }
+    out.Engines.push_back(std::move(plan));
+    out.Endpoints.push_back(&known);
+    out.States.push_back(engine);
+  }
+  return out;
+}
+
+void giveOrder(LeaderState &Leader, const EngineField &Field,
+               const EngineSpec &Spec, const PlannedLoad &Load, TimePoint Now,
+               NodeMessages &Out) {
+  const KnownEndpoint &target = *Field.Endpoints[Load.Engine];
+  const ModelSpec &model = Spec.Models.at(Load.Model);
+  Millis life = loadTime(Field.Engines[Load.Engine], model) * OrderLoadFactor +
+                OrderSlack;
+  OpenOrder order{Leader.NextOrder++, target.Id, Load.Model, Load.Evict,
+                  Now + life};
+  wire::Envelope message;
+  wire::EngineOrder &wire = *message.mutable_engine_order();
+  wire.set_term(Leader.Term);
+  wire.set_number(order.Number);
+  wire.set_engine_address(target.Address);
+  wire.set_endpoint(target.Id);
+  wire.set_load(Load.Model);
+  for (const std::string &it : Load.Evict)
+    wire.add_evict(it);
+  *wire.mutable_sizes() = sizesFor(Spec);
+  wire.set_expires_in_ms(static_cast<uint64_t>(life.count()));
+  std::string evicted;
+  for (const std::string &it : Load.Evict)
+    evicted += (evicted.empty() ? "" : ",") + it;
+  logEvent(LogLevel::Info, "load_planned",
+           {{"model", Load.Model},
+            {"endpoint", target.Id},
+            {"evict", evicted},
+            {"order", std::to_string(order.Number)},
+            {"urgent", Load.IsUrgent ? "yes" : "no"},
+            {"from_store", Load.IsFromStore ? "yes" : "no"},
+            {"report_age_ms",
+             std::to_string(
+                 toMillis(Now - Field.States[Load.Engine]->ReadAt))}});
+  Out.push_back({Field.States[Load.Engine]->Agent, std::move(message)});
+  Leader.Orders[target.Address] = std::move(order);
+}
+
+} // namespace
+
+void openLeader(LeaderState &Leader, uint64_t Term, TimePoint Now) {
+  Leader.Term = Term;
+  Leader.LedSince = Now;
+  Leader.Orders.clear();
+  // Numbers of an earlier term are all lower.
+  Leader.NextOrder = (Term << OrderTermShift) + 1;
+  Leader.NextShares = 1;
+  Leader.StoreTokens = 0;
+  Leader.StoreTokensAt = Now;
+}
+
+void takeWish(LeaderState &Leader, const std::string &Front,
+              const wire::RowDemand &Row, TimePoint Now) {
+  FleetDemand::FrontPart &part = Leader.Demand.Fronts[Front];
+  part.HeardAt = Now;
+  part.Rows[Row.model()] = Row;
+  Leader.NextPlan = Now;
+}
+
+void planPlacement(LeaderState &Leader, FrontState &State, TimePoint Now,
+                   NodeMessages &Out) {
+  if (!isPast(Leader.NextPlan, Now) || Now - Leader.LedSince < LearnSpan ||
+      !State.Table)
+    return;
+  Leader.NextPlan = Now + PlanPeriod;
+  auto demand = sumDemand(Leader, Now);
+  for (const auto &[name, service] : State.Table->Services) {
+    if (!service.Engine)
+      continue;
+    const EngineSpec &spec = *service.Engine;
+    refillStore(Leader, spec, Now);
+    EngineField field = surveyEngines(Leader, State, name, spec, Now);
+    PlanInput input{spec, demand, field.Engines, field.LoadsUnderWay,
+                    static_cast<uint32_t>(Leader.StoreTokens)};
+    for (const PlannedLoad &it : planModels(input)) {
+      if (it.IsFromStore)
+        Leader.StoreTokens -= 1;
+      giveOrder(Leader, field, spec, it, Now, Out);
+    }
+  }
+}
+
+void divideRates(LeaderState &Leader, FrontState &State, TimePoint Now,
+                 NodeMessages &Out) {
+  if (!isPast(Leader.NextShare, Now) || !State.Table ||
+      Now - Leader.LedSince < LearnSpan)
+    return;
+  Leader.NextShare = Now + SharePeriod;
+  std::vector<std::string> fronts{State.Self.name()};
+  for (const auto &[name, it] : State.Roster.Nodes)
+    // One out of view may still use the share that it was given.
+    if (it.Entry.kind() == wire::NODE_FRONT &&
+        Now - it.HeardAt < NodeSilence + ShareLife)
+      fronts.push_back(name);
+  std::map<std::string, wire::RateShares> shares;
+  for (const OrganisationSpec &organisation : State.Table->Organisations) {
+    if (organisation.RatePerSecond <= 0)
+      continue;
+    FrontDemand demand;
+    for (const auto &[front, part] : Leader.Demand.Fronts) {
+      auto it = part.Organisations.find(organisation.Name);
+      if (it != part.Organisations.end())
+        demand[front] = it->second;
+    }
+    for (const auto &[front, share] : divideRate(demand, fronts)) {
+      wire::RateShare &out = *shares[front].add_shares();
+      out.set_organisation(organisation.Name);
+      out.set_share(share);
+    }
+  }
+  uint64_t number = Leader.NextShares++;
+  for (auto &[front, it] : shares) {
+    it.set_term(Leader.Term);
+    it.set_number(number);
+    if (front == State.Self.name()) {
+      takeShares(State, it, Now);
+      continue;
+    }
+    wire::Envelope message;
+    *message.mutable_rate_shares() = it;
+    Out.push_back(
+        {State.Roster.Nodes[front].Entry.address(), std::move(message)});
+  }
+}
+
+void takeShares(FrontState &State, const wire::RateShares &Shares,
+                TimePoint Now) {
+  bool isOld = Shares.term() < State.SharesTerm ||
+               (Shares.term() == State.SharesTerm &&
+                Shares.number() <= State.SharesNumber);
+  if (isOld)
+    return;
+  State.SharesTerm = Shares.term();
+  State.SharesNumber = Shares.number();
+  for (const wire::RateShare &it : Shares.shares())
+    setShare(State.Allowances[it.organisation()], it.share(), Now);
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/front/leader_work.h
@@ -0,0 +1,56 @@
+/// \file
+/// What only the leader of the serving table's group decides: which engine
+/// loads which model, and how each organisation's rate is divided.
+#ifndef SASSAFRAS_FRONT_LEADER_WORK_H
+#define SASSAFRAS_FRONT_LEADER_WORK_H
+
+#include "front/fleet_view.h"
+#include "policy/model_plan.h"
+
+namespace sassafras {
+
+/// Placement is thought over at this pace, and at once when a front tells of
+/// a cold model.
+inline constexpr Millis PlanPeriod{100};
+inline constexpr Millis SharePeriod{300};
+
+/// An order that an agent has not reported as over.
+struct OpenOrder {
+  uint64_t Number = 0;
+  std::string Endpoint;
+  std::string Model;
+  std::vector<std::string> Evict;
+  TimePoint Expires;
+};
+
+struct LeaderState {
+  uint64_t Term = 0; ///< For which this was set up.
+  TimePoint LedSince;
+  FleetDemand Demand;
+  std::map<std::string, OpenOrder> Orders; ///< By engine address.
+  uint64_t NextOrder = 1;
+  uint64_t NextShares = 1;
+  double StoreTokens = 0; ///< Loads from the store that may start.
+  TimePoint StoreTokensAt;
+  TimePoint NextPlan;
+  TimePoint NextShare;
+};
+
+/// Starts over for a new term.
+void openLeader(LeaderState &Leader, uint64_t Term, TimePoint Now);
+/// A front cannot serve a model; it is planned for at once.
+void takeWish(LeaderState &Leader, const std::string &Front,
+              const wire::RowDemand &Row, TimePoint Now);
+/// Thinks placement over where it is time to, and sends orders.
+void planPlacement(LeaderState &Leader, FrontState &State, TimePoint Now,
+                   NodeMessages &Out);
+/// Divides the rates where it is time to, and tells the fronts.
+void divideRates(LeaderState &Leader, FrontState &State, TimePoint Now,
+                 NodeMessages &Out);
+/// Takes the shares that a leader gave. Late ones change nothing.
+void takeShares(FrontState &State, const wire::RateShares &Shares,
+                TimePoint Now);
+
+} // namespace sassafras
+
+#endif
--- a/http/address.cpp
+++ b/http/address.cpp
@@ -24,4 +24,12 @@
   return address;
 }
 
+std::string atPortOf(std::string_view Host, std::string_view Own) {
+  auto host = parseAddress(Host);
+  auto own = parseAddress(Own);
+  if (!host || !own)
+    return {};
+  return host->Ip + ":" + std::to_string(own->Port);
+}
+
 } // namespace sassafras
--- a/http/message.h
+++ b/http/message.h
@@ -4,6 +4,7 @@
 #define SASSAFRAS_HTTP_MESSAGE_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,13 @@
 /// True for fields that concern one connection only.
 bool isHopField(std::string_view Name);
 
+/// Removes every field called \p Name.
+void eraseField(std::vector<HttpField> &Fields, std::string_view Name);
+
+/// Puts \p Value in place of all fields called \p Name.
+void setField(std::vector<HttpField> &Fields, std::string_view Name,
+              std::string Value);
+
 } // namespace sassafras
 
 #endif
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "http/address.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,10 +12,13 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
+#include <cerrno>
 #include <deque>
+#include <netinet/tcp.h>
 #include <optional>
 #include <set>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace sassafras {
 
@@ -25,10 +29,10 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
-constexpr std::chrono::seconds IdleLimit{75};
-constexpr std::chrono::seconds HeadLimit{10};
-constexpr std::chrono::seconds BodyLimit{30};
 constexpr std::chrono::seconds WriteLimit{30};
+/// A caller whose host has vanished is noticed after this silence; covers
+/// some lost packets at the platform's delays.
+constexpr int UserTimeoutMs = 10'000;
 constexpr size_t ReadChunk = 4096;
 constexpr Millis AcceptPause{100};
 
@@ -45,6 +49,17 @@
 
 } // namespace
 
+void eraseField(std::vector<HttpField> &Fields, std::string_view Name) {
+  std::erase_if(Fields,
+                [&](const HttpField &it) { return it.Name == Name; });
+}
+
+void setField(std::vector<HttpField> &Fields, std::string_view Name,
+              std::string Value) {
+  eraseField(Fields, Name);
+  Fields.push_back({std::string(Name), std::move(Value)});
+}
+
 bool isHopField(std::string_view Name) {
   for (std::string_view it :
        {"connection", "keep-alive", "proxy-connection", "te", "trailer",
@@ -74,7 +89,8 @@
   asio::steady_timer Pause;
   std::set<Session *> Idle; ///< Connections that wait for a request.
   std::atomic<size_t> OpenCount{0};
-  bool IsStopping = false;
+  std::atomic<bool> IsStopping{false};
+  std::atomic<bool> IsWindingDown{false};
 };
 
 /// One connection. Everything but the exchange's entry points runs on the
@@ -91,12 +107,19 @@
   void abort(uint64_t Number);
   asio::io_context &context() { return Server->Io; }
   bool isOldProtocol() const { return IsOld; }
-  bool keepsAlive() const { return KeepAlive && !Server->IsStopping; }
+  bool keepsAlive() const {
+    return KeepAlive && !Server->IsStopping && !Server->IsWindingDown;
+  }
+  void closeAfter() { KeepAlive = false; }
+  HttpLimits limits() const { return Server->Limits; }
 
 private:
   void readHead();
   void readBody();
+  bool isAmbiguous() const;
   void serve();
+  void watchCaller();
+  bool isCallerGone();
   void refuse(http::status Status, const char *Reason);
   void writeNext();
   void endAnswer();
@@ -140,9 +163,13 @@
     send(std::move(bytes), true);
   }
 
-  void start(unsigned Status, std::vector<HttpField> Fields) override {
+  void start(unsigned Status, std::vector<HttpField> Fields,
+             std::optional<uint64_t> Length) override {
     auto head = makeHead(Status, Fields);
-    if (IsOld)
+    IsChunked = !Length && !IsOld;
+    if (Length)
+      head.content_length(*Length);
+    else if (IsOld)
       head.keep_alive(false);
     else
       head.chunked(true);
@@ -152,12 +179,16 @@
   void write(std::string Bytes) override {
     if (Bytes.empty() || IsHead)
       return;
-    send(IsOld ? std::move(Bytes) : frameChunk(Bytes), false);
+    send(IsChunked ? frameChunk(Bytes) : std::move(Bytes), false);
   }
 
   void finish() override {
-    bool isChunked = !IsOld && !IsHead;
-    send(isChunked ? "0\r\n\r\n" : "", true);
+    send(IsChunked && !IsHead ? "0\r\n\r\n" : "", true);
+  }
+
+  void closeAfter() override {
+    KeepAlive = false;
+    Owner->closeAfter();
   }
 
   void abort() override {
@@ -174,7 +205,14 @@
     for (const HttpField &it : Fields)
       if (!isHopField(it.Name))
         head.insert(it.Name, it.Value);
-    head.keep_alive(KeepAlive);
+    bool isKept = KeepAlive && Owner->keepsAlive();
+    head.keep_alive(isKept);
+    if (isKept)
+      head.set(http::field::keep_alive,
+               "timeout=" + std::to_string(
+                                std::chrono::duration_cast<std::chrono::seconds>(
+                                    Owner->limits().IdleTime)
+                                    .count()));
     return head;
   }
 
@@ -185,7 +223,8 @@
   }
 
   void send(std::string Bytes, bool IsLast) {
-    asio::post(Owner->context(), [owner = Owner, number = Number,
+    // Runs at once when the caller is on the context's thread already.
+    asio::dispatch(Owner->context(), [owner = Owner, number = Number,
                                   bytes = std::move(Bytes), IsLast]() mutable {
       owner->queue(number, std::move(bytes), IsLast);
     });
@@ -196,6 +235,7 @@
   bool IsOld;
   bool KeepAlive;
   bool IsHead;
+  bool IsChunked = false;
 };
 
 } // namespace
@@ -210,7 +250,7 @@
     return;
   }
   Server->Idle.insert(this);
-  Stream.expires_after(IdleLimit);
+  Stream.expires_after(Server->Limits.IdleTime);
   Stream.async_read_some(
       Buffer.prepare(ReadChunk),
       [self = shared_from_this()](beast::error_code ec, size_t n) {
@@ -228,7 +268,7 @@
   Parser.emplace();
   Parser->header_limit(Server->Limits.HeadBytes);
   Parser->body_limit(Server->Limits.BodyBytes);
-  Stream.expires_after(HeadLimit);
+  Stream.expires_after(Server->Limits.HeadTime);
   http::async_read_header(
       Stream, Buffer, *Parser,
       [self = shared_from_this()](beast::error_code ec, size_t) {
@@ -250,7 +290,26 @@
       });
 }
 
+/// True when another reader of the same bytes might see other bounds of the
+/// request, or another host.
+bool Session::isAmbiguous() const {
+  const auto &message = Parser->get();
+  auto codings = message.equal_range(http::field::transfer_encoding);
+  bool hasCoding = codings.first != codings.second;
+  bool isChunked = hasCoding && std::next(codings.first) == codings.second &&
+                   beast::iequals(codings.first->value(), "chunked");
+  if (hasCoding && (!isChunked || message.version() < 11 ||
+                    message.count(http::field::content_length) > 0))
+    return true;
+  return message.count(http::field::content_length) > 1 ||
+         message.count(http::field::host) > 1;
+}
+
 void Session::readBody() {
+  if (isAmbiguous()) {
+    refuse(http::status::bad_request, "ambiguous_framing");
+    return;
+  }
   auto expect = Parser->get()[http::field::expect];
   bool wantsContinue = beast::iequals(expect, "100-continue");
   if (!expect.empty() && !wantsContinue) {
@@ -258,7 +317,7 @@
     return;
   }
   auto read = [self = shared_from_this()] {
-    self->Stream.expires_after(BodyLimit);
+    self->Stream.expires_after(self->Server->Limits.BodyTime);
     http::async_read(
         self->Stream, self->Buffer, *self->Parser,
         [self](beast::error_code ec, size_t) {
@@ -305,9 +364,31 @@
   Exchange = exchange;
   Stream.expires_never();
   Server->Counts.count("http_requests_total");
+  watchCaller();
   Server->Calls.OnRequest(std::move(request), std::move(exchange));
 }
 
+/// Notices a caller that closes while its answer is made.
+void Session::watchCaller() {
+  if (Buffer.size() > 0)
+    return;
+  Stream.socket().async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this(), number = Number](beast::error_code ec) {
+        if (ec || number != self->Number || !self->IsAnswering)
+          return;
+        if (self->isCallerGone())
+          self->lose(HttpLoss::CallerGone);
+      });
+}
+
+bool Session::isCallerGone() {
+  char buf = 0;
+  ssize_t n = ::recv(Stream.socket().native_handle(), &buf, 1,
+                     MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void Session::refuse(http::status Status, const char *Reason) {
   Server->Counts.count("refusals_total",
                        "reason=\"" + std::string(Reason) + "\"");
@@ -429,6 +510,8 @@
         }
         boost::system::error_code ignored;
         Socket.set_option(Tcp::no_delay(true), ignored);
+        ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &UserTimeoutMs, sizeof UserTimeoutMs);
         std::make_shared<Session>(std::move(Socket), self)->waitForRequest();
         self->accept();
       });
@@ -481,6 +564,10 @@
     it->closeIdle();
 }
 
+void HttpServer::windDown() { Data->IsWindingDown = true; }
+
+void HttpServer::setLimits(const HttpLimits &Limits) { Data->Limits = Limits; }
+
 size_t HttpServer::countOpen() const { return Data->OpenCount; }
 
 } // namespace sassafras
--- a/http/server.h
+++ b/http/server.h
@@ -4,6 +4,7 @@
 #ifndef SASSAFRAS_HTTP_SERVER_H
 #define SASSAFRAS_HTTP_SERVER_H
 
+#include "core/time.h"
 #include "http/message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,9 @@
   uint32_t HeadBytes = 32 * 1024;
   uint64_t BodyBytes = 8ULL * 1024 * 1024;
   size_t UnreadBytes = 4ULL * 1024 * 1024; ///< Answer bytes not yet taken.
+  Millis HeadTime{10'000}; ///< For the head, from its first byte.
+  Millis BodyTime{30'000}; ///< For the body.
+  Millis IdleTime{75'000}; ///< Kept connection without a request.
 };
 
 /// One request's answer. All methods are thread safe and may be called after
@@ -33,11 +37,16 @@
   virtual void respond(unsigned Status, std::vector<HttpField> Fields,
                        std::string Body) = 0;
   /// Start of an answer in pieces. Ends with finish or abort.
-  virtual void start(unsigned Status, std::vector<HttpField> Fields) = 0;
+  /// With \p Length the body has exactly so many bytes.
+  virtual void start(unsigned Status, std::vector<HttpField> Fields,
+                     std::optional<uint64_t> Length = std::nullopt) = 0;
   virtual void write(std::string Bytes) = 0;
   virtual void finish() = 0;
   /// Breaks the connection so that the caller sees an incomplete answer.
   virtual void abort() = 0;
+  /// Closes the connection once this answer is complete. Call before the
+  /// answer starts.
+  virtual void closeAfter() = 0;
 };
 
 /// Why an exchange ended early.
@@ -67,6 +76,12 @@
   /// Takes no new connections, and closes kept ones after their answer. Call
   /// on the thread that runs the context.
   void stopAccepting();
+  /// Takes new connections still, but lets each answer end its connection, so
+  /// that a balancer has time to turn elsewhere. Call on the thread that runs
+  /// the context.
+  void windDown();
+  /// Limits for requests read from now on. Call on that thread.
+  void setLimits(const HttpLimits &Limits);
   /// Exchanges not yet written out. Thread safe.
   size_t countOpen() const;
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -3,16 +3,21 @@
 #include "agent/agent_shell.h"
 #include "control/control_shell.h"
 #include "core/metrics.h"
+#include "engine_agent/engine_agent_shell.h"
 #include "entry/entry_shell.h"
+#include "front/front_shell.h"
 #include "main/settings_file.h"
 #include "main/version.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <caf/all.hpp>
 
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <getopt.h>
+#include <sstream>
 
 namespace sassafras {
 
@@ -79,6 +84,10 @@
     return makeAgentShell(Parts);
   case NodeRole::Entry:
     return makeEntryShell(Parts);
+  case NodeRole::Front:
+    return makeFrontShell(Parts);
+  case NodeRole::EngineAgent:
+    return makeEngineAgentShell(Parts);
   }
   return nullptr;
 }
@@ -94,8 +103,73 @@
   });
 }
 
+/// The settings file may change with a signal or without one.
+constexpr Millis SettingsPeriod{1'000};
+
+std::string readWhole(const std::string &File) {
+  std::ifstream in(File, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+/// Takes over a changed settings file; a bad one changes nothing.
+class SettingsWatch {
+public:
+  SettingsWatch(boost::asio::io_context &Io, std::string File, RoleShell &Shell)
+      : File(std::move(File)), Shell(Shell), Timer(Io), Signals(Io, SIGHUP),
+        Text(readWhole(this->File)) {}
+
+  void start() {
+    wait();
+    hear();
+  }
+
+private:
+  void wait() {
+    Timer.expires_after(SettingsPeriod);
+    Timer.async_wait([this](auto ec) {
+      if (ec)
+        return;
+      look();
+      wait();
+    });
+  }
+
+  void hear() {
+    Signals.async_wait([this](auto ec, int) {
+      if (ec)
+        return;
+      look();
+      hear();
+    });
+  }
+
+  void look() {
+    std::string text = readWhole(File);
+    if (text == Text || text.empty())
+      return;
+    Text = text;
+    SettingsProblem problem;
+    auto settings = readSettings(File, problem);
+    if (!settings) {
+      logEvent(LogLevel::Error, "reload_refused",
+               {{"reason", describe(problem)}});
+      return;
+    }
+    logEvent(LogLevel::Info, "reloaded");
+    Shell.reload(*settings);
+  }
+
+  std::string File;
+  RoleShell &Shell;
+  boost::asio::steady_timer Timer;
+  boost::asio::signal_set Signals;
+  std::string Text;
+};
+
 /// Runs the role until it has stopped gracefully.
-int runRole(const Settings &Settings) {
+int runRole(const Settings &Settings, const std::string &File) {
   Metrics counts;
   boost::asio::io_context io;
   caf::actor_system_config config;
@@ -113,6 +187,8 @@
   logEvent(LogLevel::Info, "started", {{"version", VersionText}});
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   stopOnSignal(signals, *shell);
+  SettingsWatch watch(io, File, *shell);
+  watch.start();
   io.run();
   logEvent(LogLevel::Info, "stopped");
   return ExitOk;
@@ -134,7 +210,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   startLogging(settings->Level, settings->Node);
-  return runRole(*settings);
+  return runRole(*settings, options.SettingsFile);
 }
 
 } // namespace
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -57,6 +57,17 @@
     Value = Millis(n * MsPerSecond);
   }
 
+  void flag(const char *Key, bool &Value) {
+    const toml::node *node = take(Key, false);
+    if (!node)
+      return;
+    auto value = node->value_exact<bool>();
+    if (!value)
+      fail(node, quoted(Key) + " must be true or false");
+    else
+      Value = *value;
+  }
+
   void price(const char *Key, double &Value) {
     const toml::node *node = take(Key, false);
     if (!node)
@@ -151,8 +162,13 @@
     Out.Role = NodeRole::Control;
   else if (role == "agent")
     Out.Role = NodeRole::Agent;
+  else if (role == "front")
+    Out.Role = NodeRole::Front;
+  else if (role == "engine_agent")
+    Out.Role = NodeRole::EngineAgent;
   else
-    Root.fail(Root.node("role"), "'role' must be entry, control or agent");
+    Root.fail(Root.node("role"), "'role' must be entry, control, agent, front "
+                                 "or engine_agent");
 }
 
 void readLevel(Reader &Root, Settings &Out) {
@@ -202,12 +218,44 @@
   in.finish();
 }
 
+void readFront(const toml::table &Table, FrontSettings &Out,
+               SettingsProblem &Problem) {
+  Reader in(Table, "front_role", Problem);
+  in.address("ready", Out.Ready);
+  in.address("control", Out.Control);
+  in.addresses("seeds", Out.Seeds);
+  in.flag("may_form", Out.MayForm);
+  in.text("data_folder", Out.DataFolder, false);
+  in.price("retry_ratio", Out.RetryRatio);
+  in.price("retry_slack", Out.RetrySlack);
+  in.seconds("stop_grace_s", Out.StopGrace);
+  in.finish();
+}
+
+void readEngineAgent(const toml::table &Table, EngineAgentSettings &Out,
+                     SettingsProblem &Problem) {
+  Reader in(Table, "engine_agent_role", Problem);
+  in.address("engine", Out.Engine);
+  in.addresses("seeds", Out.Seeds);
+  in.finish();
+}
+
 void readSections(Reader &Root, Settings &Out, SettingsProblem &Problem) {
   const toml::table *control = Root.section("control_role");
   const toml::table *agent = Root.section("agent_role");
   const toml::table *entry = Root.section("entry_role");
   if (Out.Role == NodeRole::Control && !control)
     Root.fail(nullptr, "[control_role] is missing");
+  const toml::table *front = Root.section("front_role");
+  const toml::table *engineAgent = Root.section("engine_agent_role");
+  if (Out.Role == NodeRole::Front && !front)
+    Root.fail(nullptr, "[front_role] is missing");
+  if (Out.Role == NodeRole::EngineAgent && !engineAgent)
+    Root.fail(nullptr, "[engine_agent_role] is missing");
+  if (front)
+    readFront(*front, Out.FrontRole, Problem);
+  if (engineAgent)
+    readEngineAgent(*engineAgent, Out.EngineAgentRole, Problem);
   if (control)
     readControl(*control, Out.ControlRole, Problem);
   if (agent)
@@ -259,12 +307,16 @@
   root.text("zone", out.Zone, true);
   root.address("listen", out.Listen);
   root.address("http", out.Http);
-  root.addresses("control", out.Control);
-  root.text("key_salt", out.KeySalt, true);
+  bool isPrepared =
+      out.Role == NodeRole::Front || out.Role == NodeRole::EngineAgent;
+  if (!isPrepared) {
+    root.addresses("control", out.Control);
+    root.text("key_salt", out.KeySalt, true);
+  }
   readLevel(root, out);
   readSections(root, out, Problem);
   root.finish();
-  if (!root.isFailed())
+  if (!root.isFailed() && !isPrepared)
     checkTogether(root, out);
   if (root.isFailed())
     return std::nullopt;
--- a/misc/install_packages.sh
+++ b/misc/install_packages.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build clang-format clang-tidy python3
   libcaf-dev cppzmq-dev libzmq3-dev libprotobuf-dev libboost1.81-dev
   libboost-log1.81-dev libboost-thread1.81-dev libtomlplusplus-dev catch2
-  libssl-dev libxxhash-dev ccache)
+  libssl-dev libxxhash-dev zlib1g-dev ccache)
 missing=()
 for it in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$it" 2>/dev/null | grep -q 'ok installed' ||
--- /dev/null
+++ b/policy/endpoint_choice.h
@@ -0,0 +1,75 @@
+/// \file
+/// Which endpoint a request goes to.
+///
+/// Load patterns: a busy model on several engines while reports lag by some
+/// hundred milliseconds (own sends count first); endpoints that fail or stall
+/// while their health looks good (judged by outcomes); costly links between
+/// availability zones (a near endpoint first while it has room).
+#ifndef SASSAFRAS_POLICY_ENDPOINT_CHOICE_H
+#define SASSAFRAS_POLICY_ENDPOINT_CHOICE_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// An endpoint that failed takes no work for this long; doubles with each
+/// further failure in a row up to the most. From the restart time of engines
+/// (some seconds).
+inline constexpr Millis LeastPause{300};
+inline constexpr Millis MostPause{4'000};
+/// Weight of the newest outcome in an endpoint's failure share.
+inline constexpr double OutcomeWeight = 0.15;
+/// Share of slots that a near endpoint may have in use more than a far one
+/// before the far one is taken: a crossing costs about as much as a fifth of
+/// a slot's wait.
+inline constexpr double ZoneLead = 0.2;
+/// Requests beyond its slots that an endpoint may hold, as a share of slots.
+/// More wait at the front, where they can still go elsewhere.
+inline constexpr double QueueShare = 0.25;
+
+/// What this front experienced with one endpoint.
+struct EndpointRecord {
+  uint32_t Open = 0;         ///< Own requests under way there.
+  uint32_t SentSinceReport = 0;
+  uint32_t ReportedLoad = 0; ///< Running and waiting, from all fronts.
+  TimePoint ReportedAt;
+  double FailureShare = 0;   ///< Smoothed.
+  uint32_t FailuresInRow = 0;
+  TimePoint PausedUntil;
+};
+
+struct EndpointCandidate {
+  std::string Id;
+  std::string Zone;
+  uint32_t Slots = 1;
+  bool IsSlow = false; ///< Just started.
+  double Affinity = 0; ///< 0 to 1; breaks ties between equal loads.
+  const EndpointRecord *Record = nullptr;
+};
+
+/// Requests that the endpoint holds by the best knowledge of this front.
+double estimateLoad(const EndpointRecord &Record);
+/// The endpoint to send to, or nothing when all are full or paused. Pure and
+/// thread safe.
+std::optional<size_t>
+chooseEndpoint(const std::vector<EndpointCandidate> &Candidates,
+               const std::string &OwnZone, TimePoint Now);
+
+void noteSent(EndpointRecord &Record);
+/// Load figures that an endpoint or its agent gave.
+void noteLoad(EndpointRecord &Record, uint32_t Load, TimePoint Now);
+void noteSuccess(EndpointRecord &Record);
+/// \p IsCertain: nothing can be expected of it for now, as when it refuses
+/// connections; else it is paused only after repeated failures.
+void noteFailure(EndpointRecord &Record, bool IsCertain, TimePoint Now);
+void noteClosed(EndpointRecord &Record);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/policy/model_plan.cpp
@@ -0,0 +1,217 @@
+#include "policy/model_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace sassafras {
+
+namespace {
+
+/// A replica beyond what the load asks for is worth this part of its share.
+constexpr double SpareValue = 0.03;
+/// Requests at an engine slow a change there: worth lost for a full engine.
+constexpr double BusyEngineCost = 4.0;
+/// A load from the store is no dearer than this many seconds of its demand:
+/// it also brings the weights near for later.
+constexpr double MostLoadSeconds = 2.0;
+/// A replica is lost together with its engine now and then; two are kept of
+/// models with at least so many requests under way.
+constexpr double SafeBusy = 4.0;
+
+struct ModelState {
+  const ModelSpec *Spec = nullptr;
+  ModelDemand Demand;
+  size_t Replicas = 0; ///< Loaded or on their way.
+  size_t Wanted = 0;
+};
+
+using ModelStates = std::map<std::string, ModelState>;
+
+/// Worth a second that the last of \p Replicas replicas brings.
+double lastReplicaValue(const ModelState &Model, size_t Replicas) {
+  double worth = Model.Demand.WorthPerSecond;
+  if (Replicas <= 1)
+    return worth;
+  double part = worth / static_cast<double>(Replicas);
+  return Replicas <= Model.Wanted ? part : part * SpareValue;
+}
+
+ModelStates gather(const PlanInput &Input) {
+  ModelStates states;
+  for (const auto &[name, spec] : Input.Spec.Models) {
+    ModelState &state = states[name];
+    state.Spec = &spec;
+    auto demand = Input.Demand.find(name);
+    if (demand != Input.Demand.end())
+      state.Demand = demand->second;
+    state.Wanted = wantedReplicas(state.Demand.Busy, Input.Spec.Slots);
+  }
+  for (const PlanEngine &engine : Input.Engines) {
+    if (engine.IsLeaving)
+      continue;
+    for (const std::string &it : engine.Models)
+      if (auto found = states.find(it); found != states.end())
+        ++found->second.Replicas;
+    if (auto found = states.find(engine.Loading); found != states.end())
+      if (!engine.Models.contains(engine.Loading))
+        ++found->second.Replicas;
+  }
+  return states;
+}
+
+/// What making room at one engine costs.
+struct Room {
+  std::vector<std::string> Evict;
+  double LostPerSecond = 0;
+};
+
+std::optional<Room> makeRoom(const PlanEngine &Engine, const ModelStates &States,
+                             const PlanInput &Input, uint64_t NeededMb) {
+  struct Victim {
+    std::string Name;
+    double Value;
+    uint64_t Mb;
+  };
+  uint64_t used = Engine.ReservedMb;
+  std::vector<Victim> victims;
+  for (const std::string &it : Engine.Models) {
+    auto found = States.find(it);
+    if (found == States.end())
+      return std::nullopt;
+    const ModelState &state = found->second;
+    used += state.Spec->WeightsMb;
+    victims.push_back(
+        {it, lastReplicaValue(state, state.Replicas), state.Spec->WeightsMb});
+  }
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim &A, const Victim &B) { return A.Value < B.Value; });
+  Room room;
+  size_t next = 0;
+  while (used + NeededMb > Input.Spec.WeightsMb) {
+    if (next == victims.size())
+      return std::nullopt;
+    const Victim &it = victims[next++];
+    room.Evict.push_back(it.Name);
+    room.LostPerSecond += it.Value;
+    used -= std::min(used, it.Mb);
+  }
+  return room;
+}
+
+struct Choice {
+  PlannedLoad Load;
+  double Cost = 0;
+};
+
+/// The engine where \p Name costs least: time to load, and what makes room.
+std::optional<Choice> cheapest(const std::string &Name, const ModelState &Model,
+                               const ModelStates &States,
+                               const PlanInput &Input,
+                               const std::set<size_t> &Taken,
+                               bool IsStoreAllowed) {
+  std::optional<Choice> best;
+  for (size_t i = 0; i < Input.Engines.size(); ++i) {
+    const PlanEngine &engine = Input.Engines[i];
+    if (!engine.CanOrder || engine.IsLeaving || Taken.contains(i) ||
+        engine.Models.contains(Name))
+      continue;
+    bool isFromStore =
+        !engine.InMemory.contains(Name) && !engine.OnDisk.contains(Name);
+    if (isFromStore && !IsStoreAllowed)
+      continue;
+    auto room = makeRoom(engine, States, Input, Model.Spec->WeightsMb);
+    if (!room)
+      continue;
+    double seconds = std::min(
+        MostLoadSeconds,
+        std::chrono::duration<double>(loadTime(engine, *Model.Spec)).count());
+    double worth =
+        std::max(Model.Demand.WorthPerSecond, Model.Demand.WaitingWorth);
+    double cost = seconds * worth + room->LostPerSecond * PayBackSeconds +
+                  BusyEngineCost * engine.LoadShare;
+    if (best && best->Cost <= cost)
+      continue;
+    best = Choice{{i, Name, std::move(room->Evict), isFromStore, false}, cost};
+  }
+  return best;
+}
+
+struct Want {
+  std::string Name;
+  double Gain = 0; ///< Over the time in which a load must pay.
+  bool IsUrgent = false;
+};
+
+/// Models that lack a replica, those that requests wait for first.
+std::vector<Want> listWants(const ModelStates &States) {
+  std::vector<Want> wants;
+  for (const auto &[name, state] : States) {
+    bool isUrgent = state.Demand.Waiting > 0 && state.Replicas == 0;
+    bool isShort = state.Replicas < state.Wanted;
+    bool isMissing = state.Replicas == 0 && state.Demand.WorthPerSecond > 0;
+    if (!isUrgent && !isShort && !isMissing)
+      continue;
+    double next = state.Demand.WorthPerSecond /
+                  static_cast<double>(state.Replicas + 1);
+    double gain = next * PayBackSeconds +
+                  (isUrgent || isShort ? state.Demand.WaitingWorth : 0);
+    wants.push_back({name, gain, isUrgent});
+  }
+  std::sort(wants.begin(), wants.end(), [](const Want &A, const Want &B) {
+    if (A.IsUrgent != B.IsUrgent)
+      return A.IsUrgent;
+    return A.Gain > B.Gain;
+  });
+  return wants;
+}
+
+} // namespace
+
+size_t wantedReplicas(double Busy, uint32_t Slots) {
+  double capacity = TargetUse * std::max<uint32_t>(Slots, 1);
+  auto n = static_cast<size_t>(std::ceil(Busy / capacity));
+  return Busy >= SafeBusy ? std::max<size_t>(n, 2) : n;
+}
+
+Millis loadTime(const PlanEngine &Engine, const ModelSpec &Model) {
+  if (Engine.InMemory.contains(Model.Name))
+    return Model.MemoryLoad;
+  return Engine.OnDisk.contains(Model.Name) ? Model.DiskLoad : Model.StoreLoad;
+}
+
+std::vector<PlannedLoad> planModels(const PlanInput &Input) {
+  std::vector<PlannedLoad> out;
+  ModelStates states = gather(Input);
+  std::set<size_t> taken;
+  size_t underWay = Input.LoadsUnderWay;
+  uint32_t storeLeft = Input.StoreLoadsAllowed;
+  for (const Want &want : listWants(states)) {
+    size_t most = want.IsUrgent ? MostUrgentLoads : MostPlannedLoads;
+    if (underWay >= most)
+      continue;
+    ModelState &state = states[want.Name];
+    auto choice =
+        cheapest(want.Name, state, states, Input, taken, storeLeft > 0);
+    if (!choice)
+      continue;
+    double lost = choice->Cost + LoadCost;
+    // A cold request that waits is served unless better ones lose by it.
+    bool pays = want.IsUrgent ? want.Gain > 0.5 * lost : want.Gain > lost;
+    if (!pays)
+      continue;
+    choice->Load.IsUrgent = want.IsUrgent;
+    if (choice->Load.IsFromStore)
+      --storeLeft;
+    for (const std::string &it : choice->Load.Evict)
+      if (states[it].Replicas > 0)
+        --states[it].Replicas;
+    ++state.Replicas;
+    ++underWay;
+    taken.insert(choice->Load.Engine);
+    out.push_back(std::move(choice->Load));
+  }
+  return out;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/policy/model_plan.h
@@ -0,0 +1,78 @@
+/// \file
+/// Which model to load next on which engine, and what makes room for it.
+///
+/// Load patterns: many rare models asked for at once (a cold request goes to
+/// the engine that has the weights nearest, at once); demand moving from the
+/// busy models to others (replicas follow the requests under way); engines
+/// lost or added (their replicas are made up for elsewhere); loads slowing
+/// one another (few at once, and within what the weight store allows).
+#ifndef SASSAFRAS_POLICY_MODEL_PLAN_H
+#define SASSAFRAS_POLICY_MODEL_PLAN_H
+
+#include "fleet/serving_table.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// Share of an engine's slots that one busy model should use; the rest takes
+/// up bursts without queueing.
+inline constexpr double TargetUse = 0.35;
+/// Loads under way at once. The store serves four at full speed.
+inline constexpr size_t MostPlannedLoads = 3;
+inline constexpr size_t MostUrgentLoads = 8;
+/// Over this time a replica must pay for the load that it takes.
+inline constexpr double PayBackSeconds = 8;
+/// What a load costs, in units of worth; from the operators' price list.
+inline constexpr double LoadCost = 1.4;
+
+/// Demand for one model over all fronts.
+struct ModelDemand {
+  double WorthPerSecond = 0; ///< Larger of the short and the long average.
+  double Busy = 0;           ///< Requests under way or waiting.
+  uint32_t Waiting = 0;      ///< Nothing can take them now.
+  double WaitingWorth = 0;
+};
+
+/// One engine as the plan sees it.
+struct PlanEngine {
+  std::string Endpoint; ///< Identity.
+  bool CanOrder = false;  ///< Its agent is there and nothing is under way.
+  bool IsLeaving = false; ///< What it holds does not count.
+  double LoadShare = 0;   ///< Requests over slots.
+  uint64_t ReservedMb = 0; ///< Adapters and loads under way.
+  std::set<std::string> Models;
+  std::string Loading; ///< Model on its way, or empty.
+  std::set<std::string> InMemory;
+  std::set<std::string> OnDisk;
+};
+
+struct PlanInput {
+  const EngineSpec &Spec;
+  const std::map<std::string, ModelDemand> &Demand;
+  const std::vector<PlanEngine> &Engines;
+  size_t LoadsUnderWay = 0;
+  uint32_t StoreLoadsAllowed = 0; ///< May start now.
+};
+
+struct PlannedLoad {
+  size_t Engine = 0; ///< Position in the input.
+  std::string Model;
+  std::vector<std::string> Evict;
+  bool IsFromStore = false;
+  bool IsUrgent = false; ///< Requests wait for it.
+};
+
+/// Decides on the present state. Pure and thread safe.
+std::vector<PlannedLoad> planModels(const PlanInput &Input);
+/// Replicas that \p Busy requests under way ask for.
+size_t wantedReplicas(double Busy, uint32_t Slots);
+/// Time until \p Model is loaded at \p Engine once it is ordered.
+Millis loadTime(const PlanEngine &Engine, const ModelSpec &Model);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/policy/rate_share.cpp
@@ -0,0 +1,104 @@
+#include "policy/rate_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafras {
+
+namespace {
+
+constexpr Millis DemandSpan{500};
+constexpr double DemandWeight = 0.5;
+
+double secondsOf(Clock::duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+double shareAt(const LocalAllowance &Allowance, size_t FrontCount,
+               TimePoint Now) {
+  double equal = 1.0 / static_cast<double>(std::max<size_t>(FrontCount, 1));
+  if (isPast(Allowance.ShareEnd, Now))
+    return Allowance.ShareEnd == TimePoint()
+               ? equal * FallbackShare
+               : std::min(Allowance.Share, equal * FallbackShare);
+  return Allowance.Share;
+}
+
+void refill(LocalAllowance &Allowance, const AllowanceLimit &Limit,
+            size_t FrontCount, TimePoint Now) {
+  double share = shareAt(Allowance, FrontCount, Now);
+  double most = std::max(Limit.Burst, Limit.RatePerSecond) * SavedPart * share;
+  if (Allowance.FilledAt == TimePoint())
+    Allowance.Level = most;
+  else
+    Allowance.Level = std::min(
+        most, Allowance.Level + secondsOf(Now - Allowance.FilledAt) *
+                                    Limit.RatePerSecond * share);
+  Allowance.FilledAt = Now;
+}
+
+} // namespace
+
+std::map<std::string, double>
+divideRate(const FrontDemand &Demand, const std::vector<std::string> &Fronts) {
+  std::map<std::string, double> out;
+  double sum = 0;
+  for (const std::string &it : Fronts) {
+    auto found = Demand.find(it);
+    sum += found == Demand.end() ? 0 : found->second;
+  }
+  double equal = 1.0 / static_cast<double>(std::max<size_t>(Fronts.size(), 1));
+  for (const std::string &it : Fronts) {
+    auto found = Demand.find(it);
+    double demand = found == Demand.end() ? 0 : found->second;
+    out[it] = sum <= 0 ? equal
+                       : (1 - DemandPart) * equal + DemandPart * demand / sum;
+  }
+  return out;
+}
+
+void setShare(LocalAllowance &Allowance, double Share, TimePoint Now) {
+  Allowance.Share = Share;
+  Allowance.ShareEnd = Now + ShareLife;
+}
+
+bool takeAllowance(LocalAllowance &Allowance, const AllowanceLimit &Limit,
+                   double Cost, size_t FrontCount, TimePoint Now) {
+  if (Limit.RatePerSecond <= 0)
+    return true;
+  refill(Allowance, Limit, FrontCount, Now);
+  // A request larger than what is saved up runs on credit: the level goes
+  // below zero and later ones wait for it.
+  if (Allowance.Level <= 0)
+    return false;
+  Allowance.Level -= Cost;
+  return true;
+}
+
+void returnAllowance(LocalAllowance &Allowance, double Cost) {
+  Allowance.Level += Cost;
+}
+
+Millis waitForAllowance(const LocalAllowance &Allowance,
+                        const AllowanceLimit &Limit, double /*Cost*/,
+                        size_t FrontCount, TimePoint Now) {
+  double rate = Limit.RatePerSecond * shareAt(Allowance, FrontCount, Now);
+  if (Allowance.Level > 0 || rate <= 0)
+    return Millis(0);
+  return Millis(
+      static_cast<int64_t>(std::ceil(-Allowance.Level / rate * 1000.0)) + 1);
+}
+
+void noteDemand(LocalAllowance &Allowance, double Cost, TimePoint Now) {
+  if (Allowance.DemandSince == TimePoint())
+    Allowance.DemandSince = Now;
+  Allowance.DemandSum += Cost;
+  if (Now - Allowance.DemandSince < DemandSpan)
+    return;
+  double rate = Allowance.DemandSum / secondsOf(Now - Allowance.DemandSince);
+  Allowance.DemandRate += (rate - Allowance.DemandRate) * DemandWeight;
+  Allowance.DemandSum = 0;
+  Allowance.DemandSince = Now;
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/policy/rate_share.h
@@ -0,0 +1,71 @@
+/// \file
+/// An organisation's rate divided over the fronts.
+///
+/// Load patterns: callers are spread unevenly over fronts, and the spread
+/// changes; one organisation asks for several times its rate. The leader
+/// divides the rate by what each front was asked for; a front out of contact
+/// keeps a small part, so that the sum stays within the limit's tolerance.
+#ifndef SASSAFRAS_POLICY_RATE_SHARE_H
+#define SASSAFRAS_POLICY_RATE_SHARE_H
+
+#include "core/time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// A front uses its share this long after the leader gave it; the leader
+/// counts on it for longer.
+inline constexpr Millis ShareLife{4'000};
+/// Part of an equal share that a front has without any word of a leader.
+inline constexpr double FallbackShare = 0.5;
+/// Part of the rate that is divided by demand; the rest is divided equally,
+/// so that a front whose callers have just come is not without any.
+inline constexpr double DemandPart = 0.85;
+/// Part of a second's share that a front may save up.
+inline constexpr double SavedPart = 0.8;
+
+/// Tokens that fronts were asked for, by front, in one second.
+using FrontDemand = std::map<std::string, double>;
+
+/// Parts of one, by front. \p Fronts are all that may be serving. Pure and
+/// thread safe.
+std::map<std::string, double> divideRate(const FrontDemand &Demand,
+                                         const std::vector<std::string> &Fronts);
+
+/// One organisation's allowance at one front.
+struct LocalAllowance {
+  double Level = 0; ///< Tokens; may be below zero after a large request.
+  TimePoint FilledAt;
+  double Share = 0; ///< Of the whole rate.
+  TimePoint ShareEnd;
+  double DemandRate = 0; ///< Tokens asked for in a second, smoothed.
+  double DemandSum = 0;  ///< Since DemandSince.
+  TimePoint DemandSince;
+};
+
+/// Rate and burst in force for the organisation, over all fronts.
+struct AllowanceLimit {
+  double RatePerSecond = 0; ///< 0 for none.
+  double Burst = 0;
+};
+
+void setShare(LocalAllowance &Allowance, double Share, TimePoint Now);
+/// Takes \p Cost tokens. False when the organisation is beyond its limit.
+/// \p FrontCount: fronts in view, this one included.
+bool takeAllowance(LocalAllowance &Allowance, const AllowanceLimit &Limit,
+                   double Cost, size_t FrontCount, TimePoint Now);
+/// Gives back what was taken for a request that surely did not run.
+void returnAllowance(LocalAllowance &Allowance, double Cost);
+/// Time until \p Cost can be taken, as far as it can be told.
+Millis waitForAllowance(const LocalAllowance &Allowance,
+                        const AllowanceLimit &Limit, double Cost,
+                        size_t FrontCount, TimePoint Now);
+/// Notes what was asked for, granted or not.
+void noteDemand(LocalAllowance &Allowance, double Cost, TimePoint Now);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/policy/row_demand.cpp
@@ -0,0 +1,32 @@
+#include "policy/row_demand.h"
+
+#include <cmath>
+
+namespace sassafras {
+
+namespace {
+
+double secondsOf(Clock::duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace
+
+double readRate(const DecayingRate &Rate, Millis Span, TimePoint Now) {
+  if (Rate.At == TimePoint())
+    return 0;
+  return Rate.PerSecond * std::exp(-secondsOf(Now - Rate.At) / secondsOf(Span));
+}
+
+void addTo(DecayingRate &Rate, double Amount, Millis Span, TimePoint Now) {
+  Rate.PerSecond = readRate(Rate, Span, Now) + Amount / secondsOf(Span);
+  Rate.At = Now;
+}
+
+void noteArrival(ArrivalRates &Rates, double Worth, TimePoint Now) {
+  addTo(Rates.ShortArrivals, 1, ShortSpan, Now);
+  addTo(Rates.ShortWorth, Worth, ShortSpan, Now);
+  addTo(Rates.LongWorth, Worth, LongSpan, Now);
+}
+
+} // namespace sassafras
--- a/replication/disk_log.cpp
+++ b/replication/disk_log.cpp
@@ -75,12 +75,14 @@
   return HeaderSize + size;
 }
 
-bool hasRecordAfter(std::string_view Bytes, size_t Offset) {
+/// True when a record after \p Offset was written once the bytes there were
+/// synced: a loss of power cannot have torn them.
+bool wasSynced(std::string_view Bytes, size_t Offset) {
   std::string_view mark(RecordMark, MarkSize);
   wire::DiskRecord record;
   for (size_t n = Bytes.find(mark, Offset); n != std::string_view::npos;
        n = Bytes.find(mark, n + 1))
-    if (recordAt(Bytes, n, record) > 0)
+    if (recordAt(Bytes, n, record) > 0 && record.synced_bytes() > Offset)
       return true;
   return false;
 }
@@ -190,7 +192,7 @@
                   "has a gap at byte " + std::to_string(GoodSize));
     GoodSize += n;
   }
-  if (GoodSize < Bytes.size() && hasRecordAfter(Bytes, GoodSize + 1))
+  if (GoodSize < Bytes.size() && wasSynced(Bytes, GoodSize))
     return fail(logName(Generation),
                 "is damaged at byte " + std::to_string(GoodSize));
   Content.TornBytes = Bytes.size() - GoodSize;
@@ -208,6 +210,8 @@
   if (::ftruncate(LogFile, end) != 0 || ::fdatasync(LogFile) != 0 ||
       ::lseek(LogFile, end, SEEK_SET) != end)
     return fail(name, std::strerror(errno));
+  WrittenBytes = Size;
+  SyncedBytes = Size;
   return true;
 }
 
@@ -259,7 +263,11 @@
 
 bool DiskLog::append(const wire::DiskRecord &Record) {
   IsDirty = true;
-  if (writeAll(LogFile, encodeRecord(Record)))
+  wire::DiskRecord record = Record;
+  record.set_synced_bytes(SyncedBytes);
+  std::string bytes = encodeRecord(record);
+  WrittenBytes += bytes.size();
+  if (writeAll(LogFile, bytes))
     return true;
   return fail(logName(Generation), std::strerror(errno));
 }
@@ -268,9 +276,10 @@
   if (!IsDirty)
     return true;
   IsDirty = false;
-  if (::fdatasync(LogFile) == 0)
-    return true;
-  return fail(logName(Generation), std::strerror(errno));
+  if (::fdatasync(LogFile) != 0)
+    return fail(logName(Generation), std::strerror(errno));
+  SyncedBytes = WrittenBytes;
+  return true;
 }
 
 bool DiskLog::replace(const wire::Snapshot &Snapshot,
--- a/replication/disk_log.h
+++ b/replication/disk_log.h
@@ -40,8 +40,8 @@
   DiskLog &operator=(const DiskLog &) = delete;
 
   /// Reads the folder, creating it and an identity when it is new. Nothing
-  /// on failure, with the cause in \p Problem: a torn end is cut, a damaged
-  /// middle is a failure.
+  /// on failure, with the cause in \p Problem: what was never synced may be
+  /// torn anywhere and is cut; damage to what was synced is a failure.
   std::optional<DiskContent> open(DiskProblem &Problem);
   /// Adds a record; it lasts once sync has returned true.
   bool append(const wire::DiskRecord &Record);
@@ -67,6 +67,8 @@
   int LogFile = -1;
   int LockFile = -1;
   bool IsDirty = false;
+  uint64_t WrittenBytes = 0; ///< Of the log file.
+  uint64_t SyncedBytes = 0;
   DiskProblem LastProblem;
 };
 
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -44,6 +44,7 @@
   PersistRecord effect;
   effect.Record.mutable_hard_state()->set_term(State.Term);
   effect.Record.mutable_hard_state()->set_voted_for(State.VotedFor);
+  effect.Record.mutable_hard_state()->set_commit(State.Commit);
   Out.push_back(std::move(effect));
 }
 
@@ -54,6 +55,7 @@
     effect.Entries.push_back(entryAt(State, i));
   effect.HardState.set_term(State.Term);
   effect.HardState.set_voted_for(State.VotedFor);
+  effect.HardState.set_commit(State.Commit);
   effect.Snapshot = std::move(Snapshot);
   Out.push_back(std::move(effect));
 }
@@ -146,8 +148,10 @@
   State.LeaseEnd = TimePoint();
   // Without a quorum's answers by then it steps down again.
   State.ElectionDeadline = Now + timing::ElectionMax;
-  for (const wire::Member &it : State.Members)
+  for (const wire::Member &it : State.Members) {
     State.Peers[it.identity()].NextIndex = lastIndex(State) + 1;
+    State.Peers[it.identity()].HeardAt = Now;
+  }
   wire::LogEntry entry;
   entry.set_term(State.Term);
   entry.set_index(lastIndex(State) + 1);
@@ -385,6 +389,7 @@
     return;
   PeerProgress &peer = State.Peers[Reply.follower()];
   peer.AckedRound = std::max(peer.AckedRound, Reply.round());
+  peer.HeardAt = Now;
   renewLease(State);
   if (!Reply.success()) {
     peer.NextIndex = std::max(peer.MatchIndex, Reply.match_index()) + 1;
@@ -466,6 +471,7 @@
   hello.set_identity(State.Self.Identity);
   hello.set_address(State.Self.Address);
   hello.set_is_blank(State.Role == RaftRole::Blank);
+  hello.set_is_joining(State.MayJoin);
   // Only while nothing has been agreed on may a blank member join by itself.
   if (State.SnapshotIndex == 1)
     for (const wire::Member &it : State.SnapshotMembers)
@@ -473,9 +479,10 @@
   return hello;
 }
 
-/// A first member that lost its disk comes back under a new identity: the
-/// old one leaves the configuration and the new one starts as a learner.
-void readmitMember(RaftState &State, const wire::BlankHello &Hello,
+/// A member that lost its disk comes back under a new identity: the old one
+/// leaves the configuration and the new one starts as a learner. So does a
+/// host that is new, or was removed while it was silent.
+void admitMember(RaftState &State, const wire::BlankHello &Hello,
                    TimePoint Now, RaftEffects &Out) {
   if (!canPropose(State, Now) || State.MembersIndex > State.Commit)
     return;
@@ -489,24 +496,66 @@
     else
       *command.mutable_member_change()->add_members() = it;
   }
-  if (!isKnownName)
+  if (!isKnownName && !Hello.is_joining())
     return;
   wire::Member &learner = *command.mutable_member_change()->add_members();
   learner.set_name(Hello.name());
   learner.set_identity(Hello.identity());
   learner.set_address(Hello.address());
+  State.Peers[Hello.identity()].HeardAt = Now;
   proposeRaft(State, std::move(command), Now, Out);
 }
 
-void receive(RaftState &State, const wire::BlankHello &Hello, TimePoint Now,
-             RaftEffects &Out) {
+bool isSeed(const RaftState &State, const std::string &Address) {
+  return std::find(State.SeedAddresses.begin(), State.SeedAddresses.end(),
+                   Address) != State.SeedAddresses.end();
+}
+
+/// The first configuration is made of the seeds that have a disk, once every
+/// seed has been heard.
+void formIfComplete(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  std::set<std::string> addresses;
+  std::vector<wire::Member> members;
+  bool isMember = false;
+  for (const auto &[name, hello] : State.BlankPeers) {
+    addresses.insert(hello.address());
+    if (hello.is_diskless() || !isSeed(State, hello.address()))
+      continue;
+    isMember = isMember || hello.identity() == State.Self.Identity;
+    wire::Member member;
+    member.set_name(name);
+    member.set_identity(hello.identity());
+    member.set_address(hello.address());
+    member.set_voter(true);
+    members.push_back(member);
+  }
+  for (const std::string &it : State.SeedAddresses)
+    if (!addresses.contains(it))
+      return;
+  if (isMember)
+    formFirstConfiguration(State, members, Now, Out);
+}
+
+void receive(RaftState &State, const wire::BlankHello &Hello,
+             const std::string &From, TimePoint Now, RaftEffects &Out) {
   if (State.Role != RaftRole::Blank) {
-    if (!Hello.is_blank())
+    if (!Hello.is_blank() && !Hello.is_joining())
       return;
-    wire::Envelope message;
-    *message.mutable_blank_hello() = makeHello(State);
-    send(Out, Hello.address(), std::move(message));
-    readmitMember(State, Hello, Now, Out);
+    // Followers pass on what came from the newcomer itself.
+    std::string leader = addressOf(State, State.Leader);
+    if (State.Role != RaftRole::Leader && !leader.empty() &&
+        From == Hello.name()) {
+      wire::Envelope forward;
+      *forward.mutable_blank_hello() = Hello;
+      send(Out, leader, std::move(forward));
+    }
+    if (Hello.is_blank()) {
+      wire::Envelope message;
+      *message.mutable_blank_hello() = makeHello(State);
+      message.mutable_blank_hello()->set_is_joining(false);
+      send(Out, Hello.address(), std::move(message));
+    }
+    admitMember(State, Hello, Now, Out);
     return;
   }
   if (!Hello.is_blank()) {
@@ -522,21 +571,8 @@
     return;
   }
   State.BlankPeers[Hello.name()] = Hello;
-  std::set<std::string> addresses;
-  std::vector<wire::Member> members;
-  for (const auto &[name, hello] : State.BlankPeers) {
-    addresses.insert(hello.address());
-    wire::Member member;
-    member.set_name(name);
-    member.set_identity(hello.identity());
-    member.set_address(hello.address());
-    member.set_voter(true);
-    members.push_back(member);
-  }
-  for (const std::string &it : State.SeedAddresses)
-    if (!addresses.contains(it))
-      return;
-  formFirstConfiguration(State, members, Now, Out);
+  if (State.MayForm)
+    formIfComplete(State, Now, Out);
 }
 
 void greetSeeds(RaftState &State, TimePoint Now, RaftEffects &Out) {
@@ -545,10 +581,22 @@
   State.NextAppend = Now + timing::AppendPeriod;
   wire::Envelope message;
   *message.mutable_blank_hello() = makeHello(State);
-  for (const std::string &it : State.SeedAddresses)
+  for (const std::string &it : State.GreetAddresses)
+    if (it != State.Self.Address)
+      send(Out, it, message);
+  receive(State, message.blank_hello(), State.Self.Name, Now, Out);
+}
+
+/// A member that hears no leader may have been removed while it was silent.
+void askToRejoin(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  if (!State.MayJoin || Now < State.NextGreeting || Now < State.VoteBarEnd)
+    return;
+  State.NextGreeting = Now + 2 * timing::AppendPeriod;
+  wire::Envelope message;
+  *message.mutable_blank_hello() = makeHello(State);
+  for (const std::string &it : State.GreetAddresses)
     if (it != State.Self.Address)
       send(Out, it, message);
-  receive(State, message.blank_hello(), Now, Out);
 }
 
 /// Gives a vote to learners that hold everything committed.
@@ -578,6 +626,7 @@
   RaftState state;
   state.Self = std::move(Self);
   state.SeedAddresses = std::move(SeedAddresses);
+  state.GreetAddresses = state.SeedAddresses;
   state.Random.seed(Seed);
   state.NextAppend = Now;
   return state;
@@ -599,6 +648,8 @@
                                Snapshot.members().end());
   state.Commit = Snapshot.index();
   state.Entries.assign(Entries.begin(), Entries.end());
+  state.Commit = std::max(
+      state.Commit, std::min(HardState.commit(), lastIndex(state)));
   findNewestMembers(state);
   state.ElectionDeadline = drawElectionDeadline(state, Now);
   // It may have heard from a leader just before it stopped.
@@ -629,6 +680,7 @@
     promoteLearners(State, Now, Out);
     return;
   }
+  askToRejoin(State, Now, Out);
   if (isPast(State.ElectionDeadline, Now) &&
       isVoter(State, State.Self.Identity))
     startPreVote(State, Now, Out);
@@ -662,7 +714,7 @@
     receive(State, Message.timeout_now(), Now, Out);
     return;
   case wire::Envelope::kBlankHello:
-    receive(State, Message.blank_hello(), Now, Out);
+    receive(State, Message.blank_hello(), Message.from(), Now, Out);
     return;
   default:
     return;
@@ -681,6 +733,26 @@
   return entry.index();
 }
 
+void removeSilentMember(RaftState &State, size_t LeastVoters, Millis Silence,
+                        TimePoint Now, RaftEffects &Out) {
+  if (!canPropose(State, Now) || State.MembersIndex > State.Commit)
+    return;
+  for (const wire::Member &silent : State.Members) {
+    TimePoint heardAt = State.Peers[silent.identity()].HeardAt;
+    bool isSilent = silent.identity() != State.Self.Identity &&
+                    heardAt != TimePoint() && Now - heardAt > Silence;
+    if (!isSilent || (silent.voter() && countVoters(State) <= LeastVoters))
+      continue;
+    wire::Command command;
+    command.mutable_member_change();
+    for (const wire::Member &it : State.Members)
+      if (it.identity() != silent.identity())
+        *command.mutable_member_change()->add_members() = it;
+    proposeRaft(State, std::move(command), Now, Out);
+    return;
+  }
+}
+
 void transferLeadership(RaftState &State, TimePoint Now, RaftEffects &Out) {
   if (State.Role != RaftRole::Leader)
     return;
--- a/replication/raft.h
+++ b/replication/raft.h
@@ -39,6 +39,7 @@
   uint64_t MatchIndex = 0;
   uint64_t AckedRound = 0;
   TimePoint NextSnapshot;
+  TimePoint HeardAt; ///< Of its last reply.
 };
 
 struct RaftState {
@@ -66,6 +67,11 @@
   TimePoint NextAppend;
   std::map<std::string, wire::BlankHello> BlankPeers;
   std::vector<std::string> SeedAddresses; ///< Control addresses of settings.
+  /// Where a member without a leader asks to be taken in; the seeds at first.
+  std::vector<std::string> GreetAddresses;
+  bool MayForm = true;     ///< A blank member may form the first configuration.
+  bool MayJoin = false;    ///< It may join under a name that is not known.
+  TimePoint NextGreeting;
   std::mt19937_64 Random;
 };
 
@@ -117,6 +123,10 @@
 /// canPropose.
 uint64_t proposeRaft(RaftState &State, wire::Command Command, TimePoint Now,
                      RaftEffects &Out);
+/// Removes a voter or learner that has been silent for \p Silence while more
+/// than \p LeastVoters voters remain; one at a time. Leader only.
+void removeSilentMember(RaftState &State, size_t LeastVoters, Millis Silence,
+                        TimePoint Now, RaftEffects &Out);
 /// Gives up leadership to the best follower; no effect on others.
 void transferLeadership(RaftState &State, TimePoint Now, RaftEffects &Out);
 /// \p Snapshot holds the state machine at its index: persist it and drop the
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -23,6 +23,10 @@
 constexpr int ReconnectMs = 50;
 constexpr int ReconnectMaxMs = 1000;
 constexpr int LingerMs = 500;
+constexpr int ConnectTimeoutMs = 1000;
+/// Connections may go silent without a reset: they are tested and made anew.
+constexpr int HeartbeatMs = 700;
+constexpr int HeartbeatTimeoutMs = 1400;
 constexpr std::chrono::seconds PeerMemory{120};
 /// Messages taken before other work of the thread gets its turn.
 constexpr int DrainBatch = 256;
@@ -132,6 +136,9 @@
     socket.set(zmq::sockopt::linger, LingerMs);
     socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
     socket.set(zmq::sockopt::reconnect_ivl_max, ReconnectMaxMs);
+    socket.set(zmq::sockopt::connect_timeout, ConnectTimeoutMs);
+    socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatMs);
+    socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMs);
     try {
       socket.connect("tcp://" + Address);
     } catch (const zmq::error_t &) {
