--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -77,6 +77,22 @@
   ++values.Count;
 }
 
+uint64_t Metrics::read(const std::string &Name,
+                       const std::string &Labels) const {
+  std::lock_guard guard(Data->Lock);
+  auto it = Data->Counters.find(keyOf(Name, Labels));
+  return it == Data->Counters.end() ? 0 : it->second;
+}
+
+std::map<std::string, uint64_t> Metrics::list(const std::string &Prefix) const {
+  std::map<std::string, uint64_t> out;
+  std::lock_guard guard(Data->Lock);
+  for (auto it = Data->Counters.lower_bound(Prefix);
+       it != Data->Counters.end() && it->first.starts_with(Prefix); ++it)
+    out.insert(*it);
+  return out;
+}
+
 std::string Metrics::print() const {
   std::ostringstream out;
   std::lock_guard guard(Data->Lock);
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -5,6 +5,7 @@
 
 #include "core/time.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,10 @@
   void set(const std::string &Name, const std::string &Labels, double Value);
   /// Records \p Span in the histogram \p Name, in seconds.
   void observe(const std::string &Name, Clock::duration Span);
+  /// Value of a counter, 0 when it was never counted.
+  uint64_t read(const std::string &Name, const std::string &Labels = {}) const;
+  /// Names with labels and values of all counters that begin with \p Prefix.
+  std::map<std::string, uint64_t> list(const std::string &Prefix) const;
   /// Text exposition of everything recorded.
   std::string print() const;
 
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -13,9 +13,11 @@
   auto known = Directory.Endpoints.find(Sighting.id());
   if (known != Directory.Endpoints.end()) {
     const KnownEndpoint &it = known->second;
+    // A leave may tell neither its process nor a sequence.
+    if (Sighting.has_left() && Sighting.born_ms() == 0)
+      return false;
     if (Sighting.born_ms() != it.BornMs)
       return Sighting.born_ms() < it.BornMs;
-    // A leave carries no sequence of its own.
     if (Sighting.has_left())
       return false;
     return it.HasLeft || Sighting.sequence() < it.Sequence;
@@ -50,6 +52,15 @@
   holder = Endpoint.Id;
 }
 
+/// False for one whose address another process has taken since: a node that
+/// did not see it go has no use for it.
+bool holdsAddress(const EndpointDirectory &Directory,
+                  const KnownEndpoint &Endpoint) {
+  auto holder = Directory.IdByAddress.find(Endpoint.Address);
+  return holder != Directory.IdByAddress.end() &&
+         holder->second == Endpoint.Id;
+}
+
 SightingResult applyLeave(EndpointDirectory &Directory,
                           const wire::EndpointSighting &Sighting,
                           TimePoint Now) {
@@ -194,6 +205,8 @@
 uint64_t digestEndpoints(const EndpointDirectory &Directory) {
   uint64_t digest = 0;
   for (const auto &[id, it] : Directory.Endpoints) {
+    if (!holdsAddress(Directory, it))
+      continue;
     std::string text = id + '/' + std::to_string(it.BornMs) +
                        (it.HasLeft      ? "/left"
                         : it.IsDraining ? "/draining"
@@ -207,6 +220,8 @@
 printEndpoints(const EndpointDirectory &Directory, TimePoint Now) {
   std::vector<wire::EndpointSighting> out;
   for (const auto &[id, it] : Directory.Endpoints) {
+    if (!holdsAddress(Directory, it))
+      continue;
     wire::EndpointSighting sighting;
     sighting.set_id(id);
     sighting.set_service(it.Service);
--- a/front/fleet_api.cpp
+++ b/front/fleet_api.cpp
@@ -44,12 +44,15 @@
     NodeMessages out;
     SightingResult result = takeAnnouncement(With.Core.State, With.Gossip,
                                              spoken->Sighting, now, out);
-    if (result == SightingResult::Changed)
-      logEvent(LogLevel::Info, "endpoint_changed",
+    if (result != SightingResult::Refreshed)
+      logEvent(LogLevel::Info,
+               result == SightingResult::Changed ? "endpoint_changed"
+                                                 : "announcement_ignored",
                {{"endpoint", spoken->Sighting.id()},
                 {"address", spoken->Sighting.address()},
                 {"service", spoken->Sighting.service()},
                 {"sequence", std::to_string(spoken->Sighting.sequence())},
+                {"born", std::to_string(spoken->Sighting.born_ms())},
                 {"state", spoken->Sighting.has_left()      ? "left"
                           : spoken->Sighting.is_draining() ? "draining"
                                                            : "ready"}});
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -28,11 +28,14 @@
 /// And at the latest after this.
 constexpr Millis PumpPeriod{100};
 constexpr Millis SweepPeriod{1'000};
-/// A balancer that asks once a second turns elsewhere after two misses.
-constexpr Millis RotationTime{3'200};
+/// A balancer that asks once a second turns elsewhere after two misses. What
+/// comes later may not be over before the process is ended.
+constexpr Millis RotationTime{2'900};
 /// Left of the grace at the end, for messages to leave.
-constexpr Millis StopMargin{700};
+constexpr Millis StopMargin{400};
 constexpr Millis ExitDelay{150};
+/// Some figures are logged at this pace, for a look back without metrics.
+constexpr Millis FiguresPeriod{5'000};
 /// A front that has just started hears its fleet's endpoints within this.
 constexpr Millis LearnSpan{1'500};
 /// Fleet calls carry whole tables. Bytes.
@@ -74,6 +77,7 @@
   void pump();
   void lead(TimePoint Now);
   void beat(TimePoint Now);
+  void logFigures(TimePoint Now);
   void stopIfDone(TimePoint Now);
   void exit();
 
@@ -96,6 +100,7 @@
   TimePoint NextBeat;
   TimePoint NextSweep;
   TimePoint NextPump;
+  TimePoint NextFigures;
   TimePoint StopRotationEnd;
   TimePoint StopEnd;
   bool HasChanged = false; ///< Waiting requests may be able to go on.
@@ -325,7 +330,8 @@
   }
   // This front keeps no log: it says so, and passes on who asks to be taken in.
   const wire::BlankHello &hello = Message.blank_hello();
-  if (hello.is_diskless() || Message.from() != hello.name())
+  bool isAsking = hello.is_blank() || hello.is_joining();
+  if (hello.is_diskless() || !isAsking || Message.from() != hello.name())
     return;
   NodeMessages out;
   wire::Envelope answer;
@@ -447,6 +453,8 @@
     std::erase_if(Core.State.AdapterWishes,
                   [&](const auto &it) { return isPast(it.second, now); });
   }
+  if (isPast(NextFigures, now))
+    logFigures(now);
   if (Core.State.IsStopping)
     stopIfDone(now);
   Timer.expires_after(TickPeriod);
@@ -496,6 +504,23 @@
   Group->post(StoreGreet{std::move(addresses)});
 }
 
+void FrontShell::logFigures(TimePoint Now) {
+  NextFigures = Now + FiguresPeriod;
+  std::string bytes;
+  for (const auto &[name, n] : Counts.list("link_sent_bytes_total"))
+    bytes += (bytes.empty() ? "" : ";") +
+             name.substr(name.find('"') + 1,
+                         name.rfind('"') - name.find('"') - 1) +
+             ":" + std::to_string(n);
+  logEvent(LogLevel::Info, "figures",
+           {{"open", std::to_string(Core.Relays.size())},
+            {"waiting", std::to_string(Core.Waiting.size())},
+            {"fronts", std::to_string(countFronts(Core.State, Now))},
+            {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
+            {"callers", std::to_string(Counts.read("http_requests_total"))},
+            {"sent_bytes_by_kind", bytes}});
+}
+
 void FrontShell::stopIfDone(TimePoint Now) {
   if (!isPast(StopRotationEnd, Now))
     return;
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -539,7 +539,8 @@
 void receive(RaftState &State, const wire::BlankHello &Hello,
              const std::string &From, TimePoint Now, RaftEffects &Out) {
   if (State.Role != RaftRole::Blank) {
-    if (!Hello.is_blank() && !Hello.is_joining())
+    bool isAsking = Hello.is_blank() || Hello.is_joining();
+    if (Hello.is_diskless() || !isAsking)
       return;
     // Followers pass on what came from the newcomer itself.
     std::string leader = addressOf(State, State.Leader);
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -155,7 +155,9 @@
   Message.set_reply_address(this->Address);
   std::string bytes = Message.SerializeAsString();
   Counts.count("link_sent_total");
-  Counts.count("link_sent_bytes_total", "", bytes.size());
+  Counts.count("link_sent_bytes_total",
+               "kind=\"" + std::to_string(Message.body_case()) + "\"",
+               bytes.size());
   auto n =
       it->second.Socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
   if (!n)
