Let busy models compete with cold ones by gain; save up what the limits tolerate

Cause, from the figures line: one busy model had 80 requests under way on one replica for 20 s while cold models took every load. Ruled out: the weight store's rate (few loads come from it).

--- a/core/settings.h
+++ b/core/settings.h
@@ -48,6 +48,9 @@
   std::string DataFolder; ///< Empty: keeps no log.
   double RetryRatio = 0.2; ///< Retries for each request of a service.
   double RetrySlack = 60;  ///< Retries beyond that in a window, all fronts.
+  Millis RateWindow{8'000}; ///< Limits are judged over this.
+  double RateOvershoot = 0.1; ///< Allowed beyond rate and burst, as a part.
+  double RateSlack = 0;       ///< Allowed beyond that, in tokens.
   Millis StopGrace{8'000}; ///< From the signal to stop to the end.
 };
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -28,7 +28,7 @@
 /// An endpoint that rejects a request is full or changing its models.
 constexpr Millis RejectPause{60};
 /// A caller's tokens are waited for no longer than this part of its objective.
-constexpr int AllowanceWaitPart = 4;
+constexpr int AllowanceWaitPart = 2;
 /// Sends of one request, refusals of endpoints included.
 constexpr uint32_t MostSends = 4;
 
@@ -267,7 +267,7 @@
       findOrganisation(*State.Table, Request.Facts.Key);
   if (!organisation)
     return FrontRefusal{RefusalReason::KeyUnknown, {}};
-  AllowanceLimit limit = limitOf(*organisation);
+  AllowanceLimit limit = limitOf(State, *organisation);
   LocalAllowance &allowance = State.Allowances[organisation->Name];
   size_t fronts = countFronts(State, Now);
   if (takeAllowance(allowance, limit, Request.Cost, fronts, Now)) {
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -59,6 +59,7 @@
                    const std::string &Address, HttpLimits Limits,
                    HttpServer::Handlers Calls, std::string &Problem);
   void startGroup();
+  void setLimits(const FrontSettings &Settings);
   void takeRequest(HttpRequest Request,
                    const std::shared_ptr<HttpExchange> &Exchange);
   void refuseAtDoor(const RequestFacts &Facts, const FrontRefusal &Refusal,
@@ -133,8 +134,7 @@
   state.Self.set_zone(Options.Zone);
   state.Self.set_is_voter(!Options.FrontRole.DataFolder.empty());
   state.Self.set_control_address(Options.FrontRole.Control);
-  state.Limits.Retries = {Options.FrontRole.RetryRatio,
-                          Options.FrontRole.RetrySlack};
+  setLimits(Options.FrontRole);
   state.Random.seed(drawIdentity());
   for (const std::string &it : Options.FrontRole.Seeds)
     Gossip.Seeds.push_back(atPortOf(it, Peers->address()));
@@ -149,6 +149,13 @@
   return true;
 }
 
+void FrontShell::setLimits(const FrontSettings &Settings) {
+  FrontLimits &limits = Core.State.Limits;
+  limits.Retries = {Settings.RetryRatio, Settings.RetrySlack};
+  limits.Tolerance = {Settings.RateWindow, Settings.RateOvershoot,
+                      Settings.RateSlack};
+}
+
 bool FrontShell::startServer(std::unique_ptr<HttpServer> &Server,
                              const std::string &Address, HttpLimits Limits,
                              HttpServer::Handlers Calls,
@@ -518,6 +525,8 @@
             {"fronts", std::to_string(countFronts(Core.State, Now))},
             {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
             {"callers", std::to_string(Counts.read("http_requests_total"))},
+            {"models", View.IsLeader ? describeModels(Leader, Core.State, Now)
+                                     : std::string()},
             {"sent_bytes_by_kind", bytes}});
 }
 
@@ -558,8 +567,7 @@
   Gossip.Seeds.clear();
   for (const std::string &it : NewSettings.FrontRole.Seeds)
     Gossip.Seeds.push_back(atPortOf(it, Peers->address()));
-  Core.State.Limits.Retries = {NewSettings.FrontRole.RetryRatio,
-                               NewSettings.FrontRole.RetrySlack};
+  setLimits(NewSettings.FrontRole);
 }
 
 } // namespace
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -6,8 +6,10 @@
   return countInView(State.Roster, wire::NODE_FRONT, Now) + 1;
 }
 
-AllowanceLimit limitOf(const OrganisationSpec &Organisation) {
-  return {Organisation.RatePerSecond, Organisation.Burst};
+AllowanceLimit limitOf(const FrontState &State,
+                       const OrganisationSpec &Organisation) {
+  return {Organisation.RatePerSecond, Organisation.Burst,
+          State.Limits.Tolerance};
 }
 
 const EngineSpec *engineSpecOf(const FrontState &State,
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -24,6 +24,7 @@
 /// Settings that the decisions of a front depend on.
 struct FrontLimits {
   RetryLimits Retries;
+  AllowanceTolerance Tolerance;
   /// A refused model stays wanted for this long: its callers come back.
   Millis WishMemory{3'000};
   /// Requests that may wait at one front; each holds its body in memory.
@@ -73,7 +74,8 @@
 /// Fronts in view, this one included.
 size_t countFronts(const FrontState &State, TimePoint Now);
 /// Limit of the organisation in force, none when it has none.
-AllowanceLimit limitOf(const OrganisationSpec &Organisation);
+AllowanceLimit limitOf(const FrontState &State,
+                       const OrganisationSpec &Organisation);
 /// Engine parameters of \p Service, or null for plain services.
 const EngineSpec *engineSpecOf(const FrontState &State,
                                const std::string &Service);
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -21,6 +21,8 @@
 constexpr int OrderLoadFactor = 3;
 /// Orders of one term.
 constexpr unsigned OrderTermShift = 24;
+/// Models in one log line.
+constexpr size_t MostDescribed = 6;
 /// A front's demand counts for this long after its last beat.
 constexpr Millis DemandMemory{2'000};
 
@@ -236,6 +238,30 @@
   }
 }
 
+std::string describeModels(const LeaderState &Leader, const FrontState &State,
+                           TimePoint Now) {
+  std::map<std::string, size_t> replicas;
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    const EngineState *engine = engineOf(State.Directory, known);
+    if (!engine || !isUsable(known, Now))
+      continue;
+    for (const auto &[model, adapters] : engine->Models)
+      ++replicas[model];
+  }
+  std::vector<std::pair<double, std::string>> busiest;
+  for (const auto &[model, demand] : sumDemand(Leader, Now))
+    if (demand.Busy > 0)
+      busiest.emplace_back(demand.Busy, model);
+  std::sort(busiest.rbegin(), busiest.rend());
+  busiest.resize(std::min(busiest.size(), MostDescribed));
+  std::string out;
+  for (const auto &[busy, model] : busiest)
+    out += (out.empty() ? "" : ";") + model + ":" +
+           std::to_string(static_cast<int>(busy)) + "/" +
+           std::to_string(replicas[model]);
+  return out;
+}
+
 void takeShares(FrontState &State, const wire::RateShares &Shares,
                 TimePoint Now) {
   bool isOld = Shares.term() < State.SharesTerm ||
--- a/front/leader_work.h
+++ b/front/leader_work.h
@@ -47,6 +47,9 @@
 /// Divides the rates where it is time to, and tells the fronts.
 void divideRates(LeaderState &Leader, FrontState &State, TimePoint Now,
                  NodeMessages &Out);
+/// Busiest models as name:requests/replicas, for the log.
+std::string describeModels(const LeaderState &Leader, const FrontState &State,
+                           TimePoint Now);
 /// Takes the shares that a leader gave. Late ones change nothing.
 void takeShares(FrontState &State, const wire::RateShares &Shares,
                 TimePoint Now);
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -228,6 +228,9 @@
   in.text("data_folder", Out.DataFolder, false);
   in.price("retry_ratio", Out.RetryRatio);
   in.price("retry_slack", Out.RetrySlack);
+  in.seconds("rate_window_s", Out.RateWindow);
+  in.price("rate_overshoot", Out.RateOvershoot);
+  in.price("rate_slack", Out.RateSlack);
   in.seconds("stop_grace_s", Out.StopGrace);
   in.finish();
 }
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -15,6 +15,9 @@
 /// A load from the store is no dearer than this many seconds of its demand:
 /// it also brings the weights near for later.
 constexpr double MostLoadSeconds = 2.0;
+/// Worth a second that one running request counts as at a model to unload:
+/// the unload lasts about as long as the request.
+constexpr double RunningRequestCost = 0.6;
 /// A replica is lost together with its engine now and then; two are kept of
 /// models with at least so many requests under way.
 constexpr double SafeBusy = 4.0;
@@ -37,6 +40,12 @@
   return Replicas <= Model.Wanted ? part : part * SpareValue;
 }
 
+/// An unload waits for the model's running requests, and holds up the load.
+double runningCost(const ModelState &Model) {
+  return RunningRequestCost * Model.Demand.Busy /
+         static_cast<double>(std::max<size_t>(Model.Replicas, 1));
+}
+
 ModelStates gather(const PlanInput &Input) {
   ModelStates states;
   for (const auto &[name, spec] : Input.Spec.Models) {
@@ -82,7 +91,8 @@
     const ModelState &state = found->second;
     used += state.Spec->WeightsMb;
     victims.push_back(
-        {it, lastReplicaValue(state, state.Replicas), state.Spec->WeightsMb});
+        {it, lastReplicaValue(state, state.Replicas) + runningCost(state),
+         state.Spec->WeightsMb});
   }
   std::sort(victims.begin(), victims.end(),
             [](const Victim &A, const Victim &B) { return A.Value < B.Value; });
@@ -143,7 +153,9 @@
   bool IsUrgent = false;
 };
 
-/// Models that lack a replica, those that requests wait for first.
+/// Models that lack a replica, by what one more would bring. A busy model with
+/// too few replicas and a cold one that is waited for compete by that alone:
+/// many rare models asked for at once must not hold up the busy ones.
 std::vector<Want> listWants(const ModelStates &States) {
   std::vector<Want> wants;
   for (const auto &[name, state] : States) {
@@ -156,13 +168,10 @@
                   static_cast<double>(state.Replicas + 1);
     double gain = next * PayBackSeconds +
                   (isUrgent || isShort ? state.Demand.WaitingWorth : 0);
-    wants.push_back({name, gain, isUrgent});
+    wants.push_back({name, gain, isUrgent || isShort});
   }
-  std::sort(wants.begin(), wants.end(), [](const Want &A, const Want &B) {
-    if (A.IsUrgent != B.IsUrgent)
-      return A.IsUrgent;
-    return A.Gain > B.Gain;
-  });
+  std::sort(wants.begin(), wants.end(),
+            [](const Want &A, const Want &B) { return A.Gain > B.Gain; });
   return wants;
 }
 
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -24,10 +24,18 @@
   return Allowance.Share;
 }
 
+/// What all fronts together may spend at once beyond the rate.
+double burstOf(const AllowanceLimit &Limit) {
+  const AllowanceTolerance &tolerance = Limit.Tolerance;
+  double window = Limit.RatePerSecond * secondsOf(tolerance.Window);
+  return Limit.Burst + tolerance.Overshoot * (window + Limit.Burst) +
+         tolerance.Slack;
+}
+
 void refill(LocalAllowance &Allowance, const AllowanceLimit &Limit,
             size_t FrontCount, TimePoint Now) {
   double share = shareAt(Allowance, FrontCount, Now);
-  double most = std::max(Limit.Burst, Limit.RatePerSecond) * SavedPart * share;
+  double most = burstOf(Limit) * SavedPart * share;
   if (Allowance.FilledAt == TimePoint())
     Allowance.Level = most;
   else
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -24,8 +24,9 @@
 /// Part of the rate that is divided by demand; the rest is divided equally,
 /// so that a front whose callers have just come is not without any.
 inline constexpr double DemandPart = 0.85;
-/// Part of a second's share that a front may save up.
-inline constexpr double SavedPart = 0.8;
+/// Part of what the limit's tolerance allows at once that fronts may save up
+/// together; the rest covers requests that run on credit.
+inline constexpr double SavedPart = 0.5;
 
 /// Tokens that fronts were asked for, by front, in one second.
 using FrontDemand = std::map<std::string, double>;
@@ -46,10 +47,19 @@
   TimePoint DemandSince;
 };
 
+/// How far beyond rate and burst the fleet may go in any window, as the
+/// operators' rules say.
+struct AllowanceTolerance {
+  Millis Window{8'000};
+  double Overshoot = 0.1;
+  double Slack = 0; ///< In the unit of the rate.
+};
+
 /// Rate and burst in force for the organisation, over all fronts.
 struct AllowanceLimit {
   double RatePerSecond = 0; ///< 0 for none.
   double Burst = 0;
+  AllowanceTolerance Tolerance;
 };
 
 void setShare(LocalAllowance &Allowance, double Share, TimePoint Now);
