--- a/front/admission.cpp
+++ b/front/admission.cpp
@@ -1,6 +1,7 @@
 #include "front/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafras {
 
@@ -19,6 +20,10 @@
 constexpr Millis UsualTimeout{6'000};
 /// A front that has just started learns the table within this time.
 constexpr Millis UnknownTableRetry{500};
+/// Who is worth a long wait is worth more than in proportion.
+constexpr double PatienceExponent = 1.5;
+constexpr double LeastWorth = 0.5;
+constexpr double MostWorth = 12;
 constexpr uint32_t LeastUrgent = 9;
 constexpr uint32_t RoutePriorities = 3;
 
@@ -29,10 +34,11 @@
 /// Callers with a long timeout ask for what is worth waiting for; large
 /// requests count for more, within bounds.
 double worthOf(const ServingRoute &Route, const RequestFacts &Facts) {
-  double patience =
-      std::clamp(static_cast<double>(Route.Timeout.count()) /
-                     static_cast<double>(UsualTimeout.count()),
-                 0.5, 5.0);
+  double patience = std::clamp(
+      std::pow(static_cast<double>(Route.Timeout.count()) /
+                   static_cast<double>(UsualTimeout.count()),
+               PatienceExponent),
+      LeastWorth, MostWorth);
   if (!Facts.HasTokenCounts)
     return patience;
   double size = static_cast<double>(Facts.PromptTokens) +
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -534,7 +534,11 @@
   if (!isPast(StopRotationEnd, Now))
     return;
   Callers->stopAccepting();
-  if (Core.Relays.empty() || isPast(StopEnd, Now))
+  bool isFinal = isPast(StopEnd, Now);
+  auto relays = Core.Relays;
+  for (auto &[number, it] : relays)
+    it->stop(isFinal);
+  if (Core.Relays.empty())
     exit();
 }
 
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -69,6 +69,7 @@
   std::vector<const KnownEndpoint *> Endpoints;
   std::vector<const EngineState *> States;
   size_t LoadsUnderWay = 0;
+  size_t StoreLoadsUnderWay = 0;
 };
 
 EngineField surveyEngines(LeaderState &Leader, const FrontState &State,
@@ -105,6 +106,7 @@
         for (const std::string &it : order->second.Evict)
           plan.Models.erase(it);
         ++out.LoadsUnderWay;
+        out.StoreLoadsUnderWay += order->second.IsFromStore;
       }
     }
     out.Engines.push_back(std::move(plan));
@@ -121,8 +123,8 @@
   const ModelSpec &model = Spec.Models.at(Load.Model);
   Millis life = loadTime(Field.Engines[Load.Engine], model) * OrderLoadFactor +
                 OrderSlack;
-  OpenOrder order{Leader.NextOrder++, target.Id, Load.Model, Load.Evict,
-                  Now + life};
+  OpenOrder order{Leader.NextOrder++, target.Id,        Load.Model,
+                  Load.Evict,         Load.IsFromStore, Now + life};
   wire::Envelope message;
   wire::EngineOrder &wire = *message.mutable_engine_order();
   wire.set_term(Leader.Term);
@@ -185,7 +187,11 @@
     const EngineSpec &spec = *service.Engine;
     refillStore(Leader, spec, Now);
     EngineField field = surveyEngines(Leader, State, name, spec, Now);
-    PlanInput input{spec, demand, field.Engines, field.LoadsUnderWay,
+    PlanInput input{spec,
+                    demand,
+                    field.Engines,
+                    field.LoadsUnderWay,
+                    field.StoreLoadsUnderWay,
                     static_cast<uint32_t>(Leader.StoreTokens)};
     for (const PlannedLoad &it : planModels(input)) {
       if (it.IsFromStore)
--- a/front/leader_work.h
+++ b/front/leader_work.h
@@ -20,6 +20,7 @@
   std::string Endpoint;
   std::string Model;
   std::vector<std::string> Evict;
+  bool IsFromStore = false;
   TimePoint Expires;
 };
 
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -17,6 +17,8 @@
 /// the endpoint may be closing them.
 constexpr Millis MostIdleOnce{1'500};
 constexpr Millis MostIdle{8'000};
+/// Another front serves a caller at once.
+constexpr Millis StoppingRetry{100};
 /// Answers up to this size are held back until they are whole, so that a
 /// broken one can be replaced. Bytes.
 constexpr size_t HeldAnswer = 256 * 1024;
@@ -347,6 +349,15 @@
   finish(Outcome, Head.Status);
 }
 
+void Relay::stop(bool IsFinal) {
+  if (IsOver || (Call && !IsFinal))
+    return;
+  Request.Runs += Call != nullptr;
+  refuse({Request.Runs > 0 ? RefusalReason::EndpointFailed
+                           : RefusalReason::Stopping,
+          StoppingRetry});
+}
+
 void Relay::loseCaller(HttpLoss Loss) {
   if (IsOver)
     return;
--- a/front/relay.h
+++ b/front/relay.h
@@ -25,6 +25,9 @@
   void start();
   /// Decides anew for a request that waits.
   void dispatch();
+  /// The process stops: what waits is refused, as it can be served elsewhere;
+  /// with \p IsFinal what runs is broken off too.
+  void stop(bool IsFinal);
   /// The caller has closed its connection, or does not read.
   void loseCaller(HttpLoss Loss);
 
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -17,7 +17,12 @@
 constexpr double MostLoadSeconds = 2.0;
 /// Worth a second that one running request counts as at a model to unload:
 /// the unload lasts about as long as the request.
-constexpr double RunningRequestCost = 0.6;
+constexpr double RunningRequestCost = 1.5;
+/// Replicas and worth a second of a model with adapters before it is asked for.
+constexpr size_t AdapterModelReplicas = 2;
+constexpr double AdapterModelWorth = 2.0;
+/// Loads from the store beyond these would slow those from nearer copies.
+constexpr size_t MostStoreLoads = 3;
 /// A replica is lost together with its engine now and then; two are kept of
 /// models with at least so many requests under way.
 constexpr double SafeBusy = 4.0;
@@ -55,6 +60,12 @@
     if (demand != Input.Demand.end())
       state.Demand = demand->second;
     state.Wanted = wantedReplicas(state.Demand.Busy, Input.Spec.Slots);
+    // A model with adapters serves many and may become busy within seconds.
+    if (spec.AdapterCount > 0) {
+      state.Wanted = std::max(state.Wanted, AdapterModelReplicas);
+      state.Demand.WorthPerSecond =
+          std::max(state.Demand.WorthPerSecond, AdapterModelWorth);
+    }
   }
   for (const PlanEngine &engine : Input.Engines) {
     if (engine.IsLeaving)
@@ -194,14 +205,16 @@
   ModelStates states = gather(Input);
   std::set<size_t> taken;
   size_t underWay = Input.LoadsUnderWay;
+  size_t storeUnderWay = Input.StoreLoadsUnderWay;
   uint32_t storeLeft = Input.StoreLoadsAllowed;
   for (const Want &want : listWants(states)) {
     size_t most = want.IsUrgent ? MostUrgentLoads : MostPlannedLoads;
     if (underWay >= most)
       continue;
     ModelState &state = states[want.Name];
+    bool mayUseStore = storeLeft > 0 && storeUnderWay < MostStoreLoads;
     auto choice =
-        cheapest(want.Name, state, states, Input, taken, storeLeft > 0);
+        cheapest(want.Name, state, states, Input, taken, mayUseStore);
     if (!choice)
       continue;
     double lost = choice->Cost + LoadCost;
@@ -210,8 +223,10 @@
     if (!pays)
       continue;
     choice->Load.IsUrgent = want.IsUrgent;
-    if (choice->Load.IsFromStore)
+    if (choice->Load.IsFromStore) {
       --storeLeft;
+      ++storeUnderWay;
+    }
     for (const std::string &it : choice->Load.Evict)
       if (states[it].Replicas > 0)
         --states[it].Replicas;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -55,6 +55,7 @@
   const std::map<std::string, ModelDemand> &Demand;
   const std::vector<PlanEngine> &Engines;
   size_t LoadsUnderWay = 0;
+  size_t StoreLoadsUnderWay = 0;
   uint32_t StoreLoadsAllowed = 0; ///< May start now.
 };
 
