--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -159,19 +159,19 @@
 }
 
 void ServingGroup::Impl::tell(StoreAnswer Answer) {
-  boost::asio::post(Io, [self = shared_from_this(),
-                         answer = std::move(Answer)]() mutable {
-    if (!self->IsClosed)
-      self->Calls.OnAnswer(std::move(answer));
-  });
+  boost::asio::post(
+      Io, [self = shared_from_this(), answer = std::move(Answer)]() mutable {
+        if (!self->IsClosed)
+          self->Calls.OnAnswer(std::move(answer));
+      });
 }
 
 void ServingGroup::Impl::publish(StorePublish Table) {
-  boost::asio::post(Io,
-                    [self = shared_from_this(), table = std::move(Table)]() mutable {
-                      if (!self->IsClosed)
-                        self->Calls.OnPublish(std::move(table));
-                    });
+  boost::asio::post(
+      Io, [self = shared_from_this(), table = std::move(Table)]() mutable {
+        if (!self->IsClosed)
+          self->Calls.OnPublish(std::move(table));
+      });
 }
 
 void ServingGroup::Impl::publishView() {
--- a/control/serving_group.h
+++ b/control/serving_group.h
@@ -26,7 +26,7 @@
   std::string Node;
   std::string DataFolder;
   std::vector<std::string> Seeds; ///< Inner addresses.
-  bool MayForm = false; ///< The fleet starts for the first time.
+  bool MayForm = false;           ///< The fleet starts for the first time.
 };
 
 /// Called on the context's thread.
--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -23,8 +23,8 @@
   std::erase_if(Store.Pending, [&](const PendingWrite &it) {
     if (it.Index > Store.Applied)
       return false;
-    Out.push_back(StoreAnswer{it.Number, StoreOutcome::Done,
-                              Store.Table.version(), {}});
+    Out.push_back(
+        StoreAnswer{it.Number, StoreOutcome::Done, Store.Table.version(), {}});
     return true;
   });
 }
@@ -93,8 +93,8 @@
 }
 
 StoreOutcome whyNot(const ServingStore &Store) {
-  bool knowsLeader = Store.Raft.Leader != 0 &&
-                     Store.Raft.Leader != Store.Raft.Self.Identity;
+  bool knowsLeader =
+      Store.Raft.Leader != 0 && Store.Raft.Leader != Store.Raft.Self.Identity;
   return knowsLeader ? StoreOutcome::NotLeader : StoreOutcome::Unavailable;
 }
 
--- a/core/compress.cpp
+++ b/core/compress.cpp
@@ -34,10 +34,10 @@
     return std::nullopt;
   std::string out(length, '\0');
   uLongf size = length;
-  int code = ::uncompress(
-      reinterpret_cast<Bytef *>(out.data()), &size,
-      reinterpret_cast<const Bytef *>(Bytes.data() + HeaderSize),
-      Bytes.size() - HeaderSize);
+  int code =
+      ::uncompress(reinterpret_cast<Bytef *>(out.data()), &size,
+                   reinterpret_cast<const Bytef *>(Bytes.data() + HeaderSize),
+                   Bytes.size() - HeaderSize);
   if (code != Z_OK || size != length)
     return std::nullopt;
   return out;
--- a/core/settings.h
+++ b/core/settings.h
@@ -41,17 +41,17 @@
 
 /// [front_role]: entry and control in one process, on a prepared platform.
 struct FrontSettings {
-  std::string Ready;   ///< The balancer's question is answered here.
-  std::string Control; ///< Operators and endpoints call here.
+  std::string Ready;              ///< The balancer's question is answered here.
+  std::string Control;            ///< Operators and endpoints call here.
   std::vector<std::string> Seeds; ///< Control addresses of some fronts.
-  bool MayForm = false;   ///< The fleet starts for the first time.
-  std::string DataFolder; ///< Empty: keeps no log.
-  double RetryRatio = 0.2; ///< Retries for each request of a service.
-  double RetrySlack = 60;  ///< Retries beyond that in a window, all fronts.
-  Millis RateWindow{8'000}; ///< Limits are judged over this.
+  bool MayForm = false;           ///< The fleet starts for the first time.
+  std::string DataFolder;         ///< Empty: keeps no log.
+  double RetryRatio = 0.2;        ///< Retries for each request of a service.
+  double RetrySlack = 60;     ///< Retries beyond that in a window, all fronts.
+  Millis RateWindow{8'000};   ///< Limits are judged over this.
   double RateOvershoot = 0.1; ///< Allowed beyond rate and burst, as a part.
   double RateSlack = 0;       ///< Allowed beyond that, in tokens.
-  Millis StopGrace{8'000}; ///< From the signal to stop to the end.
+  Millis StopGrace{8'000};    ///< From the signal to stop to the end.
 };
 
 /// [engine_agent_role]: the process beside a model engine.
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -90,8 +90,7 @@
   uint64_t incarnation = drawIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
-      Counts,
-      [this](const wire::Envelope &Message) { takeMessage(Message); });
+      Counts, [this](const wire::Envelope &Message) { takeMessage(Message); });
   if (!Peers->start(Problem) || !startStatus(Problem))
     return false;
   Self.set_name(Options.Node);
@@ -202,8 +201,7 @@
     Client.sweep();
   }
   bool isActive = State.Goal || !State.Adapters.empty() ||
-                  State.Reading.is_busy() ||
-                  State.Reading.incoming_size() > 0;
+                  State.Reading.is_busy() || State.Reading.incoming_size() > 0;
   if (!IsOrdering)
     pollAfter(isActive ? BusyPoll : IdlePoll);
 }
--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -135,12 +135,11 @@
   if (State.Goal)
     endGoal(State);
   State.Sizes = Order.sizes();
-  State.Goal =
-      ModelGoal{Order.number(),
-                Order.endpoint(),
-                Order.load(),
-                {Order.evict().begin(), Order.evict().end()},
-                Now + Millis(Order.expires_in_ms())};
+  State.Goal = ModelGoal{Order.number(),
+                         Order.endpoint(),
+                         Order.load(),
+                         {Order.evict().begin(), Order.evict().end()},
+                         Now + Millis(Order.expires_in_ms())};
   return true;
 }
 
@@ -153,8 +152,8 @@
       it.Expires = Now + AdapterWishLife;
       return;
     }
-  State.Adapters.push_back({Wish.endpoint(), Wish.model(), Wish.adapter(),
-                            Now + AdapterWishLife});
+  State.Adapters.push_back(
+      {Wish.endpoint(), Wish.model(), Wish.adapter(), Now + AdapterWishLife});
 }
 
 void takeReading(EngineAgentState &State, const wire::EngineReport &Reading) {
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -57,8 +57,7 @@
 bool holdsAddress(const EndpointDirectory &Directory,
                   const KnownEndpoint &Endpoint) {
   auto holder = Directory.IdByAddress.find(Endpoint.Address);
-  return holder != Directory.IdByAddress.end() &&
-         holder->second == Endpoint.Id;
+  return holder != Directory.IdByAddress.end() && holder->second == Endpoint.Id;
 }
 
 SightingResult applyLeave(EndpointDirectory &Directory,
@@ -128,9 +127,9 @@
   uint64_t incarnation = Report.self().incarnation();
   // An agent whose host's wall clock was set back starts with a lower number.
   bool isRecent = Now - known.State.ReadAt < ReadingMemory;
-  bool isOld = (incarnation < known.Incarnation && isRecent) ||
-               (incarnation == known.Incarnation &&
-                Report.number() <= known.Number);
+  bool isOld =
+      (incarnation < known.Incarnation && isRecent) ||
+      (incarnation == known.Incarnation && Report.number() <= known.Number);
   if (isOld)
     return false;
   if (Report.is_plain() && incarnation != known.Incarnation)
@@ -162,7 +161,8 @@
 }
 
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now) {
-  for (auto it = Directory.Endpoints.begin(); it != Directory.Endpoints.end();) {
+  for (auto it = Directory.Endpoints.begin();
+       it != Directory.Endpoints.end();) {
     const KnownEndpoint &known = it->second;
     if (Now - known.HeardAt < GoneMemory) {
       ++it;
@@ -189,9 +189,9 @@
                             const KnownEndpoint &Endpoint) {
   auto reading = Directory.Readings.find(Endpoint.Address);
   // A report of the process before this one says nothing of it.
-  bool hasReading =
-      reading != Directory.Readings.end() &&
-      (reading->second.BornMs == 0 || reading->second.BornMs == Endpoint.BornMs);
+  bool hasReading = reading != Directory.Readings.end() &&
+                    (reading->second.BornMs == 0 ||
+                     reading->second.BornMs == Endpoint.BornMs);
   auto announced = Directory.Announced.find(Endpoint.Id);
   if (announced == Directory.Announced.end())
     return hasReading ? &reading->second.State : nullptr;
--- a/fleet/serving_table.cpp
+++ b/fleet/serving_table.cpp
@@ -63,8 +63,7 @@
   auto [it, end] = Table.RoutesByHost.equal_range(std::string(Host));
   for (; it != end; ++it) {
     const ServingRoute &route = Table.Routes[it->second];
-    bool isLonger =
-        !best || route.PathPrefix.size() > best->PathPrefix.size();
+    bool isLonger = !best || route.PathPrefix.size() > best->PathPrefix.size();
     if (isLonger && Path.starts_with(route.PathPrefix))
       best = &route;
   }
@@ -74,9 +73,8 @@
 const OrganisationSpec *findOrganisation(const ServingTable &Table,
                                          std::string_view Key) {
   auto it = Table.OrganisationByKey.find(Key);
-  return it == Table.OrganisationByKey.end()
-             ? nullptr
-             : &Table.Organisations[it->second];
+  return it == Table.OrganisationByKey.end() ? nullptr
+                                             : &Table.Organisations[it->second];
 }
 
 const std::string &serviceAt(const ServingRoute &Route, double Point) {
--- a/front/admission.cpp
+++ b/front/admission.cpp
@@ -34,11 +34,11 @@
 /// Callers with a long timeout ask for what is worth waiting for; large
 /// requests count for more, within bounds.
 double worthOf(const ServingRoute &Route, const RequestFacts &Facts) {
-  double patience = std::clamp(
-      std::pow(static_cast<double>(Route.Timeout.count()) /
-                   static_cast<double>(UsualTimeout.count()),
-               PatienceExponent),
-      LeastWorth, MostWorth);
+  double patience =
+      std::clamp(std::pow(static_cast<double>(Route.Timeout.count()) /
+                              static_cast<double>(UsualTimeout.count()),
+                          PatienceExponent),
+                 LeastWorth, MostWorth);
   if (!Facts.HasTokenCounts)
     return patience;
   double size = static_cast<double>(Facts.PromptTokens) +
--- a/front/admission.h
+++ b/front/admission.h
@@ -49,7 +49,7 @@
   TimePoint Deadline;    ///< Of caller and route together.
   std::set<std::string> Tried; ///< Endpoints that failed it.
   uint32_t Sends = 0;
-  uint32_t Runs = 0; ///< Sends that ran or may have run.
+  uint32_t Runs = 0;                 ///< Sends that ran or may have run.
   std::optional<uint64_t> LastEvent; ///< Passed on to the caller.
 };
 
@@ -61,9 +61,8 @@
 
 /// Takes or refuses a request by the table in force. Pure but for the random
 /// place in a split.
-std::variant<FrontRequest, FrontRefusal> admitRequest(FrontState &State,
-                                                      RequestFacts Facts,
-                                                      TimePoint Now);
+std::variant<FrontRequest, FrontRefusal>
+admitRequest(FrontState &State, RequestFacts Facts, TimePoint Now);
 
 } // namespace sassafras
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -59,8 +59,7 @@
           model->second.contains(Request.Facts.Adapter));
 }
 
-EndpointCandidate makeCandidate(FrontState &State,
-                                const FrontRequest &Request,
+EndpointCandidate makeCandidate(FrontState &State, const FrontRequest &Request,
                                 const KnownEndpoint &Known, TimePoint Now) {
   EndpointCandidate out;
   out.Id = Known.Id;
@@ -107,8 +106,7 @@
 /// rendezvous hashing so that each adapter stays on few engines.
 std::optional<AskForAdapter> wishForAdapter(FrontState &State,
                                             const FrontRequest &Request,
-                                            const Field &Found,
-                                            TimePoint Now) {
+                                            const Field &Found, TimePoint Now) {
   std::optional<size_t> best;
   uint64_t bestRank = 0;
   for (size_t i = 0; i < Found.Candidates.size(); ++i) {
@@ -128,8 +126,8 @@
   if (!best || !spec)
     return std::nullopt;
   const KnownEndpoint &target = *Found.Endpoints[*best];
-  std::string key = target.Id + '/' + Request.Facts.Model + '/' +
-                    Request.Facts.Adapter;
+  std::string key =
+      target.Id + '/' + Request.Facts.Model + '/' + Request.Facts.Adapter;
   TimePoint &next = State.AdapterWishes[key];
   if (!isPast(next, Now))
     return std::nullopt;
@@ -173,18 +171,17 @@
     Row.WaitingWorth = 0;
 }
 
-std::optional<wire::RowDemand> wishForModel(RowUse &Row,
-                                            const std::string &Model,
-                                            TimePoint Now) {
+std::optional<wire::RowDemand>
+wishForModel(RowUse &Row, const std::string &Model, TimePoint Now) {
   if (!isPast(Row.NextWish, Now))
     return std::nullopt;
   Row.NextWish = Now + WishPeriod;
   wire::RowDemand out;
   out.set_model(Model);
-  out.set_waiting(static_cast<uint32_t>(std::max<size_t>(Row.Waiting.size(), 1)));
-  out.set_waiting_worth(
-      std::max(Row.WaitingWorth, isPast(Row.WantedUntil, Now) ? 0.0
-                                                              : Row.WantedWorth));
+  out.set_waiting(
+      static_cast<uint32_t>(std::max<size_t>(Row.Waiting.size(), 1)));
+  out.set_waiting_worth(std::max(
+      Row.WaitingWorth, isPast(Row.WantedUntil, Now) ? 0.0 : Row.WantedWorth));
   out.set_busy(Row.Open + static_cast<uint32_t>(Row.Waiting.size()));
   return out;
 }
@@ -319,10 +316,10 @@
                               TimePoint Now) {
   DispatchResult out;
   if (isPast(Request.Deadline, Now)) {
-    out.Decision = FrontRefusal{Request.Runs > 0
-                                    ? RefusalReason::TimeoutRunning
-                                    : RefusalReason::TimeoutWaiting,
-                                {}};
+    out.Decision =
+        FrontRefusal{Request.Runs > 0 ? RefusalReason::TimeoutRunning
+                                      : RefusalReason::TimeoutWaiting,
+                     {}};
     return out;
   }
   if (auto decision = charge(State, Request, Now)) {
@@ -417,8 +414,8 @@
   AfterFailure out;
   out.Refusal = refusalAfter(State, Request, Now);
   bool mayRepeat = !isRun || Request.IsRepeatable;
-  bool hasAttempts = Request.Runs < std::max<uint32_t>(
-                                        Request.Route->MaxAttempts, 1);
+  bool hasAttempts =
+      Request.Runs < std::max<uint32_t>(Request.Route->MaxAttempts, 1);
   if (!mayRepeat || !hasAttempts || Request.Sends >= MostSends ||
       isPast(Request.Deadline, Now) || (State.IsStopping && HasAnswer))
     return out;
--- a/front/fleet_api.cpp
+++ b/front/fleet_api.cpp
@@ -109,8 +109,7 @@
   }
   uint64_t number = NextCall++;
   Calls[number] = {Exchange, true, table->Version, Clock::now()};
-  group->post(
-      StoreWrite{number, table->Version, compressText(Request.Body)});
+  group->post(StoreWrite{number, table->Version, compressText(Request.Body)});
 }
 
 void FleetApi::getTable(const std::shared_ptr<HttpExchange> &Exchange) {
@@ -130,14 +129,14 @@
     return;
   OpenCall call = std::move(found->second);
   Calls.erase(found);
-  logEvent(LogLevel::Info, call.IsPut ? "table_put" : "table_read",
-           {{"version",
-             std::to_string(call.IsPut ? call.Version : Answer.Version)},
-            {"in_force", std::to_string(Answer.Version)},
-            {"outcome", Answer.Outcome == StoreOutcome::Done        ? "done"
-                        : Answer.Outcome == StoreOutcome::NotLeader ? "redirect"
-                                                                : "unavailable"},
-            {"took_ms", std::to_string(toMillis(Clock::now() - call.Since))}});
+  logEvent(
+      LogLevel::Info, call.IsPut ? "table_put" : "table_read",
+      {{"version", std::to_string(call.IsPut ? call.Version : Answer.Version)},
+       {"in_force", std::to_string(Answer.Version)},
+       {"outcome", Answer.Outcome == StoreOutcome::Done        ? "done"
+                   : Answer.Outcome == StoreOutcome::NotLeader ? "redirect"
+                                                               : "unavailable"},
+       {"took_ms", std::to_string(toMillis(Clock::now() - call.Since))}});
   if (Answer.Outcome == StoreOutcome::NotLeader) {
     redirect(*call.Exchange, call.IsPut);
   } else if (Answer.Outcome == StoreOutcome::Unavailable) {
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -25,10 +25,10 @@
 
 /// What the gossip keeps beside the front's state.
 struct GossipState {
-  std::vector<std::string> Seeds; ///< Inner addresses.
-  std::vector<wire::EndpointSighting> Heard; ///< Since the last beat.
+  std::vector<std::string> Seeds;              ///< Inner addresses.
+  std::vector<wire::EndpointSighting> Heard;   ///< Since the last beat.
   std::map<std::string, TimePoint> NextRepair; ///< By address and subject.
-  std::map<std::string, uint64_t> ToldModels; ///< Digest by endpoint.
+  std::map<std::string, uint64_t> ToldModels;  ///< Digest by endpoint.
 };
 
 /// What the leader keeps of the fronts' demand.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -139,8 +139,8 @@
   for (const std::string &it : Options.FrontRole.Seeds)
     Gossip.Seeds.push_back(atPortOf(it, Peers->address()));
   Api = std::make_unique<FleetApi>(FleetApi::Parts{
-      Core, Gossip, [this] { return isReady(); }, [this] { return Group.get(); },
-      [this] { return leaderControl(); }});
+      Core, Gossip, [this] { return isReady(); },
+      [this] { return Group.get(); }, [this] { return leaderControl(); }});
   if (!startServers(Problem))
     return false;
   if (!Options.FrontRole.DataFolder.empty())
@@ -158,8 +158,7 @@
 
 bool FrontShell::startServer(std::unique_ptr<HttpServer> &Server,
                              const std::string &Address, HttpLimits Limits,
-                             HttpServer::Handlers Calls,
-                             std::string &Problem) {
+                             HttpServer::Handlers Calls, std::string &Problem) {
   Server = std::make_unique<HttpServer>(Io, Address, Limits, Counts,
                                         std::move(Calls));
   return Server->start(Problem);
@@ -401,7 +400,8 @@
 }
 
 void FrontShell::takeView(const StoreView &NewView) {
-  bool isNew = NewView.IsLeader && (!View.IsLeader || Leader.Term != NewView.Term);
+  bool isNew =
+      NewView.IsLeader && (!View.IsLeader || Leader.Term != NewView.Term);
   View = NewView;
   Counts.set("group_leader", "", View.IsLeader ? 1 : 0);
   Counts.set("group_term", "", static_cast<double>(View.Term));
@@ -515,19 +515,20 @@
   NextFigures = Now + FiguresPeriod;
   std::string bytes;
   for (const auto &[name, n] : Counts.list("link_sent_bytes_total"))
-    bytes += (bytes.empty() ? "" : ";") +
-             name.substr(name.find('"') + 1,
-                         name.rfind('"') - name.find('"') - 1) +
-             ":" + std::to_string(n);
-  logEvent(LogLevel::Info, "figures",
-           {{"open", std::to_string(Core.Relays.size())},
-            {"waiting", std::to_string(Core.Waiting.size())},
-            {"fronts", std::to_string(countFronts(Core.State, Now))},
-            {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
-            {"callers", std::to_string(Counts.read("http_requests_total"))},
-            {"models", View.IsLeader ? describeModels(Leader, Core.State, Now)
-                                     : std::string()},
-            {"sent_bytes_by_kind", bytes}});
+    bytes +=
+        (bytes.empty() ? "" : ";") +
+        name.substr(name.find('"') + 1, name.rfind('"') - name.find('"') - 1) +
+        ":" + std::to_string(n);
+  logEvent(
+      LogLevel::Info, "figures",
+      {{"open", std::to_string(Core.Relays.size())},
+       {"waiting", std::to_string(Core.Waiting.size())},
+       {"fronts", std::to_string(countFronts(Core.State, Now))},
+       {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
+       {"callers", std::to_string(Counts.read("http_requests_total"))},
+       {"models", View.IsLeader ? describeModels(Leader, Core.State, Now)
+                                : std::string()},
+       {"sent_bytes_by_kind", bytes}});
 }
 
 void FrontShell::stopIfDone(TimePoint Now) {
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -33,9 +33,9 @@
 
 /// Use of one model at this front.
 struct RowUse {
-  uint32_t Arrivals = 0; ///< Since the last beat.
-  double Worth = 0;      ///< Of those arrivals.
-  uint32_t Open = 0;     ///< Under way at endpoints.
+  uint32_t Arrivals = 0;      ///< Since the last beat.
+  double Worth = 0;           ///< Of those arrivals.
+  uint32_t Open = 0;          ///< Under way at endpoints.
   std::set<uint64_t> Waiting; ///< Numbers of requests.
   double WaitingWorth = 0;
   TimePoint WantedUntil; ///< A caller was told to come back.
@@ -54,7 +54,7 @@
 struct FrontState {
   wire::NodeEntry Self;
   FrontLimits Limits;
-  ServingTablePtr Table; ///< Null until one is known.
+  ServingTablePtr Table;    ///< Null until one is known.
   std::string TableContent; ///< As it is passed on.
   sassafras::Roster Roster;
   EndpointDirectory Directory;
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -32,10 +32,9 @@
 
 void refillStore(LeaderState &Leader, const EngineSpec &Spec, TimePoint Now) {
   if (Leader.StoreTokensAt != TimePoint())
-    Leader.StoreTokens =
-        std::min(StoreBurst, Leader.StoreTokens +
-                                 secondsOf(Now - Leader.StoreTokensAt) *
-                                     Spec.LoadsPerSecond * StoreMargin);
+    Leader.StoreTokens = std::min(
+        StoreBurst, Leader.StoreTokens + secondsOf(Now - Leader.StoreTokensAt) *
+                                             Spec.LoadsPerSecond * StoreMargin);
   Leader.StoreTokensAt = Now;
 }
 
@@ -146,9 +145,8 @@
             {"order", std::to_string(order.Number)},
             {"urgent", Load.IsUrgent ? "yes" : "no"},
             {"from_store", Load.IsFromStore ? "yes" : "no"},
-            {"report_age_ms",
-             std::to_string(
-                 toMillis(Now - Field.States[Load.Engine]->ReadAt))}});
+            {"report_age_ms", std::to_string(toMillis(
+                                  Now - Field.States[Load.Engine]->ReadAt))}});
   Out.push_back({Field.States[Load.Engine]->Agent, std::move(message)});
   Leader.Orders[target.Address] = std::move(order);
 }
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -180,7 +180,8 @@
   FirstByteAt = Clock::now();
   Core.Counts.observe("time_to_first_byte_seconds",
                       FirstByteAt - Request.ArrivedAt);
-  Exchange->start(Head.Status, Head.Fields, IsStream ? std::nullopt : Head.Length);
+  Exchange->start(Head.Status, Head.Fields,
+                  IsStream ? std::nullopt : Head.Length);
 }
 
 void Relay::takeBody(std::string_view Bytes) {
@@ -330,9 +331,8 @@
   // Only what has surely not run may be told so.
   if (Request.Runs > 0 && isPromise(status))
     status = statusOf(RefusalReason::EndpointFailed);
-  Core.Counts.count("refusals_total", "reason=\"" +
-                                          std::string(nameOf(Refusal.Reason)) +
-                                          "\"");
+  Core.Counts.count("refusals_total",
+                    "reason=\"" + std::string(nameOf(Refusal.Reason)) + "\"");
   Exchange->respond(status, std::move(fields), refusalBody(Request, Refusal));
   finish(std::string(nameOf(Refusal.Reason)), status);
 }
@@ -379,29 +379,28 @@
   setWaiting(false);
   forgetRequest(Core.State, Request);
   TimePoint now = Clock::now();
-  logEvent(
-      LogLevel::Info, "request_done",
-      {{"id", Request.Facts.Id},
-       {"outcome", Outcome},
-       {"status", std::to_string(Status)},
-       {"route", Request.Route->Name},
-       {"organisation", Request.Organisation},
-       {"model", Request.Facts.Adapter.empty()
-                     ? Request.Facts.Model
-                     : Request.Facts.Model + "/" + Request.Facts.Adapter},
-       {"endpoint", Endpoint},
-       {"sends", std::to_string(Request.Sends)},
-       {"runs", std::to_string(Request.Runs)},
-       {"wait_ms", std::to_string(toMillis(
-                       (SentAt == TimePoint() ? now : SentAt) -
-                       Request.ArrivedAt))},
-       {"first_ms", std::to_string(FirstByteAt == TimePoint()
-                                       ? 0
-                                       : toMillis(FirstByteAt -
-                                                  Request.ArrivedAt))},
-       {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
-       {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
-       {"table", std::to_string(Request.Table->Version)}});
+  logEvent(LogLevel::Info, "request_done",
+           {{"id", Request.Facts.Id},
+            {"outcome", Outcome},
+            {"status", std::to_string(Status)},
+            {"route", Request.Route->Name},
+            {"organisation", Request.Organisation},
+            {"model", Request.Facts.Adapter.empty()
+                          ? Request.Facts.Model
+                          : Request.Facts.Model + "/" + Request.Facts.Adapter},
+            {"endpoint", Endpoint},
+            {"sends", std::to_string(Request.Sends)},
+            {"runs", std::to_string(Request.Runs)},
+            {"wait_ms",
+             std::to_string(toMillis((SentAt == TimePoint() ? now : SentAt) -
+                                     Request.ArrivedAt))},
+            {"first_ms",
+             std::to_string(FirstByteAt == TimePoint()
+                                ? 0
+                                : toMillis(FirstByteAt - Request.ArrivedAt))},
+            {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
+            {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
+            {"table", std::to_string(Request.Table->Version)}});
   Core.ByExchange.erase(Exchange.get());
   Core.Relays.erase(Request.Number); // May destroy this.
 }
--- a/front/relay.h
+++ b/front/relay.h
@@ -63,8 +63,8 @@
   TimePoint SentAt;
   TimePoint FirstByteAt;
   bool HasHead = false;
-  bool IsNotRun = false;   ///< The endpoint said so.
-  bool IsStream = false;   ///< This exchange's answer is passed on in pieces.
+  bool IsNotRun = false;    ///< The endpoint said so.
+  bool IsStream = false;    ///< This exchange's answer is passed on in pieces.
   bool IsAnswering = false; ///< The caller has the head.
   bool IsWaiting = false;
   bool IsOver = false;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -194,11 +194,12 @@
     if (IsOver)
       return;
     Link->Stream.expires_after(Options.Silence);
-    http::async_write(Link->Stream, Message,
-                      [self = shared_from_this()](beast::error_code ec, size_t) {
-                        self->IsWritten = !ec;
-                        self->endIfComplete();
-                      });
+    http::async_write(
+        Link->Stream, Message,
+        [self = shared_from_this()](beast::error_code ec, size_t) {
+          self->IsWritten = !ec;
+          self->endIfComplete();
+        });
     http::async_read_header(
         Link->Stream, Link->Buffer, Parser,
         [self = shared_from_this()](beast::error_code ec, size_t) {
@@ -236,9 +237,8 @@
     Millis idle = DefaultIdle;
     size_t at = Value.find(Key);
     if (at != std::string_view::npos)
-      idle = std::chrono::seconds(
-          std::strtoul(std::string(Value.substr(at + Key.size())).c_str(),
-                       nullptr, 10));
+      idle = std::chrono::seconds(std::strtoul(
+          std::string(Value.substr(at + Key.size())).c_str(), nullptr, 10));
     KeepFor = idle > IdleMargin ? idle - IdleMargin : Millis(0);
   }
 
@@ -253,11 +253,11 @@
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     Link->Stream.expires_after(Options.Silence);
-    http::async_read_some(Link->Stream, Link->Buffer, Parser,
-                          [self = shared_from_this()](beast::error_code ec,
-                                                      size_t) {
-                            self->takeBody(ec);
-                          });
+    http::async_read_some(
+        Link->Stream, Link->Buffer, Parser,
+        [self = shared_from_this()](beast::error_code ec, size_t) {
+          self->takeBody(ec);
+        });
   }
 
   void takeBody(beast::error_code Error) {
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -50,8 +50,7 @@
 } // namespace
 
 void eraseField(std::vector<HttpField> &Fields, std::string_view Name) {
-  std::erase_if(Fields,
-                [&](const HttpField &it) { return it.Name == Name; });
+  std::erase_if(Fields, [&](const HttpField &it) { return it.Name == Name; });
 }
 
 void setField(std::vector<HttpField> &Fields, std::string_view Name,
@@ -208,11 +207,12 @@
     bool isKept = KeepAlive && Owner->keepsAlive();
     head.keep_alive(isKept);
     if (isKept)
-      head.set(http::field::keep_alive,
-               "timeout=" + std::to_string(
-                                std::chrono::duration_cast<std::chrono::seconds>(
-                                    Owner->limits().IdleTime)
-                                    .count()));
+      head.set(
+          http::field::keep_alive,
+          "timeout=" +
+              std::to_string(std::chrono::duration_cast<std::chrono::seconds>(
+                                 Owner->limits().IdleTime)
+                                 .count()));
     return head;
   }
 
@@ -224,10 +224,10 @@
 
   void send(std::string Bytes, bool IsLast) {
     // Runs at once when the caller is on the context's thread already.
-    asio::dispatch(Owner->context(), [owner = Owner, number = Number,
-                                  bytes = std::move(Bytes), IsLast]() mutable {
-      owner->queue(number, std::move(bytes), IsLast);
-    });
+    asio::dispatch(
+        Owner->context(),
+        [owner = Owner, number = Number, bytes = std::move(Bytes),
+         IsLast]() mutable { owner->queue(number, std::move(bytes), IsLast); });
   }
 
   std::shared_ptr<Session> Owner;
@@ -384,8 +384,8 @@
 
 bool Session::isCallerGone() {
   char buf = 0;
-  ssize_t n = ::recv(Stream.socket().native_handle(), &buf, 1,
-                     MSG_PEEK | MSG_DONTWAIT);
+  ssize_t n =
+      ::recv(Stream.socket().native_handle(), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -35,11 +35,11 @@
 
 /// What this front experienced with one endpoint.
 struct EndpointRecord {
-  uint32_t Open = 0;         ///< Own requests under way there.
+  uint32_t Open = 0; ///< Own requests under way there.
   uint32_t SentSinceReport = 0;
   uint32_t ReportedLoad = 0; ///< Running and waiting, from all fronts.
   TimePoint ReportedAt;
-  double FailureShare = 0;   ///< Smoothed.
+  double FailureShare = 0; ///< Smoothed.
   uint32_t FailuresInRow = 0;
   TimePoint PausedUntil;
 };
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -86,8 +86,9 @@
   double LostPerSecond = 0;
 };
 
-std::optional<Room> makeRoom(const PlanEngine &Engine, const ModelStates &States,
-                             const PlanInput &Input, uint64_t NeededMb) {
+std::optional<Room> makeRoom(const PlanEngine &Engine,
+                             const ModelStates &States, const PlanInput &Input,
+                             uint64_t NeededMb) {
   struct Victim {
     std::string Name;
     double Value;
@@ -175,8 +176,8 @@
     bool isMissing = state.Replicas == 0 && state.Demand.WorthPerSecond > 0;
     if (!isUrgent && !isShort && !isMissing)
       continue;
-    double next = state.Demand.WorthPerSecond /
-                  static_cast<double>(state.Replicas + 1);
+    double next =
+        state.Demand.WorthPerSecond / static_cast<double>(state.Replicas + 1);
     double gain = next * PayBackSeconds +
                   (isUrgent || isShort ? state.Demand.WaitingWorth : 0);
     wants.push_back({name, gain, isUrgent || isShort});
@@ -213,8 +214,7 @@
       continue;
     ModelState &state = states[want.Name];
     bool mayUseStore = storeLeft > 0 && storeUnderWay < MostStoreLoads;
-    auto choice =
-        cheapest(want.Name, state, states, Input, taken, mayUseStore);
+    auto choice = cheapest(want.Name, state, states, Input, taken, mayUseStore);
     if (!choice)
       continue;
     double lost = choice->Cost + LoadCost;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -39,10 +39,10 @@
 
 /// One engine as the plan sees it.
 struct PlanEngine {
-  std::string Endpoint; ///< Identity.
-  bool CanOrder = false;  ///< Its agent is there and nothing is under way.
-  bool IsLeaving = false; ///< What it holds does not count.
-  double LoadShare = 0;   ///< Requests over slots.
+  std::string Endpoint;    ///< Identity.
+  bool CanOrder = false;   ///< Its agent is there and nothing is under way.
+  bool IsLeaving = false;  ///< What it holds does not count.
+  double LoadShare = 0;    ///< Requests over slots.
   uint64_t ReservedMb = 0; ///< Adapters and loads under way.
   std::set<std::string> Models;
   std::string Loading; ///< Model on its way, or empty.
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -39,9 +39,9 @@
   if (Allowance.FilledAt == TimePoint())
     Allowance.Level = most;
   else
-    Allowance.Level = std::min(
-        most, Allowance.Level + secondsOf(Now - Allowance.FilledAt) *
-                                    Limit.RatePerSecond * share);
+    Allowance.Level =
+        std::min(most, Allowance.Level + secondsOf(Now - Allowance.FilledAt) *
+                                             Limit.RatePerSecond * share);
   Allowance.FilledAt = Now;
 }
 
@@ -59,8 +59,8 @@
   for (const std::string &it : Fronts) {
     auto found = Demand.find(it);
     double demand = found == Demand.end() ? 0 : found->second;
-    out[it] = sum <= 0 ? equal
-                       : (1 - DemandPart) * equal + DemandPart * demand / sum;
+    out[it] =
+        sum <= 0 ? equal : (1 - DemandPart) * equal + DemandPart * demand / sum;
   }
   return out;
 }
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -33,8 +33,8 @@
 
 /// Parts of one, by front. \p Fronts are all that may be serving. Pure and
 /// thread safe.
-std::map<std::string, double> divideRate(const FrontDemand &Demand,
-                                         const std::vector<std::string> &Fronts);
+std::map<std::string, double>
+divideRate(const FrontDemand &Demand, const std::vector<std::string> &Fronts);
 
 /// One organisation's allowance at one front.
 struct LocalAllowance {
--- a/policy/retry_budget.h
+++ b/policy/retry_budget.h
@@ -16,8 +16,8 @@
 inline constexpr double BudgetMargin = 0.7;
 
 struct RetryLimits {
-  double Ratio = 0.2;  ///< Retries for each request.
-  double Slack = 60;   ///< Retries beyond that in one window, all fronts.
+  double Ratio = 0.2; ///< Retries for each request.
+  double Slack = 60;  ///< Retries beyond that in one window, all fronts.
 };
 
 struct RetryBudget {
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -482,8 +482,8 @@
 /// A member that lost its disk comes back under a new identity: the old one
 /// leaves the configuration and the new one starts as a learner. So does a
 /// host that is new, or was removed while it was silent.
-void admitMember(RaftState &State, const wire::BlankHello &Hello,
-                   TimePoint Now, RaftEffects &Out) {
+void admitMember(RaftState &State, const wire::BlankHello &Hello, TimePoint Now,
+                 RaftEffects &Out) {
   if (!canPropose(State, Now) || State.MembersIndex > State.Commit)
     return;
   wire::Command command;
@@ -649,8 +649,8 @@
                                Snapshot.members().end());
   state.Commit = Snapshot.index();
   state.Entries.assign(Entries.begin(), Entries.end());
-  state.Commit = std::max(
-      state.Commit, std::min(HardState.commit(), lastIndex(state)));
+  state.Commit =
+      std::max(state.Commit, std::min(HardState.commit(), lastIndex(state)));
   findNewestMembers(state);
   state.ElectionDeadline = drawElectionDeadline(state, Now);
   // It may have heard from a leader just before it stopped.
--- a/replication/raft.h
+++ b/replication/raft.h
@@ -69,8 +69,8 @@
   std::vector<std::string> SeedAddresses; ///< Control addresses of settings.
   /// Where a member without a leader asks to be taken in; the seeds at first.
   std::vector<std::string> GreetAddresses;
-  bool MayForm = true;     ///< A blank member may form the first configuration.
-  bool MayJoin = false;    ///< It may join under a name that is not known.
+  bool MayForm = true;  ///< A blank member may form the first configuration.
+  bool MayJoin = false; ///< It may join under a name that is not known.
   TimePoint NextGreeting;
   std::mt19937_64 Random;
 };
--- a/tests/fakes/fake_endpoint.cpp
+++ b/tests/fakes/fake_endpoint.cpp
@@ -75,8 +75,8 @@
 }
 
 HttpCalls ignoreAnswer() {
-  return {[](const HttpHead &) {},
-          [](std::string_view) {}, [] {}, [](HttpBreak) {}};
+  return {[](const HttpHead &) {}, [](std::string_view) {}, [] {},
+          [](HttpBreak) {}};
 }
 
 void announce(Fake &Fake) {
