--- a/http/server.h
+++ b/http/server.h
@@ -26,6 +26,9 @@
   Millis HeadTime{10'000}; ///< For the head, from its first byte.
   Millis BodyTime{30'000}; ///< For the body.
   Millis IdleTime{75'000}; ///< Kept connection without a request.
+  /// A caller that closes its side is taken as gone, and the exchange is lost;
+  /// else it may still read its answer.
+  bool EndsWithCaller = false;
 };
 
 /// One request's answer. All methods are thread safe and may be called after
--- a/replication/disk_log.cpp
+++ b/replication/disk_log.cpp
@@ -102,6 +102,8 @@
     Content.HardState = Record.hard_state();
     return true;
   }
+  if (!Record.has_entry())
+    return true;
   uint64_t index = Record.entry().index();
   uint64_t first = Content.Snapshot.index() + 1;
   if (index < first)
@@ -261,17 +263,20 @@
   return content;
 }
 
-bool DiskLog::append(const wire::DiskRecord &Record) {
-  IsDirty = true;
-  wire::DiskRecord record = Record;
-  record.set_synced_bytes(SyncedBytes);
-  std::string bytes = encodeRecord(record);
+bool DiskLog::write(wire::DiskRecord Record) {
+  Record.set_synced_bytes(SyncedBytes);
+  std::string bytes = encodeRecord(Record);
   WrittenBytes += bytes.size();
   if (writeAll(LogFile, bytes))
     return true;
   return fail(logName(Generation), std::strerror(errno));
 }
 
+bool DiskLog::append(const wire::DiskRecord &Record) {
+  IsDirty = true;
+  return write(Record);
+}
+
 bool DiskLog::sync() {
   if (!IsDirty)
     return true;
@@ -279,7 +284,8 @@
   if (::fdatasync(LogFile) != 0)
     return fail(logName(Generation), std::strerror(errno));
   SyncedBytes = WrittenBytes;
-  return true;
+  // An empty record tells that all before it was synced; it need not last.
+  return write({});
 }
 
 bool DiskLog::replace(const wire::Snapshot &Snapshot,
--- a/replication/disk_log.h
+++ b/replication/disk_log.h
@@ -58,6 +58,7 @@
   bool writeFile(const std::string &Name, const std::string &Bytes);
   bool syncFolder();
   bool openLog(uint64_t Size);
+  bool write(wire::DiskRecord Record);
   std::optional<uint64_t> readIdentity();
   bool readLog(const std::string &Bytes, DiskContent &Content,
                uint64_t &GoodSize);
