Recover quickly from a loss of power; forecast loads; bound only loads from the store

Cause, from the worst windows: after all machines lost power engines come back empty, and 3 to 4 s passed without table, leader or shares. A group of near members elects within 0.85 to 1.25 s, new fronts are told the table at once, a front that never had a share has an equal one. Measured: loads from memory and disk take 0.4 to 1.2 s whatever the number under way (up to 28); only those from the store share.

--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr Millis TickPeriod{50};
+constexpr Millis TickPeriod{40};
 /// After a failure the folder is opened again this much later.
 constexpr Millis ReopenPause{1'000};
 
@@ -74,7 +74,8 @@
              {{"file", problem.File}, {"reason", problem.Reason}});
     return false;
   }
-  RaftSelf self{Options.Node, content->Identity, Peers.address()};
+  RaftSelf self{Options.Node, content->Identity, Peers.address(),
+                timing::QuickGroup};
   RaftState raft =
       content->IsBlank
           ? makeBlankRaft(self, Options.Seeds, drawIdentity(), now)
@@ -92,8 +93,6 @@
             {"commit", std::to_string(raft.Commit)}});
   Store = makeServingStore(std::move(raft),
                            content->IsBlank ? nullptr : &content->Snapshot);
-  if (Store->Table.version() > 0)
-    publish({Store->Table.version(), Store->Table.content()});
   return true;
 }
 
--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -11,12 +11,17 @@
   return snapshot;
 }
 
-void applyTable(ServingStore &Store, const wire::ServingTableChange &Change,
-                StoreEffects &Out) {
-  if (Change.version() <= Store.Table.version())
+void applyTable(ServingStore &Store, const wire::ServingTableChange &Change) {
+  if (Change.version() > Store.Table.version())
+    Store.Table = Change;
+}
+
+/// Only the newest of several tables that were committed together.
+void publishNewest(ServingStore &Store, StoreEffects &Out) {
+  if (Store.Published == Store.Table.version())
     return;
-  Store.Table = Change;
-  Out.push_back(StorePublish{Change.version(), Change.content()});
+  Store.Published = Store.Table.version();
+  Out.push_back(StorePublish{Store.Published, Store.Table.content()});
 }
 
 void answerWrites(ServingStore &Store, StoreEffects &Out) {
@@ -36,8 +41,9 @@
     const wire::Command &command = entryAt(Store.Raft, index).command();
     Store.Applied = index;
     if (command.has_serving_table())
-      applyTable(Store, command.serving_table(), Out);
+      applyTable(Store, command.serving_table());
   }
+  publishNewest(Store, Out);
   if (Store.Applied == before)
     return;
   // After a restart the table can be served before a leader is known.
@@ -76,7 +82,7 @@
       sendSnapshot(Store, needed->Target, Out);
     } else if (auto *load = std::get_if<LoadSnapshot>(&it)) {
       Store.Applied = load->Snapshot.index();
-      applyTable(Store, load->Snapshot.serving_table(), Out);
+      applyTable(Store, load->Snapshot.serving_table());
     }
   }
   Effects.clear();
--- a/control/serving_store.h
+++ b/control/serving_store.h
@@ -36,6 +36,7 @@
   RaftState Raft;
   uint64_t Applied = 0;
   wire::ServingTableChange Table; ///< Newest committed.
+  uint64_t Published = 0;         ///< Version.
   std::vector<PendingWrite> Pending;
   bool IsStopping = false;
 };
--- a/core/timing.h
+++ b/core/timing.h
@@ -16,6 +16,20 @@
 inline constexpr Millis ElectionMin{1500};
 inline constexpr Millis ElectionMax{2200};
 
+/// Periods of one replicated group.
+struct GroupTiming {
+  Millis Append = AppendPeriod;
+  Millis Lease = LeaderLease;
+  Millis LeastElection = ElectionMin;
+  Millis MostElection = ElectionMax;
+};
+
+/// Groups whose members are a few milliseconds apart and whose leader is
+/// missed at once: a new one within about a second, and still seven appends
+/// lost in a row before a vote.
+inline constexpr GroupTiming QuickGroup{Millis(120), Millis(650), Millis(850),
+                                        Millis(1250)};
+
 /// Nodes to the control leader.
 inline constexpr Millis HeartbeatPeriod{500};
 /// A key view counts this long from the sending of the answered heartbeat.
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -193,7 +193,12 @@
              {{"born", std::to_string(reading.born_ms())}});
   IsSilent = false;
   takeReading(State, reading);
+  uint64_t done = State.OrderDone;
   act();
+  if (State.OrderDone != done)
+    logEvent(LogLevel::Info, "order_done",
+             {{"order", std::to_string(State.OrderDone)},
+              {"models", std::to_string(reading.models_size())}});
   TimePoint now = Clock::now();
   tell(now);
   if (isPast(NextSweep, now)) {
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -13,6 +13,8 @@
 /// From an order to a loaded model beyond the load itself: the way to the
 /// leader and the agent, an unload, and the report back.
 constexpr Millis LoadOverhead{300};
+/// What the leader said of a load counts for this long.
+constexpr Millis ForecastLife{1'000};
 /// An adapter that was asked for and is not there is asked for again.
 constexpr Millis AdapterRetry{150};
 constexpr Millis WishPeriod{100};
@@ -186,15 +188,21 @@
   return out;
 }
 
-/// When a model that no engine holds could start this request.
+/// Time until a model that no engine holds could start this request: as the
+/// leader said, or by the nearest copy of its weights while it has not.
 Millis predictLoad(const FrontState &State, const FrontRequest &Request,
-                   const Field &Found) {
+                   const Field &Found, const RowUse &Row, TimePoint Now) {
+  if (Row.ForecastAt != TimePoint() && Now - Row.ForecastAt < ForecastLife)
+    return std::max(std::chrono::duration_cast<Millis>(Row.ReadyAt - Now),
+                    LoadOverhead);
   const EngineSpec *spec = engineSpecOf(State, Request.Service);
   auto model = spec->Models.find(Request.Facts.Model);
   if (model == spec->Models.end())
     return Millis::max();
-  return LoadOverhead +
-         (Found.IsNear ? model->second.DiskLoad * 2 : model->second.StoreLoad);
+  Millis load =
+      Found.IsNear ? model->second.DiskLoad : model->second.StoreLoad;
+  Millis waited = std::chrono::duration_cast<Millis>(Now - Request.ArrivedAt);
+  return LoadOverhead + (load > waited ? load - waited : Millis(0));
 }
 
 /// No engine holds the model: it waits while a load can be over in time.
@@ -202,10 +210,8 @@
                           const Field &Found, TimePoint Now) {
   DispatchResult out;
   RowUse &row = State.Rows[Request.Facts.Model];
-  Millis predicted = predictLoad(State, Request, Found);
-  Millis waited = std::chrono::duration_cast<Millis>(Now - Request.ArrivedAt);
-  Millis left = predicted > waited ? predicted - waited : LoadOverhead;
-  if (predicted == Millis::max()) {
+  Millis left = predictLoad(State, Request, Found, row, Now);
+  if (left == Millis::max()) {
     out.Decision = refuse(State, RefusalReason::NoCapacity, LoadOverhead);
     return out;
   }
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -155,7 +155,7 @@
     send(Out, self.address(), std::move(message));
     return;
   }
-  hearNode(State.Roster, self, Now);
+  bool isNew = hearNode(State.Roster, self, Now);
   State.Roster.Nodes[self.name()].IsLeaving = Beat.is_leaving();
   if (Beat.is_leader() && isNewerLeader(State, Beat, Now))
     State.Leader = {self.name(), self.address(), self.control_address(),
@@ -170,6 +170,9 @@
     message.mutable_table_request()->set_known_version(version);
     send(Out, self.address(), std::move(message));
   }
+  // A front that has just started knows nothing: it need not ask.
+  if (isNew && Beat.table_version() < version)
+    sendTable(State, self.address(), Out);
   if (Beat.roster_digest() != digestRoster(State.Roster, State.Self, Now) &&
       mayRepair(Gossip, self.address(), "/roster", Now)) {
     wire::Envelope message;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -37,7 +37,7 @@
 /// Some figures are logged at this pace, for a look back without metrics.
 constexpr Millis FiguresPeriod{5'000};
 /// A front that has just started hears its fleet's endpoints within this.
-constexpr Millis LearnSpan{1'500};
+constexpr Millis LearnSpan{700};
 /// Fleet calls carry whole tables. Bytes.
 constexpr uint64_t FleetBodyBytes = 8ULL * 1024 * 1024;
 constexpr size_t MostTableBytes = 8ULL * 1024 * 1024;
@@ -314,6 +314,10 @@
   case wire::Envelope::kRateShares:
     takeShares(state, Message.rate_shares(), now);
     break;
+  case wire::Envelope::kLoadForecast:
+    takeForecast(state, Message.load_forecast(), now);
+    HasChanged = true;
+    break;
   case wire::Envelope::kModelWish:
     if (View.IsLeader)
       takeWish(Leader, Message.from(), Message.model_wish().row(), now);
@@ -487,6 +491,7 @@
 void FrontShell::lead(TimePoint Now) {
   NodeMessages out;
   planPlacement(Leader, Core.State, Now, out);
+  tellForecasts(Leader, Core.State, Now, out);
   divideRates(Leader, Core.State, Now, out);
   send(std::move(out));
 }
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -41,6 +41,8 @@
   TimePoint WantedUntil; ///< A caller was told to come back.
   double WantedWorth = 0;
   TimePoint NextWish; ///< The leader is told at once, but not too often.
+  TimePoint ReadyAt;    ///< Loaded by then, as the leader planned last.
+  TimePoint ForecastAt; ///< When it said so.
 };
 
 struct KnownLeader {
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A new leader learns the fronts' demand and the agents' reports first.
-constexpr Millis LearnSpan{700};
+constexpr Millis LearnSpan{350};
 /// Part of the store's allowed loads that is used; the rest covers loads that
 /// an earlier leader ordered.
 constexpr double StoreMargin = 0.75;
@@ -19,6 +19,10 @@
 constexpr Millis OrderSlack{4'000};
 /// A load takes longer while others are under way.
 constexpr int OrderLoadFactor = 3;
+/// From a plan to the order at the engine, an unload before it, and back.
+constexpr Millis OrderWay{150};
+/// A load that is late by more than this is waited for as if it began now.
+constexpr Millis LateLoad{500};
 /// Orders of one term.
 constexpr unsigned OrderTermShift = 24;
 /// Models in one log line.
@@ -122,8 +126,14 @@
   const ModelSpec &model = Spec.Models.at(Load.Model);
   Millis life = loadTime(Field.Engines[Load.Engine], model) * OrderLoadFactor +
                 OrderSlack;
-  OpenOrder order{Leader.NextOrder++, target.Id,        Load.Model,
-                  Load.Evict,         Load.IsFromStore, Now + life};
+  OpenOrder order;
+  order.Number = Leader.NextOrder++;
+  order.Endpoint = target.Id;
+  order.Model = Load.Model;
+  order.Evict = Load.Evict;
+  order.IsFromStore = Load.IsFromStore;
+  order.ReadyAt = Now + OrderWay + loadTime(Field.Engines[Load.Engine], model);
+  order.Expires = Now + life;
   wire::Envelope message;
   wire::EngineOrder &wire = *message.mutable_engine_order();
   wire.set_term(Leader.Term);
@@ -242,6 +252,115 @@
   }
 }
 
+namespace {
+
+/// Time until a model that waits for its order is there: behind those that
+/// are worth more, a few at a time.
+Millis queuedLoadTime(const LeaderState &Leader, const ModelSpec &Spec,
+                      bool IsNear, size_t StoreAhead) {
+  if (IsNear)
+    return OrderWay + Spec.DiskLoad;
+  size_t queued = StoreAhead;
+  for (const auto &[address, order] : Leader.Orders)
+    queued += order.IsFromStore;
+  return OrderWay +
+         Spec.StoreLoad * static_cast<int64_t>(queued / MostStoreLoads + 1);
+}
+
+bool isNearAnywhere(const FrontState &State, const std::string &Model,
+                    TimePoint Now) {
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    const EngineState *engine = engineOf(State.Directory, known);
+    if (engine && isUsable(known, Now) &&
+        (engine->OnDisk.contains(Model) || engine->InMemory.contains(Model)))
+      return true;
+  }
+  return false;
+}
+
+const ModelSpec *findSpec(const FrontState &State, const std::string &Model) {
+  if (!State.Table)
+    return nullptr;
+  for (const auto &[name, service] : State.Table->Services)
+    if (service.Engine) {
+      auto it = service.Engine->Models.find(Model);
+      if (it != service.Engine->Models.end())
+        return &it->second;
+    }
+  return nullptr;
+}
+
+/// Time until each model that somebody waits for is there.
+std::map<std::string, Millis> forecastLoads(const LeaderState &Leader,
+                                            const FrontState &State,
+                                            TimePoint Now) {
+  std::vector<std::pair<double, std::string>> wanted;
+  for (const auto &[model, demand] : sumDemand(Leader, Now))
+    if (demand.Waiting > 0)
+      wanted.emplace_back(demand.WaitingWorth, model);
+  std::sort(wanted.rbegin(), wanted.rend());
+  std::map<std::string, TimePoint> underWay;
+  for (const auto &[address, order] : Leader.Orders)
+    underWay.emplace(order.Model, order.ReadyAt);
+  std::map<std::string, Millis> out;
+  size_t storeAhead = 0;
+  for (const auto &[worth, model] : wanted) {
+    const ModelSpec *spec = findSpec(State, model);
+    if (!spec)
+      continue;
+    auto order = underWay.find(model);
+    if (order != underWay.end() && order->second + LateLoad > Now) {
+      out[model] = Millis(toMillis(order->second - Now));
+      continue;
+    }
+    bool isNear = isNearAnywhere(State, model, Now);
+    out[model] = queuedLoadTime(Leader, *spec, isNear, storeAhead);
+    storeAhead += !isNear;
+  }
+  return out;
+}
+
+} // namespace
+
+void tellForecasts(LeaderState &Leader, FrontState &State, TimePoint Now,
+                   NodeMessages &Out) {
+  if (!isPast(Leader.NextForecast, Now))
+    return;
+  Leader.NextForecast = Now + ForecastPeriod;
+  auto loads = forecastLoads(Leader, State, Now);
+  for (const auto &[front, part] : Leader.Demand.Fronts) {
+    wire::Envelope message;
+    wire::LoadForecast &forecast = *message.mutable_load_forecast();
+    forecast.set_term(Leader.Term);
+    for (const auto &[model, row] : part.Rows) {
+      auto load = loads.find(model);
+      if (row.waiting() == 0 || load == loads.end())
+        continue;
+      wire::ModelForecast &entry = *forecast.add_models();
+      entry.set_model(model);
+      entry.set_ready_in_ms(static_cast<uint64_t>(load->second.count()));
+    }
+    if (forecast.models_size() == 0)
+      continue;
+    auto node = State.Roster.Nodes.find(front);
+    if (front == State.Self.name())
+      takeForecast(State, forecast, Now);
+    else if (node != State.Roster.Nodes.end())
+      Out.push_back({node->second.Entry.address(), std::move(message)});
+  }
+}
+
+void takeForecast(FrontState &State, const wire::LoadForecast &Forecast,
+                  TimePoint Now) {
+  if (Forecast.term() < State.Leader.Term)
+    return;
+  for (const wire::ModelForecast &it : Forecast.models()) {
+    RowUse &row = State.Rows[it.model()];
+    row.ReadyAt = Now + Millis(it.ready_in_ms());
+    row.ForecastAt = Now;
+  }
+}
+
 std::string describeModels(const LeaderState &Leader, const FrontState &State,
                            TimePoint Now) {
   std::map<std::string, size_t> replicas;
--- a/front/leader_work.h
+++ b/front/leader_work.h
@@ -13,6 +13,7 @@
 /// a cold model.
 inline constexpr Millis PlanPeriod{100};
 inline constexpr Millis SharePeriod{300};
+inline constexpr Millis ForecastPeriod{150};
 
 /// An order that an agent has not reported as over.
 struct OpenOrder {
@@ -21,6 +22,7 @@
   std::string Model;
   std::vector<std::string> Evict;
   bool IsFromStore = false;
+  TimePoint ReadyAt; ///< As far as it can be told.
   TimePoint Expires;
 };
 
@@ -34,6 +36,7 @@
   double StoreTokens = 0; ///< Loads from the store that may start.
   TimePoint StoreTokensAt;
   TimePoint NextPlan;
+  TimePoint NextForecast;
   TimePoint NextShare;
 };
 
@@ -51,6 +54,12 @@
 /// Busiest models as name:requests/replicas, for the log.
 std::string describeModels(const LeaderState &Leader, const FrontState &State,
                            TimePoint Now);
+/// Tells each front when the models that its requests wait for will be there.
+void tellForecasts(LeaderState &Leader, FrontState &State, TimePoint Now,
+                   NodeMessages &Out);
+/// Takes what the leader plans. One of an earlier term changes nothing.
+void takeForecast(FrontState &State, const wire::LoadForecast &Forecast,
+                  TimePoint Now);
 /// Takes the shares that a leader gave. Late ones change nothing.
 void takeShares(FrontState &State, const wire::RateShares &Shares,
                 TimePoint Now);
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -21,8 +21,6 @@
 /// Replicas and worth a second of a model with adapters before it is asked for.
 constexpr size_t AdapterModelReplicas = 2;
 constexpr double AdapterModelWorth = 2.0;
-/// Loads from the store beyond these would slow those from nearer copies.
-constexpr size_t MostStoreLoads = 3;
 /// A replica is lost together with its engine now and then; two are kept of
 /// models with at least so many requests under way.
 constexpr double SafeBusy = 4.0;
@@ -209,8 +207,7 @@
   size_t storeUnderWay = Input.StoreLoadsUnderWay;
   uint32_t storeLeft = Input.StoreLoadsAllowed;
   for (const Want &want : listWants(states)) {
-    size_t most = want.IsUrgent ? MostUrgentLoads : MostPlannedLoads;
-    if (underWay >= most)
+    if (!want.IsUrgent && underWay >= MostPlannedLoads)
       continue;
     ModelState &state = states[want.Name];
     bool mayUseStore = storeLeft > 0 && storeUnderWay < MostStoreLoads;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -21,9 +21,13 @@
 /// Share of an engine's slots that one busy model should use; the rest takes
 /// up bursts without queueing.
 inline constexpr double TargetUse = 0.35;
-/// Loads under way at once. The store serves four at full speed.
+/// Loads from the store under way at once; a few more than it serves at full
+/// speed would slow them all. Loads from an engine's own memory or disk do not
+/// slow one another.
+inline constexpr size_t MostStoreLoads = 3;
+/// Loads for models that nobody waits for yet, so that engines stay free for
+/// those that somebody does.
 inline constexpr size_t MostPlannedLoads = 3;
-inline constexpr size_t MostUrgentLoads = 8;
 /// Over this time a replica must pay for the load that it takes.
 inline constexpr double PayBackSeconds = 8;
 /// What a load costs, in units of worth; from the operators' price list.
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -19,7 +19,7 @@
   double equal = 1.0 / static_cast<double>(std::max<size_t>(FrontCount, 1));
   if (isPast(Allowance.ShareEnd, Now))
     return Allowance.ShareEnd == TimePoint()
-               ? equal * FallbackShare
+               ? equal
                : std::min(Allowance.Share, equal * FallbackShare);
   return Allowance.Share;
 }
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -19,7 +19,9 @@
 /// A front uses its share this long after the leader gave it; the leader
 /// counts on it for longer.
 inline constexpr Millis ShareLife{4'000};
-/// Part of an equal share that a front has without any word of a leader.
+/// Part of an equal share that a front keeps when its share has run out. One
+/// that was never given a share has an equal one: it has just started, and
+/// mostly so have all.
 inline constexpr double FallbackShare = 0.5;
 /// Part of the rate that is divided by demand; the rest is divided equally,
 /// so that a front whose callers have just come is not without any.
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -30,8 +30,8 @@
 size_t quorum(const RaftState &State) { return countVoters(State) / 2 + 1; }
 
 TimePoint drawElectionDeadline(RaftState &State, TimePoint Now) {
-  std::uniform_int_distribution<int64_t> spread(timing::ElectionMin.count(),
-                                                timing::ElectionMax.count());
+  std::uniform_int_distribution<int64_t> spread(State.Self.Timing.LeastElection.count(),
+                                                State.Self.Timing.MostElection.count());
   return Now + Millis(spread(State.Random));
 }
 
@@ -106,7 +106,7 @@
   if (peer.NextIndex <= State.SnapshotIndex) {
     if (Now < peer.NextSnapshot)
       return;
-    peer.NextSnapshot = Now + 4 * timing::AppendPeriod;
+    peer.NextSnapshot = Now + 4 * State.Self.Timing.Append;
     Out.push_back(SnapshotNeeded{Target});
     return;
   }
@@ -132,7 +132,7 @@
 void broadcastAppend(RaftState &State, TimePoint Now, RaftEffects &Out) {
   ++State.Round;
   State.RoundSent[State.Round] = Now;
-  State.NextAppend = Now + timing::AppendPeriod;
+  State.NextAppend = Now + State.Self.Timing.Append;
   std::vector<wire::Member> members = State.Members;
   for (const wire::Member &it : members)
     if (it.identity() != State.Self.Identity)
@@ -147,7 +147,7 @@
   State.RoundSent.clear();
   State.LeaseEnd = TimePoint();
   // Without a quorum's answers by then it steps down again.
-  State.ElectionDeadline = Now + timing::ElectionMax;
+  State.ElectionDeadline = Now + State.Self.Timing.MostElection;
   for (const wire::Member &it : State.Members) {
     State.Peers[it.identity()].NextIndex = lastIndex(State) + 1;
     State.Peers[it.identity()].HeardAt = Now;
@@ -194,8 +194,8 @@
   auto sent = State.RoundSent.find(round);
   if (sent == State.RoundSent.end())
     return;
-  State.LeaseEnd = std::max(State.LeaseEnd, sent->second + timing::LeaderLease);
-  State.ElectionDeadline = sent->second + timing::ElectionMax;
+  State.LeaseEnd = std::max(State.LeaseEnd, sent->second + State.Self.Timing.Lease);
+  State.ElectionDeadline = sent->second + State.Self.Timing.MostElection;
   State.RoundSent.erase(State.RoundSent.begin(), sent);
 }
 
@@ -359,7 +359,7 @@
     return;
   }
   becomeFollower(State, Request.term(), Request.leader(), Now, Out);
-  State.VoteBarEnd = Now + timing::ElectionMin;
+  State.VoteBarEnd = Now + State.Self.Timing.LeastElection;
   uint64_t previous = Request.previous_index();
   bool isMatching = previous <= State.SnapshotIndex ||
                     (previous <= lastIndex(State) &&
@@ -424,7 +424,7 @@
     State.VotedFor = 0;
   }
   becomeFollower(State, Install.term(), Install.leader(), Now, Out);
-  State.VoteBarEnd = Now + timing::ElectionMin;
+  State.VoteBarEnd = Now + State.Self.Timing.LeastElection;
   State.Entries.clear();
   State.SnapshotIndex = snapshot.index();
   State.SnapshotTerm = snapshot.term();
@@ -579,7 +579,7 @@
 void greetSeeds(RaftState &State, TimePoint Now, RaftEffects &Out) {
   if (Now < State.NextAppend)
     return;
-  State.NextAppend = Now + timing::AppendPeriod;
+  State.NextAppend = Now + State.Self.Timing.Append;
   wire::Envelope message;
   *message.mutable_blank_hello() = makeHello(State);
   for (const std::string &it : State.GreetAddresses)
@@ -592,7 +592,7 @@
 void askToRejoin(RaftState &State, TimePoint Now, RaftEffects &Out) {
   if (!State.MayJoin || Now < State.NextGreeting || Now < State.VoteBarEnd)
     return;
-  State.NextGreeting = Now + 2 * timing::AppendPeriod;
+  State.NextGreeting = Now + 2 * State.Self.Timing.Append;
   wire::Envelope message;
   *message.mutable_blank_hello() = makeHello(State);
   for (const std::string &it : State.GreetAddresses)
@@ -654,7 +654,7 @@
   findNewestMembers(state);
   state.ElectionDeadline = drawElectionDeadline(state, Now);
   // It may have heard from a leader just before it stopped.
-  state.VoteBarEnd = Now + timing::ElectionMin;
+  state.VoteBarEnd = Now + state.Self.Timing.LeastElection;
   return state;
 }
 
@@ -669,7 +669,7 @@
       return;
     }
     if (quorum(State) == 1)
-      State.LeaseEnd = Now + timing::LeaderLease;
+      State.LeaseEnd = Now + State.Self.Timing.Lease;
     if (!isPast(State.NextAppend, Now))
       return;
     // Unanswered entries go out again with the next round.
--- a/replication/raft.h
+++ b/replication/raft.h
@@ -9,6 +9,7 @@
 #define SASSAFRAS_REPLICATION_RAFT_H
 
 #include "core/time.h"
+#include "core/timing.h"
 #include "wire/inner.pb.h"
 
 #include <deque>
@@ -29,6 +30,7 @@
   std::string Name;
   uint64_t Identity = 0;
   std::string Address;
+  timing::GroupTiming Timing = {};
 };
 
 enum class RaftRole { Blank, Follower, PreCandidate, Candidate, Leader };
