Serve small and worthy requests first beyond a rate; test fronts as processes

An organisation at several times its rate spent it on a few large requests; small ones and those worth most for their tokens now go first, only while more is asked for than the share allows (replay in test_overload). Reports of agents carry what changed.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -25,8 +25,8 @@
 /// The engine runs on this host: an answer is there at once or not at all.
 constexpr Millis EngineSilence{800};
 /// Everything is told anew at this pace, load alone more often.
-constexpr Millis WholePeriod{1'000};
-constexpr Millis LoadPeriod{300};
+constexpr Millis WholePeriod{3'000};
+constexpr Millis LoadPeriod{400};
 constexpr Millis RosterPeriod{500};
 constexpr Millis SweepPeriod{2'000};
 constexpr Millis ExitDelay{150};
@@ -75,6 +75,7 @@
   std::vector<std::string> Seeds;
   EngineAgentState State;
   std::string ToldModels; ///< Serialised, as told last.
+  uint32_t ToldLoad = 0;
   uint64_t NextNumber = 1;
   size_t NextFront = 0;
   TimePoint NextWhole;
@@ -122,8 +123,10 @@
   TimePoint now = Clock::now();
   if (Message.has_roster_update()) {
     for (const wire::NodeEntry &it : Message.roster_update().nodes())
-      if (it.kind() == wire::NODE_FRONT)
-        learnNode(Fronts, it, Options.Node, now);
+      // A front that is new knows nothing of this engine yet.
+      if (it.kind() == wire::NODE_FRONT &&
+          learnNode(Fronts, it, Options.Node, now))
+        NextWhole = now;
     return;
   }
   if (Message.has_engine_order()) {
@@ -310,7 +313,10 @@
     sendReport(whole, Now);
   } else if (isPast(NextLoad, Now)) {
     NextLoad = Now + LoadPeriod;
-    sendReport(makeReport(false), Now);
+    uint32_t load = whole.active() + whole.queued();
+    if (load != ToldLoad)
+      sendReport(makeReport(false), Now);
+    ToldLoad = load;
   }
 }
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -272,11 +272,12 @@
   AllowanceLimit limit = limitOf(State, *organisation);
   LocalAllowance &allowance = State.Allowances[organisation->Name];
   size_t fronts = countFronts(State, Now);
-  if (takeAllowance(allowance, limit, Request.Cost, fronts, Now)) {
+  AllowanceClaim claim{Request.Cost, Request.Worth};
+  if (takeAllowance(allowance, limit, claim, fronts, Now)) {
     Request.IsCharged = true;
     return std::nullopt;
   }
-  Millis wait = waitForAllowance(allowance, limit, Request.Cost, fronts, Now);
+  Millis wait = waitForAllowance(allowance, limit, claim, fronts, Now);
   Clock::duration patience =
       (Request.ObjectiveEnd - Request.ArrivedAt) / AllowanceWaitPart;
   if (Now + wait > Request.ArrivedAt + patience)
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -64,7 +64,7 @@
 
 void takeOwnDemand(FrontState &State, wire::NodeBeat &Beat, TimePoint Now) {
   for (auto &[name, it] : State.Allowances) {
-    noteDemand(it, 0, Now);
+    noteDemand(it, {}, Now);
     if (it.DemandRate < 1)
       continue;
     wire::OrganisationDemand &demand = *Beat.add_organisations();
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -21,7 +21,7 @@
 constexpr Millis StoppingRetry{100};
 /// Answers up to this size are held back until they are whole, so that a
 /// broken one can be replaced. Bytes.
-constexpr size_t HeldAnswer = 256 * 1024;
+constexpr size_t HeldAnswer = 256ULL * 1024;
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusClientClosed = 499; ///< For the log only.
 
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -337,8 +337,8 @@
 void HttpClient::sweep() {
   TimePoint now = Clock::now();
   for (auto it = Data->Idle.begin(); it != Data->Idle.end();) {
-    std::erase_if(it->second, [&](const ConnectionPtr &idle) {
-      return now >= idle->IdleEnd || !isQuiet(*idle);
+    std::erase_if(it->second, [&](const ConnectionPtr &Kept) {
+      return now >= Kept->IdleEnd || !isQuiet(*Kept);
     });
     it = it->second.empty() ? Data->Idle.erase(it) : std::next(it);
   }
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -2,7 +2,9 @@
 /// An organisation's rate divided over the fronts.
 ///
 /// Load patterns: callers are spread unevenly over fronts, and the spread
-/// changes; one organisation asks for several times its rate. The leader
+/// changes; one organisation asks for several times its rate (small requests
+/// and those that are worth most for what they cost go first, so that a few
+/// large ones do not use all of it up). The leader
 /// divides the rate by what each front was asked for; a front out of contact
 /// keeps a small part, so that the sum stays within the limit's tolerance.
 #ifndef SASSAFRAS_POLICY_RATE_SHARE_H
@@ -49,6 +51,14 @@
   double DemandRate = 0; ///< Tokens asked for in a second, smoothed.
   double DemandSum = 0;  ///< Since DemandSince.
   TimePoint DemandSince;
+  double MeanCost = 0;    ///< Of requests, smoothed.
+  double MeanDensity = 0; ///< Worth for each token, smoothed.
+};
+
+/// What one request takes and what it is worth against others.
+struct AllowanceClaim {
+  double Cost = 0;
+  double Worth = 0;
 };
 
 /// How far beyond rate and burst the fleet may go in any window, as the
@@ -59,6 +69,9 @@
   double Slack = 0; ///< In the unit of the rate.
 };
 
+/// Part of what may be saved up that is kept for small or worthy requests.
+inline constexpr double ReservedPart = 0.3;
+
 /// Rate and burst in force for the organisation, over all fronts.
 struct AllowanceLimit {
   double RatePerSecond = 0; ///< 0 for none.
@@ -67,18 +80,22 @@
 };
 
 void setShare(LocalAllowance &Allowance, double Share, TimePoint Now);
-/// Takes \p Cost tokens. False when the organisation is beyond its limit.
-/// \p FrontCount: fronts in view, this one included.
+/// Takes the tokens of \p Claim. False when the organisation is beyond its
+/// limit, or what it has left is kept for requests that are small or worth
+/// more. \p FrontCount: fronts in view, this one included.
 bool takeAllowance(LocalAllowance &Allowance, const AllowanceLimit &Limit,
-                   double Cost, size_t FrontCount, TimePoint Now);
+                   const AllowanceClaim &Claim, size_t FrontCount,
+                   TimePoint Now);
 /// Gives back what was taken for a request that surely did not run.
 void returnAllowance(LocalAllowance &Allowance, double Cost);
-/// Time until \p Cost can be taken, as far as it can be told.
+/// Time until \p Claim can be granted, as far as it can be told.
 Millis waitForAllowance(const LocalAllowance &Allowance,
-                        const AllowanceLimit &Limit, double Cost,
-                        size_t FrontCount, TimePoint Now);
+                        const AllowanceLimit &Limit,
+                        const AllowanceClaim &Claim, size_t FrontCount,
+                        TimePoint Now);
 /// Notes what was asked for, granted or not.
-void noteDemand(LocalAllowance &Allowance, double Cost, TimePoint Now);
+void noteDemand(LocalAllowance &Allowance, const AllowanceClaim &Claim,
+                TimePoint Now);
 
 } // namespace sassafras
 
--- a/tests/engine_agent/test_engine_orders.cpp
+++ b/tests/engine_agent/test_engine_orders.cpp
@@ -27,7 +27,7 @@
 }
 
 wire::EngineOrder order(uint64_t Number, const std::string &Load,
-                        std::vector<std::string> Evict) {
+                        const std::vector<std::string> &Evict) {
   wire::EngineOrder out;
   out.set_number(Number);
   out.set_load(Load);
@@ -46,7 +46,8 @@
   return out;
 }
 
-wire::EngineReport reading(uint64_t Sequence, std::vector<std::string> Models) {
+wire::EngineReport reading(uint64_t Sequence,
+                           const std::vector<std::string> &Models) {
   wire::EngineReport out;
   out.set_born_ms(5);
   out.set_order_sequence(Sequence);
--- /dev/null
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -0,0 +1,138 @@
+#include "tests/fakes/fake_platform_engine.h"
+
+#include "tests/harness/process_fleet.h"
+
+#include <boost/json.hpp>
+
+namespace sassafras {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr int EventCount = 10;
+constexpr uint64_t Born = 1'700'000'000'000;
+
+json::array namesOf(const std::set<std::string> &Names) {
+  json::array out;
+  for (const std::string &it : Names)
+    out.push_back(json::string(it));
+  return out;
+}
+
+json::array modelsOf(const std::set<std::string> &Names) {
+  json::array out;
+  for (const std::string &it : Names)
+    out.push_back(json::object{
+        {"name", it}, {"version", 1}, {"adapters", json::array()}});
+  return out;
+}
+
+} // namespace
+
+FakePlatformEngine::FakePlatformEngine(std::string Id, std::string Service,
+                                       std::string Address,
+                                       std::set<std::string> Models,
+                                       std::set<std::string> OnDisk)
+    : Id(std::move(Id)), Service(std::move(Service)),
+      Address(std::move(Address)), Models(std::move(Models)),
+      OnDisk(std::move(OnDisk)) {
+  HttpServer::Handlers calls;
+  calls.OnRequest = [this](const HttpRequest &Request,
+                           const std::shared_ptr<HttpExchange> &Exchange) {
+    take(Request, Exchange);
+  };
+  calls.OnLoss = [](const HttpExchange *, HttpLoss) {};
+  Server = std::make_unique<HttpServer>(Io, this->Address, HttpLimits(), Counts,
+                                        std::move(calls));
+  std::string problem;
+  Server->start(problem);
+  Runner = std::thread([this] { Io.run(); });
+}
+
+FakePlatformEngine::~FakePlatformEngine() {
+  Io.stop();
+  Runner.join();
+}
+
+bool FakePlatformEngine::announce(const std::string &Control, bool IsDraining) {
+  json::object body{
+      {"service", Service}, {"address", Address},
+      {"zone", "a"},        {"version", "v1"},
+      {"slots", 8},         {"state", IsDraining ? "draining" : "ready"},
+      {"born", Born},       {"seq", ++Beats}};
+  return callHttp(
+             Control,
+             {"POST", "/Instances.Heartbeat/" + Id, {}, json::serialize(body)},
+             std::chrono::seconds(2))
+             .Status == 200;
+}
+
+std::vector<SeenRequest> FakePlatformEngine::seen() const {
+  std::lock_guard guard(Lock);
+  return Seen;
+}
+
+std::string FakePlatformEngine::printState() const {
+  std::lock_guard guard(Lock);
+  return json::serialize(
+      json::object{{"models", modelsOf(Models)},
+                   {"busy", false},
+                   {"seq", Sequence},
+                   {"born", Born},
+                   {"available", json::object{{"in-memory", json::array()},
+                                              {"on-disk", namesOf(OnDisk)}}}});
+}
+
+void FakePlatformEngine::takeOrder(const HttpRequest &Request,
+                                   HttpExchange &Exchange) {
+  json::object order = json::parse(Request.Body).as_object();
+  std::lock_guard guard(Lock);
+  ++Orders;
+  if (order.at("precondition").to_number<uint64_t>() != Sequence) {
+    Exchange.respond(409, {}, "");
+    return;
+  }
+  ++Sequence;
+  std::string model(order.at("model").as_string());
+  if (order.at("op").as_string() == "load")
+    Models.insert(model);
+  else
+    Models.erase(model);
+  Exchange.respond(202, {}, "");
+}
+
+void FakePlatformEngine::take(const HttpRequest &Request,
+                              const std::shared_ptr<HttpExchange> &Exchange) {
+  if (Request.Target == "/report") {
+    Exchange->respond(200, {}, printState());
+    return;
+  }
+  if (Request.Target == "/order") {
+    takeOrder(Request, *Exchange);
+    return;
+  }
+  std::string id(fieldOf(Request.Fields, "sassafrasseam-attempt-id"));
+  {
+    std::lock_guard guard(Lock);
+    Seen.push_back({id, Request.Fields, Request.Body});
+  }
+  Exchange->start(200, {{"content-type", "text/event-stream"},
+                        {"sassafrasseam-attempt-id", id},
+                        {"sassafrasseam-response-seal", "seal"}});
+  stream(Exchange, 1);
+}
+
+void FakePlatformEngine::stream(const std::shared_ptr<HttpExchange> &Exchange,
+                                int Next) {
+  if (Next > EventCount) {
+    Exchange->finish();
+    return;
+  }
+  Exchange->write("id: " + std::to_string(Next) + "\ndata: x\n\n");
+  auto timer = std::make_shared<boost::asio::steady_timer>(Io, Pace.load());
+  timer->async_wait(
+      [this, Exchange, Next, timer](auto) { stream(Exchange, Next + 1); });
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/tests/fakes/fake_platform_engine.h
@@ -0,0 +1,72 @@
+/// \file
+/// Stand-in for a model engine on the users' platform: models, orders, state,
+/// announcements and streams, in a thread of the test.
+#ifndef SASSAFRAS_TESTS_FAKES_FAKE_PLATFORM_ENGINE_H
+#define SASSAFRAS_TESTS_FAKES_FAKE_PLATFORM_ENGINE_H
+
+#include "core/metrics.h"
+#include "http/server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sassafras {
+
+/// What the engine saw of one request.
+struct SeenRequest {
+  std::string Id;
+  std::vector<HttpField> Fields;
+  std::string Body;
+};
+
+class FakePlatformEngine {
+public:
+  FakePlatformEngine(std::string Id, std::string Service, std::string Address,
+                     std::set<std::string> Models,
+                     std::set<std::string> OnDisk);
+  ~FakePlatformEngine();
+  FakePlatformEngine(const FakePlatformEngine &) = delete;
+  FakePlatformEngine &operator=(const FakePlatformEngine &) = delete;
+
+  /// Announces itself to \p Control once.
+  bool announce(const std::string &Control, bool IsDraining = false);
+  std::vector<SeenRequest> seen() const;
+  size_t countOrders() const { return Orders; }
+  /// Time between the events of a stream.
+  void setPace(Millis Pace) { this->Pace = Pace; }
+
+private:
+  void take(const HttpRequest &Request,
+            const std::shared_ptr<HttpExchange> &Exchange);
+  void takeOrder(const HttpRequest &Request, HttpExchange &Exchange);
+  void stream(const std::shared_ptr<HttpExchange> &Exchange, int Next);
+  std::string printState() const;
+
+  std::string Id;
+  std::string Service;
+  std::string Address;
+  boost::asio::io_context Io;
+  Metrics Counts;
+  std::unique_ptr<HttpServer> Server;
+  std::thread Runner;
+  mutable std::mutex Lock;
+  std::set<std::string> Models;
+  std::set<std::string> OnDisk;
+  std::vector<SeenRequest> Seen;
+  uint64_t Sequence = 0;
+  uint64_t Beats = 0;
+  std::atomic<size_t> Orders{0};
+  std::atomic<Millis> Pace{Millis(5)};
+};
+
+} // namespace sassafras
+
+#endif
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -65,8 +65,8 @@
 }
 
 void addEndpoint(FrontState &State, const char *Id, const char *Service,
-                 const char *Address, std::vector<std::string> Models,
-                 std::vector<std::string> OnDisk = {}) {
+                 const char *Address, const std::vector<std::string> &Models,
+                 const std::vector<std::string> &OnDisk = {}) {
   wire::EndpointSighting it;
   it.set_id(Id);
   it.set_service(Service);
--- a/tests/harness/process_fleet.cpp
+++ b/tests/harness/process_fleet.cpp
@@ -109,7 +109,10 @@
   message.target(Request.Target);
   message.set(http::field::host, Address);
   for (const HttpField &it : Request.Fields)
-    message.insert(it.Name, it.Value);
+    if (it.Name == "host")
+      message.set(http::field::host, it.Value);
+    else
+      message.insert(it.Name, it.Value);
   message.body() = Request.Body;
   message.prepare_payload();
   http::write(stream, message, ec);
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -272,8 +272,8 @@
     LocalAllowance &front = fronts[place(random)];
     double cost = size(random);
     ++out.Asked;
-    noteDemand(front, cost, now);
-    if (!takeAllowance(front, limit, cost, fronts.size(), now)) {
+    noteDemand(front, {cost, 1}, now);
+    if (!takeAllowance(front, limit, {cost, 1}, fronts.size(), now)) {
       ++out.Refused;
       continue;
     }
@@ -314,13 +314,42 @@
   }
 }
 
+// One organisation at six times its rate: a few large requests must not use
+// up what many small ones and those worth most could be served with.
+TEST_CASE("beyond the rate small and worthy requests are served first") {
+  AllowanceLimit limit{20'000, 20'000, {Millis(8'000), 0.1, 17'000}};
+  LocalAllowance front;
+  struct Kind {
+    AllowanceClaim Claim;
+    int Asked = 0;
+    int Served = 0;
+  };
+  Kind kinds[] = {{{1'100, 2.8}}, {{200, 0.5}}, {{1'100, 8.5}}};
+  std::mt19937 random(3);
+  std::discrete_distribution<int> mix{70, 25, 8};
+  for (TimePoint now = Start; now < Start + std::chrono::seconds(30);
+       now += Millis(10)) {
+    Kind &it = kinds[mix(random)];
+    ++it.Asked;
+    noteDemand(front, it.Claim, now);
+    it.Served += takeAllowance(front, limit, it.Claim, 1, now);
+  }
+  auto part = [](const Kind &it) {
+    return static_cast<double>(it.Served) / it.Asked;
+  };
+  // 20,000 tokens a second less those of the others, of 77,000 asked for.
+  CHECK(part(kinds[0]) > 0.9 * (20'000 - 25 * 200 - 8 * 1'100) / 77'000);
+  CHECK(part(kinds[1]) > 0.9);
+  CHECK(part(kinds[2]) > 0.9);
+}
+
 TEST_CASE("share of a front that hears no leader shrinks, and never grows") {
   LocalAllowance front;
   setShare(front, 0.9, Start);
   AllowanceLimit limit{1'000, 1'000, {}};
   TimePoint late = Start + ShareLife + Millis(1);
-  REQUIRE(takeAllowance(front, limit, 5'000, 10, late));
-  Millis wait = waitForAllowance(front, limit, 1, 10, late);
+  REQUIRE(takeAllowance(front, limit, {5'000, 1}, 10, late));
+  Millis wait = waitForAllowance(front, limit, {1, 1}, 10, late);
   // A tenth of the rate is an equal share; half of that is kept.
   CHECK(wait > std::chrono::seconds(60));
 }
