Connect to hosts that come back within 0.25 s; forecast by a model's first load

Cause: after a loss of power fronts without a log had no table for a second: the first packet to a host that is still down is lost and the kernel sends the next after 1 s. A model with a quick and a slow load under way was forecast by whichever stood first, and its callers were refused.

--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -301,8 +301,10 @@
       wanted.emplace_back(demand.WaitingWorth, model);
   std::sort(wanted.rbegin(), wanted.rend());
   std::map<std::string, TimePoint> underWay;
-  for (const auto &[address, order] : Leader.Orders)
-    underWay.emplace(order.Model, order.ReadyAt);
+  for (const auto &[address, order] : Leader.Orders) {
+    auto [it, isNew] = underWay.emplace(order.Model, order.ReadyAt);
+    it->second = std::min(it->second, order.ReadyAt);
+  }
   std::map<std::string, Millis> out;
   size_t storeAhead = 0;
   for (const auto &[worth, model] : wanted) {
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -21,9 +21,11 @@
 constexpr int QueueLimit = 4000;
 constexpr int64_t MaxMessageBytes = 64LL * 1024 * 1024;
 constexpr int ReconnectMs = 50;
-constexpr int ReconnectMaxMs = 1000;
+constexpr int ReconnectMaxMs = 200;
 constexpr int LingerMs = 500;
-constexpr int ConnectTimeoutMs = 1000;
+/// A host that is down swallows the first packet; the kernel would send the
+/// next one only after a second.
+constexpr int ConnectTimeoutMs = 250;
 /// Connections may go silent without a reset: they are tested and made anew.
 constexpr int HeartbeatMs = 700;
 constexpr int HeartbeatTimeoutMs = 1400;
