Choose victims by the requests that run at that engine

Cause: half of the orders waited up to 5 s for runs of the model to unload; the leader knew only a mean over all replicas. Fronts now tell where requests run.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -185,6 +185,7 @@
   out.set_waiting_worth(std::max(
       Row.WaitingWorth, isPast(Row.WantedUntil, Now) ? 0.0 : Row.WantedWorth));
   out.set_busy(Row.Open + static_cast<uint32_t>(Row.Waiting.size()));
+  printOpen(Row, out);
   return out;
 }
 
@@ -386,6 +387,7 @@
   RowUse &row = rowOf(State, Request);
   noteServed(row, Request);
   ++row.Open;
+  ++row.OpenAt[Endpoint];
   ++Request.Sends;
   noteSent(State.Records[Endpoint]);
 }
@@ -395,6 +397,9 @@
   RowUse &row = rowOf(State, Request);
   if (row.Open > 0)
     --row.Open;
+  auto at = row.OpenAt.find(Endpoint);
+  if (at != row.OpenAt.end() && --at->second == 0)
+    row.OpenAt.erase(at);
   noteClosed(State.Records[Endpoint]);
 }
 
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -84,6 +84,7 @@
     demand.set_waiting_worth(
         std::max(it.WaitingWorth, isWanted ? it.WantedWorth : 0.0));
     demand.set_busy(it.Open + static_cast<uint32_t>(it.Waiting.size()));
+    printOpen(it, demand);
     it.Arrivals = 0;
     it.Worth = 0;
   }
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -22,6 +22,14 @@
   return &*it->second.Engine;
 }
 
+void printOpen(const RowUse &Row, wire::RowDemand &Out) {
+  for (const auto &[endpoint, count] : Row.OpenAt) {
+    wire::OpenRequests &open = *Out.add_open();
+    open.set_endpoint(endpoint);
+    open.set_count(count);
+  }
+}
+
 wire::EngineSizes sizesFor(const EngineSpec &Spec) {
   wire::EngineSizes out;
   out.set_weights_mb(Spec.WeightsMb);
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -33,10 +33,11 @@
 
 /// Use of one model at this front.
 struct RowUse {
-  uint32_t Arrivals = 0;      ///< Since the last beat.
-  double Worth = 0;           ///< Of those arrivals.
-  uint32_t Open = 0;          ///< Under way at endpoints.
-  std::set<uint64_t> Waiting; ///< Numbers of requests.
+  uint32_t Arrivals = 0;                  ///< Since the last beat.
+  double Worth = 0;                       ///< Of those arrivals.
+  uint32_t Open = 0;                      ///< Under way at endpoints.
+  std::map<std::string, uint32_t> OpenAt; ///< By endpoint.
+  std::set<uint64_t> Waiting;             ///< Numbers of requests.
   double WaitingWorth = 0;
   TimePoint WantedUntil; ///< A caller was told to come back.
   double WantedWorth = 0;
@@ -81,6 +82,8 @@
 /// Engine parameters of \p Service, or null for plain services.
 const EngineSpec *engineSpecOf(const FrontState &State,
                                const std::string &Service);
+/// Adds the requests of \p Row under way at each endpoint.
+void printOpen(const RowUse &Row, wire::RowDemand &Out);
 /// Sizes that an agent needs to keep within its engine's memory.
 wire::EngineSizes sizesFor(const EngineSpec &Spec);
 
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -62,6 +62,20 @@
   return out;
 }
 
+/// Requests under way by endpoint and model, over all fronts.
+std::map<std::string, std::map<std::string, uint32_t>>
+sumRunning(const LeaderState &Leader, TimePoint Now) {
+  std::map<std::string, std::map<std::string, uint32_t>> out;
+  for (const auto &[front, part] : Leader.Demand.Fronts) {
+    if (Now - part.HeardAt > DemandMemory)
+      continue;
+    for (const auto &[model, row] : part.Rows)
+      for (const wire::OpenRequests &it : row.open())
+        out[it.endpoint()][model] += it.count();
+  }
+  return out;
+}
+
 bool isOver(const OpenOrder &Order, const EngineState &Engine, TimePoint Now) {
   return Engine.OrderDone >= Order.Number || isPast(Order.Expires, Now);
 }
@@ -79,6 +93,7 @@
                           const std::string &Service, const EngineSpec &Spec,
                           TimePoint Now) {
   EngineField out;
+  auto running = sumRunning(Leader, Now);
   for (const auto &[id, known] : State.Directory.Endpoints) {
     if (known.Service != Service || known.HasLeft)
       continue;
@@ -97,6 +112,9 @@
       if (spec != Spec.Models.end())
         plan.ReservedMb += adapters.size() * spec->second.AdapterMb;
     }
+    auto runs = running.find(id);
+    if (runs != running.end())
+      plan.Running = runs->second;
     plan.InMemory = engine->InMemory;
     plan.OnDisk = engine->OnDisk;
     auto order = Leader.Orders.find(known.Address);
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -15,9 +15,10 @@
 /// A load from the store is no dearer than this many seconds of its demand:
 /// it also brings the weights near for later.
 constexpr double MostLoadSeconds = 2.0;
-/// Worth a second that one running request counts as at a model to unload:
-/// the unload lasts about as long as the request.
-constexpr double RunningRequestCost = 1.5;
+/// An unload waits for running requests: for one about half of its time, for
+/// several at once until the last of them.
+constexpr double SecondsForRun = 0.7;
+constexpr double MostRunsCounted = 5;
 /// Replicas and worth a second of a model with adapters before it is asked for.
 constexpr size_t AdapterModelReplicas = 2;
 constexpr double AdapterModelWorth = 2.0;
@@ -43,10 +44,12 @@
   return Replicas <= Model.Wanted ? part : part * SpareValue;
 }
 
-/// An unload waits for the model's running requests, and holds up the load.
-double runningCost(const ModelState &Model) {
-  return RunningRequestCost * Model.Demand.Busy /
-         static_cast<double>(std::max<size_t>(Model.Replicas, 1));
+/// Seconds that an unload of \p Model waits for its running requests.
+double unloadDelay(const PlanEngine &Engine, const std::string &Model) {
+  auto running = Engine.Running.find(Model);
+  if (running == Engine.Running.end())
+    return 0;
+  return SecondsForRun * std::min<double>(running->second, MostRunsCounted);
 }
 
 ModelStates gather(const PlanInput &Input) {
@@ -82,14 +85,18 @@
 struct Room {
   std::vector<std::string> Evict;
   double LostPerSecond = 0;
+  double DelaySeconds = 0;
 };
 
+/// \p Worth is lost for each second of delay.
 std::optional<Room> makeRoom(const PlanEngine &Engine,
                              const ModelStates &States, const PlanInput &Input,
-                             uint64_t NeededMb) {
+                             uint64_t NeededMb, double Worth) {
   struct Victim {
     std::string Name;
-    double Value;
+    double Value; ///< A second.
+    double Delay; ///< Seconds.
+    double Cost;
     uint64_t Mb;
   };
   uint64_t used = Engine.ReservedMb;
@@ -100,12 +107,13 @@
       return std::nullopt;
     const ModelState &state = found->second;
     used += state.Spec->WeightsMb;
-    victims.push_back(
-        {it, lastReplicaValue(state, state.Replicas) + runningCost(state),
-         state.Spec->WeightsMb});
+    double value = lastReplicaValue(state, state.Replicas);
+    double delay = unloadDelay(Engine, it);
+    victims.push_back({it, value, delay, value * PayBackSeconds + delay * Worth,
+                       state.Spec->WeightsMb});
   }
   std::sort(victims.begin(), victims.end(),
-            [](const Victim &A, const Victim &B) { return A.Value < B.Value; });
+            [](const Victim &A, const Victim &B) { return A.Cost < B.Cost; });
   Room room;
   size_t next = 0;
   while (used + NeededMb > Input.Spec.WeightsMb) {
@@ -114,6 +122,7 @@
     const Victim &it = victims[next++];
     room.Evict.push_back(it.Name);
     room.LostPerSecond += it.Value;
+    room.DelaySeconds = std::max(room.DelaySeconds, it.Delay);
     used -= std::min(used, it.Mb);
   }
   return room;
@@ -140,15 +149,16 @@
         !engine.InMemory.contains(Name) && !engine.OnDisk.contains(Name);
     if (isFromStore && !IsStoreAllowed)
       continue;
-    auto room = makeRoom(engine, States, Input, Model.Spec->WeightsMb);
+    double worth =
+        std::max(Model.Demand.WorthPerSecond, Model.Demand.WaitingWorth);
+    auto room = makeRoom(engine, States, Input, Model.Spec->WeightsMb, worth);
     if (!room)
       continue;
     double seconds = std::min(
         MostLoadSeconds,
         std::chrono::duration<double>(loadTime(engine, *Model.Spec)).count());
-    double worth =
-        std::max(Model.Demand.WorthPerSecond, Model.Demand.WaitingWorth);
-    double cost = seconds * worth + room->LostPerSecond * PayBackSeconds +
+    double cost = (seconds + room->DelaySeconds) * worth +
+                  room->LostPerSecond * PayBackSeconds +
                   BusyEngineCost * engine.LoadShare;
     if (best && best->Cost <= cost)
       continue;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -49,7 +49,8 @@
   double LoadShare = 0;    ///< Requests over slots.
   uint64_t ReservedMb = 0; ///< Adapters and loads under way.
   std::set<std::string> Models;
-  std::string Loading; ///< Model on its way, or empty.
+  std::map<std::string, uint32_t> Running; ///< Requests by model.
+  std::string Loading;                     ///< Model on its way, or empty.
   std::set<std::string> InMemory;
   std::set<std::string> OnDisk;
 };
