Pace beats and reports by the number of fronts; tell near weights to the orderer only

Cause: on the grown site 31 fronts told one another and 53 agents told all fronts at the pace of the small site, most of the bytes between zones.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -27,6 +27,10 @@
 /// Everything is told anew at this pace, load alone more often.
 constexpr Millis WholePeriod{3'000};
 constexpr Millis LoadPeriod{400};
+/// In a fleet of more fronts than this both are told less often in proportion.
+constexpr int64_t FewFronts = 10;
+constexpr Millis MostWholePeriod{9'000};
+constexpr Millis MostLoadPeriod{1'200};
 constexpr Millis RosterPeriod{500};
 constexpr Millis SweepPeriod{2'000};
 constexpr Millis ExitDelay{150};
@@ -58,8 +62,9 @@
   void giveOrder(const EngineDecision &Decision);
   void pollAfter(Millis Pause);
   void tell(TimePoint Now);
+  Millis pace(Millis Period, Millis Most) const;
   wire::EngineReport makeReport(bool IsWhole);
-  void sendReport(const wire::EngineReport &Report, TimePoint Now);
+  void sendReport(const wire::EngineReport &Report, bool IsFull, TimePoint Now);
   void beat();
 
   boost::asio::io_context &Io;
@@ -75,6 +80,7 @@
   std::vector<std::string> Seeds;
   EngineAgentState State;
   std::string ToldModels; ///< Serialised, as told last.
+  std::string Orderer;    ///< Front that sent the newest order.
   uint32_t ToldLoad = 0;
   uint64_t NextNumber = 1;
   size_t NextFront = 0;
@@ -133,6 +139,8 @@
     const wire::EngineOrder &order = Message.engine_order();
     bool isTaken = order.engine_address() == Options.EngineAgentRole.Engine &&
                    takeOrder(State, order, now);
+    if (isTaken)
+      Orderer = Message.from();
     logEvent(LogLevel::Info, "order_received",
              {{"order", std::to_string(order.number())},
               {"term", std::to_string(order.term())},
@@ -296,6 +304,11 @@
   return out;
 }
 
+Millis EngineAgentShell::pace(Millis Period, Millis Most) const {
+  auto fronts = static_cast<int64_t>(Fronts.Nodes.size());
+  return std::max(Period, std::min(Period * fronts / FewFronts, Most));
+}
+
 void EngineAgentShell::tell(TimePoint Now) {
   wire::EngineReport whole = makeReport(true);
   // What makes a report worth telling at once.
@@ -306,27 +319,35 @@
   shape.set_is_busy(whole.is_busy());
   shape.set_born_ms(whole.born_ms());
   std::string models = shape.SerializeAsString();
-  if (models != ToldModels || isPast(NextWhole, Now)) {
+  bool isDue = isPast(NextWhole, Now);
+  if (models != ToldModels || isDue) {
     ToldModels = models;
-    NextWhole = Now + WholePeriod;
-    NextLoad = Now + LoadPeriod;
-    sendReport(whole, Now);
+    if (isDue)
+      NextWhole = Now + pace(WholePeriod, MostWholePeriod);
+    NextLoad = Now + pace(LoadPeriod, MostLoadPeriod);
+    sendReport(whole, isDue, Now);
   } else if (isPast(NextLoad, Now)) {
-    NextLoad = Now + LoadPeriod;
+    NextLoad = Now + pace(LoadPeriod, MostLoadPeriod);
     uint32_t load = whole.active() + whole.queued();
     if (load != ToldLoad)
-      sendReport(makeReport(false), Now);
+      sendReport(makeReport(false), true, Now);
     ToldLoad = load;
   }
 }
 
-void EngineAgentShell::sendReport(const wire::EngineReport &Report,
+/// Which weights are near matters to whoever places models; the others hear of
+/// it only in full reports.
+void EngineAgentShell::sendReport(const wire::EngineReport &Report, bool IsFull,
                                   TimePoint Now) {
-  wire::Envelope message;
-  *message.mutable_engine_report() = Report;
+  wire::Envelope full;
+  *full.mutable_engine_report() = Report;
+  wire::Envelope brief = full;
+  brief.mutable_engine_report()->clear_in_memory();
+  brief.mutable_engine_report()->clear_on_disk();
+  brief.mutable_engine_report()->set_has_available(false);
   for (const auto &[name, it] : Fronts.Nodes)
     if (isInView(it, Now))
-      Peers->send(it.Entry.address(), message);
+      Peers->send(it.Entry.address(), IsFull || name == Orderer ? full : brief);
 }
 
 /// Asks one front after the other for all fronts, near ones first.
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hash.h"
 
+#include <algorithm>
+
 namespace sassafras {
 
 namespace {
@@ -110,8 +112,16 @@
   }
 }
 
-void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
-               uint64_t Term, TimePoint Now, NodeMessages &Out) {
+Millis paceToAll(Millis Period, size_t Fronts) {
+  auto scaled =
+      Period * static_cast<int64_t>(Fronts) / static_cast<int64_t>(FewFronts);
+  return std::max(Period, std::min(scaled, MostBeatPeriod));
+}
+
+namespace {
+
+wire::Envelope makeBeat(const FrontState &State, bool IsLeader, uint64_t Term,
+                        TimePoint Now) {
   wire::Envelope message;
   wire::NodeBeat &beat = *message.mutable_node_beat();
   *beat.mutable_self() = State.Self;
@@ -121,11 +131,24 @@
   beat.set_is_leader(IsLeader);
   beat.set_term(IsLeader ? Term : 0);
   beat.set_is_leaving(State.IsStopping);
-  for (wire::EndpointSighting &it : Gossip.Heard) {
-    dropToldModels(Gossip, it);
-    *beat.add_alive() = it;
+  return message;
+}
+
+} // namespace
+
+void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
+               uint64_t Term, TimePoint Now, NodeMessages &Out) {
+  wire::Envelope message = makeBeat(State, IsLeader, Term, Now);
+  bool isToAll = isPast(Gossip.NextToAll, Now);
+  if (isToAll) {
+    for (wire::EndpointSighting &it : Gossip.Heard) {
+      dropToldModels(Gossip, it);
+      *message.mutable_node_beat()->add_alive() = it;
+    }
+    Gossip.Heard.clear();
+    Gossip.NextToAll =
+        Now + paceToAll(BeatPeriod, countFronts(State, Now)) - BeatPeriod / 2;
   }
-  Gossip.Heard.clear();
   std::set<std::string> told;
   bool hasLeader = !IsLeader && Now - State.Leader.HeardAt < NodeSilence;
   if (hasLeader) {
@@ -134,6 +157,8 @@
     told.insert(State.Leader.Address);
     send(Out, State.Leader.Address, std::move(toLeader));
   }
+  if (!isToAll)
+    return;
   for (const std::string &it : frontAddresses(State, Now))
     if (told.insert(it).second)
       send(Out, it, message);
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -12,8 +12,14 @@
 
 namespace sassafras {
 
-/// Fronts tell one another that they live at this pace.
+/// Fronts tell the leader their demand at this pace, and one another that they
+/// live as long as they are few.
 inline constexpr Millis BeatPeriod{300};
+/// Fronts for each of which a beat to all others costs no more than the rest.
+inline constexpr size_t FewFronts = 10;
+/// Beats to all are at most this far apart: three are lost before a front
+/// counts as out of view.
+inline constexpr Millis MostBeatPeriod{800};
 /// Whole views are sent to one node at most this often.
 inline constexpr Millis RepairPeriod{700};
 
@@ -29,6 +35,7 @@
   std::vector<wire::EndpointSighting> Heard;   ///< Since the last beat.
   std::map<std::string, TimePoint> NextRepair; ///< By address and subject.
   std::map<std::string, uint64_t> ToldModels;  ///< Digest by endpoint.
+  TimePoint NextToAll;
 };
 
 /// What the leader keeps of the fronts' demand.
@@ -42,7 +49,10 @@
   std::map<std::string, ArrivalRates> Rates; ///< By model.
 };
 
-/// One beat to every front.
+/// Pace of what goes to all of \p Fronts: the sum of it over all senders grows
+/// with their number only, not with its square.
+Millis paceToAll(Millis Period, size_t Fronts);
+/// One beat to the leader, and to every front where it is time to.
 void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
                uint64_t Term, TimePoint Now, NodeMessages &Out);
 /// A beat of another front. \p Demand takes its demand where this one leads.
