--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -362,7 +362,7 @@
   if (targets.empty())
     targets = Seeds;
   wire::Envelope message;
-  *message.mutable_node_beat()->mutable_self() = Self;
+  *message.mutable_node_heartbeat()->mutable_self() = Self;
   if (!targets.empty())
     Peers->send(targets[NextFront++ % targets.size()], message);
   expireNodes(Fronts, now);
--- a/fleet/serving_table.h
+++ b/fleet/serving_table.h
@@ -35,7 +35,7 @@
   std::string PathPrefix; ///< Begins and ends with a slash.
   RequestKind Kind = RequestKind::NonIdempotent;
   Millis Timeout{0};     ///< Longest time a caller is kept waiting.
-  Millis Objective{0};   ///< Full benefit within this time.
+  Millis Objective{0};   ///< An answer within this time is on time.
   Millis GapTarget{0};   ///< Longest pause between events of a stream.
   uint32_t Priority = 0; ///< 0 is the most urgent.
   uint32_t MaxAttempts = 1;
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -30,7 +30,7 @@
 /// An endpoint that rejects a request is full or changing its models.
 constexpr Millis RejectPause{60};
 /// A caller's tokens are waited for no longer than this part of its objective.
-constexpr int AllowanceWaitPart = 2;
+constexpr int QuotaWaitPart = 2;
 /// Sends of one request, refusals of endpoints included.
 constexpr uint32_t MostSends = 4;
 
@@ -270,17 +270,17 @@
       findOrganisation(*State.Table, Request.Facts.Key);
   if (!organisation)
     return FrontRefusal{RefusalReason::KeyUnknown, {}};
-  AllowanceLimit limit = limitOf(State, *organisation);
-  LocalAllowance &allowance = State.Allowances[organisation->Name];
+  QuotaLimit limit = limitOf(State, *organisation);
+  LocalQuota &quota = State.Quotas[organisation->Name];
   size_t fronts = countFronts(State, Now);
-  AllowanceClaim claim{Request.Cost, Request.Worth};
-  if (takeAllowance(allowance, limit, claim, fronts, Now)) {
+  QuotaClaim claim{Request.Cost, Request.Worth};
+  if (takeQuota(quota, limit, claim, fronts, Now)) {
     Request.IsCharged = true;
     return std::nullopt;
   }
-  Millis wait = waitForAllowance(allowance, limit, claim, fronts, Now);
+  Millis wait = waitForQuota(quota, limit, claim, fronts, Now);
   Clock::duration patience =
-      (Request.ObjectiveEnd - Request.ArrivedAt) / AllowanceWaitPart;
+      (Request.ObjectiveEnd - Request.ArrivedAt) / QuotaWaitPart;
   if (Now + wait > Request.ArrivedAt + patience)
     return refuse(State, RefusalReason::RateExceeded, wait);
   return WaitUntil{Now + wait};
@@ -290,7 +290,7 @@
   if (!Request.IsCharged || Request.Runs > 0)
     return;
   Request.IsCharged = false;
-  returnAllowance(State.Allowances[Request.Organisation], Request.Cost);
+  returnQuota(State.Quotas[Request.Organisation], Request.Cost);
 }
 
 RetryReason retryReasonOf(ExchangeFailure Failure) {
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -56,7 +56,7 @@
   told = digest;
 }
 
-bool isNewerLeader(const FrontState &State, const wire::NodeBeat &Beat,
+bool isNewerLeader(const FrontState &State, const wire::NodeHeartbeat &Beat,
                    TimePoint Now) {
   return Beat.term() >= State.Leader.Term ||
          Now - State.Leader.HeardAt > NodeSilence;
@@ -64,8 +64,9 @@
 
 } // namespace
 
-void takeOwnDemand(FrontState &State, wire::NodeBeat &Beat, TimePoint Now) {
-  for (auto &[name, it] : State.Allowances) {
+void takeOwnDemand(FrontState &State, wire::NodeHeartbeat &Beat,
+                   TimePoint Now) {
+  for (auto &[name, it] : State.Quotas) {
     noteDemand(it, {}, Now);
     if (it.DemandRate < 1)
       continue;
@@ -93,7 +94,7 @@
 }
 
 void noteDemandOf(FleetDemand &Demand, const std::string &Front,
-                  const wire::NodeBeat &Beat, TimePoint Now) {
+                  const wire::NodeHeartbeat &Beat, TimePoint Now) {
   FleetDemand::FrontPart &part = Demand.Fronts[Front];
   part.HeardAt = Now;
   part.Organisations.clear();
@@ -115,15 +116,15 @@
 Millis paceToAll(Millis Period, size_t Fronts) {
   auto scaled =
       Period * static_cast<int64_t>(Fronts) / static_cast<int64_t>(FewFronts);
-  return std::max(Period, std::min(scaled, MostBeatPeriod));
+  return std::max(Period, std::min(scaled, MostHeartbeatPace));
 }
 
 namespace {
 
-wire::Envelope makeBeat(const FrontState &State, bool IsLeader, uint64_t Term,
-                        TimePoint Now) {
+wire::Envelope makeHeartbeat(const FrontState &State, bool IsLeader,
+                             uint64_t Term, TimePoint Now) {
   wire::Envelope message;
-  wire::NodeBeat &beat = *message.mutable_node_beat();
+  wire::NodeHeartbeat &beat = *message.mutable_node_heartbeat();
   *beat.mutable_self() = State.Self;
   beat.set_table_version(State.Table ? State.Table->Version : 0);
   beat.set_roster_digest(digestRoster(State.Roster, State.Self, Now));
@@ -136,24 +137,24 @@
 
 } // namespace
 
-void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
-               uint64_t Term, TimePoint Now, NodeMessages &Out) {
-  wire::Envelope message = makeBeat(State, IsLeader, Term, Now);
+void sendHeartbeats(FrontState &State, GossipState &Gossip, bool IsLeader,
+                    uint64_t Term, TimePoint Now, NodeMessages &Out) {
+  wire::Envelope message = makeHeartbeat(State, IsLeader, Term, Now);
   bool isToAll = isPast(Gossip.NextToAll, Now);
   if (isToAll) {
     for (wire::EndpointSighting &it : Gossip.Heard) {
       dropToldModels(Gossip, it);
-      *message.mutable_node_beat()->add_alive() = it;
+      *message.mutable_node_heartbeat()->add_alive() = it;
     }
     Gossip.Heard.clear();
-    Gossip.NextToAll =
-        Now + paceToAll(BeatPeriod, countFronts(State, Now)) - BeatPeriod / 2;
+    Gossip.NextToAll = Now + paceToAll(HeartbeatPace, countFronts(State, Now)) -
+                       HeartbeatPace / 2;
   }
   std::set<std::string> told;
   bool hasLeader = !IsLeader && Now - State.Leader.HeardAt < NodeSilence;
   if (hasLeader) {
     wire::Envelope toLeader = message;
-    takeOwnDemand(State, *toLeader.mutable_node_beat(), Now);
+    takeOwnDemand(State, *toLeader.mutable_node_heartbeat(), Now);
     told.insert(State.Leader.Address);
     send(Out, State.Leader.Address, std::move(toLeader));
   }
@@ -168,8 +169,9 @@
       send(Out, it, message);
 }
 
-void takeBeat(FrontState &State, GossipState &Gossip, FleetDemand &Demand,
-              const wire::NodeBeat &Beat, TimePoint Now, NodeMessages &Out) {
+void takeNodeHeartbeat(FrontState &State, GossipState &Gossip,
+                       FleetDemand &Demand, const wire::NodeHeartbeat &Beat,
+                       TimePoint Now, NodeMessages &Out) {
   const wire::NodeEntry &self = Beat.self();
   if (self.name() == State.Self.name())
     return;
@@ -241,7 +243,7 @@
   *message.mutable_endpoint_news()->add_endpoints() = Sighting;
   for (const std::string &it : frontAddresses(State, Now))
     send(Out, it, message);
-  // Once more with the next beat, should a message be lost.
+  // Once more with the next heartbeat, should a message be lost.
   Gossip.Heard.push_back(Sighting);
   return result;
 }
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -14,12 +14,13 @@
 
 /// Fronts tell the leader their demand at this pace, and one another that they
 /// live as long as they are few.
-inline constexpr Millis BeatPeriod{300};
-/// Fronts for each of which a beat to all others costs no more than the rest.
+inline constexpr Millis HeartbeatPace{300};
+/// Fronts for each of which a heartbeat to all others costs no more than the
+/// rest.
 inline constexpr size_t FewFronts = 10;
 /// Beats to all are at most this far apart: three are lost before a front
 /// counts as out of view.
-inline constexpr Millis MostBeatPeriod{800};
+inline constexpr Millis MostHeartbeatPace{800};
 /// Whole views are sent to one node at most this often.
 inline constexpr Millis RepairPeriod{700};
 
@@ -32,7 +33,7 @@
 /// What the gossip keeps beside the front's state.
 struct GossipState {
   std::vector<std::string> Seeds;              ///< Inner addresses.
-  std::vector<wire::EndpointSighting> Heard;   ///< Since the last beat.
+  std::vector<wire::EndpointSighting> Heard;   ///< Since the last heartbeat.
   std::map<std::string, TimePoint> NextRepair; ///< By address and subject.
   std::map<std::string, uint64_t> ToldModels;  ///< Digest by endpoint.
   TimePoint NextToAll;
@@ -52,12 +53,14 @@
 /// Pace of what goes to all of \p Fronts: the sum of it over all senders grows
 /// with their number only, not with its square.
 Millis paceToAll(Millis Period, size_t Fronts);
-/// One beat to the leader, and to every front where it is time to.
-void sendBeats(FrontState &State, GossipState &Gossip, bool IsLeader,
-               uint64_t Term, TimePoint Now, NodeMessages &Out);
-/// A beat of another front. \p Demand takes its demand where this one leads.
-void takeBeat(FrontState &State, GossipState &Gossip, FleetDemand &Demand,
-              const wire::NodeBeat &Beat, TimePoint Now, NodeMessages &Out);
+/// One heartbeat to the leader, and to every front where it is time to.
+void sendHeartbeats(FrontState &State, GossipState &Gossip, bool IsLeader,
+                    uint64_t Term, TimePoint Now, NodeMessages &Out);
+/// A heartbeat of another front. \p Demand takes its demand where this one
+/// leads.
+void takeNodeHeartbeat(FrontState &State, GossipState &Gossip,
+                       FleetDemand &Demand, const wire::NodeHeartbeat &Beat,
+                       TimePoint Now, NodeMessages &Out);
 void takeRoster(FrontState &State, const wire::RosterUpdate &Update,
                 TimePoint Now);
 void takeNews(FrontState &State, const wire::EndpointNews &News, TimePoint Now);
@@ -72,9 +75,9 @@
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Takes demand of one front, this one included.
 void noteDemandOf(FleetDemand &Demand, const std::string &Front,
-                  const wire::NodeBeat &Beat, TimePoint Now);
-/// Fills the demand part of a beat and starts to count anew.
-void takeOwnDemand(FrontState &State, wire::NodeBeat &Beat, TimePoint Now);
+                  const wire::NodeHeartbeat &Beat, TimePoint Now);
+/// Fills the demand part of a heartbeat and starts to count anew.
+void takeOwnDemand(FrontState &State, wire::NodeHeartbeat &Beat, TimePoint Now);
 
 } // namespace sassafras
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -241,7 +241,7 @@
     row.Worth += request.Worth;
   }
   if (!request.Organisation.empty())
-    noteDemand(Core.State.Allowances[request.Organisation],
+    noteDemand(Core.State.Quotas[request.Organisation],
                {request.Cost, request.Worth}, now);
   noteRequest(Core.State.Retries[request.Service], Core.State.Limits.Retries,
               countFronts(Core.State, now));
@@ -291,8 +291,9 @@
   NodeMessages out;
   FrontState &state = Core.State;
   switch (Message.body_case()) {
-  case wire::Envelope::kNodeBeat:
-    takeBeat(state, Gossip, Leader.Demand, Message.node_beat(), now, out);
+  case wire::Envelope::kNodeHeartbeat:
+    takeNodeHeartbeat(state, Gossip, Leader.Demand, Message.node_heartbeat(),
+                      now, out);
     HasChanged = true;
     break;
   case wire::Envelope::kRosterUpdate:
@@ -498,14 +499,14 @@
 }
 
 void FrontShell::beat(TimePoint Now) {
-  NextBeat = Now + BeatPeriod;
+  NextBeat = Now + HeartbeatPace;
   NodeMessages out;
   if (View.IsLeader) {
-    wire::NodeBeat own;
+    wire::NodeHeartbeat own;
     takeOwnDemand(Core.State, own, Now);
     noteDemandOf(Leader.Demand, Options.Node, own, Now);
   }
-  sendBeats(Core.State, Gossip, View.IsLeader, View.Term, Now, out);
+  sendHeartbeats(Core.State, Gossip, View.IsLeader, View.Term, Now, out);
   send(std::move(out));
   Counts.set("requests_open", "", static_cast<double>(Core.Relays.size()));
   Counts.set("requests_waiting", "", static_cast<double>(Core.Waiting.size()));
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -6,8 +6,8 @@
   return countInView(State.Roster, wire::NODE_FRONT, Now) + 1;
 }
 
-AllowanceLimit limitOf(const FrontState &State,
-                       const OrganisationSpec &Organisation) {
+QuotaLimit limitOf(const FrontState &State,
+                   const OrganisationSpec &Organisation) {
   return {Organisation.RatePerSecond, Organisation.Burst,
           State.Limits.Tolerance};
 }
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -24,7 +24,7 @@
 /// Settings that the decisions of a front depend on.
 struct FrontLimits {
   RetryLimits Retries;
-  AllowanceTolerance Tolerance;
+  QuotaTolerance Tolerance;
   /// A refused model stays wanted for this long: its callers come back.
   Millis WishMemory{3'000};
   /// Requests that may wait at one front; each holds its body in memory.
@@ -33,7 +33,7 @@
 
 /// Use of one model at this front.
 struct RowUse {
-  uint32_t Arrivals = 0;                  ///< Since the last beat.
+  uint32_t Arrivals = 0;                  ///< Since the last heartbeat.
   double Worth = 0;                       ///< Of those arrivals.
   uint32_t Open = 0;                      ///< Under way at endpoints.
   std::map<std::string, uint32_t> OpenAt; ///< By endpoint.
@@ -62,7 +62,7 @@
   sassafras::Roster Roster;
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
-  std::map<std::string, LocalAllowance> Allowances;
+  std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
   std::map<std::string, RowUse> Rows;         ///< By model.
   /// When an adapter may be asked for again, by engine and adapter.
@@ -77,8 +77,8 @@
 /// Fronts in view, this one included.
 size_t countFronts(const FrontState &State, TimePoint Now);
 /// Limit of the organisation in force, none when it has none.
-AllowanceLimit limitOf(const FrontState &State,
-                       const OrganisationSpec &Organisation);
+QuotaLimit limitOf(const FrontState &State,
+                   const OrganisationSpec &Organisation);
 /// Engine parameters of \p Service, or null for plain services.
 const EngineSpec *engineSpecOf(const FrontState &State,
                                const std::string &Service);
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -27,7 +27,7 @@
 constexpr unsigned OrderTermShift = 24;
 /// Models in one log line.
 constexpr size_t MostDescribed = 6;
-/// A front's demand counts for this long after its last beat.
+/// A front's demand counts for this long after its last heartbeat.
 constexpr Millis DemandMemory{2'000};
 
 double secondsOf(Clock::duration Span) {
@@ -416,7 +416,7 @@
   State.SharesTerm = Shares.term();
   State.SharesNumber = Shares.number();
   for (const wire::RateShare &it : Shares.shares())
-    setShare(State.Allowances[it.organisation()], it.share(), Now);
+    setShare(State.Quotas[it.organisation()], it.share(), Now);
 }
 
 } // namespace sassafras
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -22,56 +22,51 @@
   return std::chrono::duration<double>(Span).count();
 }
 
-double shareAt(const LocalAllowance &Allowance, size_t FrontCount,
-               TimePoint Now) {
+double shareAt(const LocalQuota &Quota, size_t FrontCount, TimePoint Now) {
   double equal = 1.0 / static_cast<double>(std::max<size_t>(FrontCount, 1));
-  if (isPast(Allowance.ShareEnd, Now))
-    return Allowance.ShareEnd == TimePoint()
+  if (isPast(Quota.ShareEnd, Now))
+    return Quota.ShareEnd == TimePoint()
                ? equal
-               : std::min(Allowance.Share, equal * FallbackShare);
-  return Allowance.Share;
+               : std::min(Quota.Share, equal * FallbackShare);
+  return Quota.Share;
 }
 
 /// What all fronts together may spend at once beyond the rate.
-double burstOf(const AllowanceLimit &Limit) {
-  const AllowanceTolerance &tolerance = Limit.Tolerance;
+double burstOf(const QuotaLimit &Limit) {
+  const QuotaTolerance &tolerance = Limit.Tolerance;
   double window = Limit.RatePerSecond * secondsOf(tolerance.Window);
   return Limit.Burst + tolerance.Overshoot * (window + Limit.Burst) +
          tolerance.Slack;
 }
 
 /// A front with a small share may still be asked for several at once.
-double mostSaved(const AllowanceLimit &Limit, double Share, size_t FrontCount) {
+double mostSaved(const QuotaLimit &Limit, double Share, size_t FrontCount) {
   double equal = 1.0 / static_cast<double>(std::max<size_t>(FrontCount, 1));
   return burstOf(Limit) * SavedPart * std::max(Share, equal);
 }
 
 /// Level above which \p Claim is granted.
-double levelNeeded(const LocalAllowance &Allowance, const AllowanceLimit &Limit,
-                   const AllowanceClaim &Claim, size_t FrontCount,
-                   TimePoint Now) {
-  bool isSmall = Claim.Cost <= Allowance.MeanCost * SmallPart;
-  bool isWorthy =
-      Claim.Worth >= Claim.Cost * Allowance.MeanDensity * WorthyFactor;
-  double share = shareAt(Allowance, FrontCount, Now);
-  bool isBeyond =
-      Allowance.DemandRate > Limit.RatePerSecond * share * BeyondFactor;
+double levelNeeded(const LocalQuota &Quota, const QuotaLimit &Limit,
+                   const QuotaClaim &Claim, size_t FrontCount, TimePoint Now) {
+  bool isSmall = Claim.Cost <= Quota.MeanCost * SmallPart;
+  bool isWorthy = Claim.Worth >= Claim.Cost * Quota.MeanDensity * WorthyFactor;
+  double share = shareAt(Quota, FrontCount, Now);
+  bool isBeyond = Quota.DemandRate > Limit.RatePerSecond * share * BeyondFactor;
   if (isSmall || isWorthy || !isBeyond)
     return 0;
   return ReservedPart * mostSaved(Limit, share, FrontCount);
 }
 
-void refill(LocalAllowance &Allowance, const AllowanceLimit &Limit,
-            size_t FrontCount, TimePoint Now) {
-  double share = shareAt(Allowance, FrontCount, Now);
+void refill(LocalQuota &Quota, const QuotaLimit &Limit, size_t FrontCount,
+            TimePoint Now) {
+  double share = shareAt(Quota, FrontCount, Now);
   double most = mostSaved(Limit, share, FrontCount);
-  if (Allowance.FilledAt == TimePoint())
-    Allowance.Level = most;
+  if (Quota.FilledAt == TimePoint())
+    Quota.Level = most;
   else
-    Allowance.Level =
-        std::min(most, Allowance.Level + secondsOf(Now - Allowance.FilledAt) *
-                                             Limit.RatePerSecond * share);
-  Allowance.FilledAt = Now;
+    Quota.Level = std::min(most, Quota.Level + secondsOf(Now - Quota.FilledAt) *
+                                                   Limit.RatePerSecond * share);
+  Quota.FilledAt = Now;
 }
 
 } // namespace
@@ -96,57 +91,51 @@
   return out;
 }
 
-void setShare(LocalAllowance &Allowance, double Share, TimePoint Now) {
-  Allowance.Share = Share;
-  Allowance.ShareEnd = Now + ShareLife;
+void setShare(LocalQuota &Quota, double Share, TimePoint Now) {
+  Quota.Share = Share;
+  Quota.ShareEnd = Now + ShareLife;
 }
 
-bool takeAllowance(LocalAllowance &Allowance, const AllowanceLimit &Limit,
-                   const AllowanceClaim &Claim, size_t FrontCount,
-                   TimePoint Now) {
+bool takeQuota(LocalQuota &Quota, const QuotaLimit &Limit,
+               const QuotaClaim &Claim, size_t FrontCount, TimePoint Now) {
   if (Limit.RatePerSecond <= 0)
     return true;
-  refill(Allowance, Limit, FrontCount, Now);
+  refill(Quota, Limit, FrontCount, Now);
   // A request larger than what is saved up runs on credit: the level goes
   // below zero and later ones wait for it.
-  if (Allowance.Level <= levelNeeded(Allowance, Limit, Claim, FrontCount, Now))
+  if (Quota.Level <= levelNeeded(Quota, Limit, Claim, FrontCount, Now))
     return false;
-  Allowance.Level -= Claim.Cost;
+  Quota.Level -= Claim.Cost;
   return true;
 }
 
-void returnAllowance(LocalAllowance &Allowance, double Cost) {
-  Allowance.Level += Cost;
-}
+void returnQuota(LocalQuota &Quota, double Cost) { Quota.Level += Cost; }
 
-Millis waitForAllowance(const LocalAllowance &Allowance,
-                        const AllowanceLimit &Limit,
-                        const AllowanceClaim &Claim, size_t FrontCount,
-                        TimePoint Now) {
-  double rate = Limit.RatePerSecond * shareAt(Allowance, FrontCount, Now);
+Millis waitForQuota(const LocalQuota &Quota, const QuotaLimit &Limit,
+                    const QuotaClaim &Claim, size_t FrontCount, TimePoint Now) {
+  double rate = Limit.RatePerSecond * shareAt(Quota, FrontCount, Now);
   double missing =
-      levelNeeded(Allowance, Limit, Claim, FrontCount, Now) - Allowance.Level;
+      levelNeeded(Quota, Limit, Claim, FrontCount, Now) - Quota.Level;
   if (missing < 0 || rate <= 0)
     return Millis(0);
   return Millis(static_cast<int64_t>(std::ceil(missing / rate * 1000.0)) + 1);
 }
 
-void noteDemand(LocalAllowance &Allowance, const AllowanceClaim &Claim,
-                TimePoint Now) {
+void noteDemand(LocalQuota &Quota, const QuotaClaim &Claim, TimePoint Now) {
   if (Claim.Cost > 0) {
-    Allowance.MeanCost += (Claim.Cost - Allowance.MeanCost) * MeanWeight;
-    Allowance.MeanDensity +=
-        (Claim.Worth / Claim.Cost - Allowance.MeanDensity) * MeanWeight;
+    Quota.MeanCost += (Claim.Cost - Quota.MeanCost) * MeanWeight;
+    Quota.MeanDensity +=
+        (Claim.Worth / Claim.Cost - Quota.MeanDensity) * MeanWeight;
   }
-  if (Allowance.DemandSince == TimePoint())
-    Allowance.DemandSince = Now;
-  Allowance.DemandSum += Claim.Cost;
-  if (Now - Allowance.DemandSince < DemandSpan)
+  if (Quota.DemandSince == TimePoint())
+    Quota.DemandSince = Now;
+  Quota.DemandSum += Claim.Cost;
+  if (Now - Quota.DemandSince < DemandSpan)
     return;
-  double rate = Allowance.DemandSum / secondsOf(Now - Allowance.DemandSince);
-  Allowance.DemandRate += (rate - Allowance.DemandRate) * DemandWeight;
-  Allowance.DemandSum = 0;
-  Allowance.DemandSince = Now;
+  double rate = Quota.DemandSum / secondsOf(Now - Quota.DemandSince);
+  Quota.DemandRate += (rate - Quota.DemandRate) * DemandWeight;
+  Quota.DemandSum = 0;
+  Quota.DemandSince = Now;
 }
 
 } // namespace sassafras
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -42,8 +42,8 @@
 divideRate(double Rate, const FrontDemand &Demand,
            const std::vector<std::string> &Fronts);
 
-/// One organisation's allowance at one front.
-struct LocalAllowance {
+/// One organisation's quota at one front.
+struct LocalQuota {
   double Level = 0; ///< Tokens; may be below zero after a large request.
   TimePoint FilledAt;
   double Share = 0; ///< Of the whole rate.
@@ -56,14 +56,14 @@
 };
 
 /// What one request takes and what it is worth against others.
-struct AllowanceClaim {
+struct QuotaClaim {
   double Cost = 0;
   double Worth = 0;
 };
 
 /// How far beyond rate and burst the fleet may go in any window, as the
 /// operators' rules say.
-struct AllowanceTolerance {
+struct QuotaTolerance {
   Millis Window{8'000};
   double Overshoot = 0.1;
   double Slack = 0; ///< In the unit of the rate.
@@ -73,29 +73,25 @@
 inline constexpr double ReservedPart = 0.3;
 
 /// Rate and burst in force for the organisation, over all fronts.
-struct AllowanceLimit {
+struct QuotaLimit {
   double RatePerSecond = 0; ///< 0 for none.
   double Burst = 0;
-  AllowanceTolerance Tolerance;
+  QuotaTolerance Tolerance;
 };
 
-void setShare(LocalAllowance &Allowance, double Share, TimePoint Now);
+void setShare(LocalQuota &Quota, double Share, TimePoint Now);
 /// Takes the tokens of \p Claim. False when the organisation is beyond its
 /// limit, or what it has left is kept for requests that are small or worth
 /// more. \p FrontCount: fronts in view, this one included.
-bool takeAllowance(LocalAllowance &Allowance, const AllowanceLimit &Limit,
-                   const AllowanceClaim &Claim, size_t FrontCount,
-                   TimePoint Now);
+bool takeQuota(LocalQuota &Quota, const QuotaLimit &Limit,
+               const QuotaClaim &Claim, size_t FrontCount, TimePoint Now);
 /// Gives back what was taken for a request that surely did not run.
-void returnAllowance(LocalAllowance &Allowance, double Cost);
+void returnQuota(LocalQuota &Quota, double Cost);
 /// Time until \p Claim can be granted, as far as it can be told.
-Millis waitForAllowance(const LocalAllowance &Allowance,
-                        const AllowanceLimit &Limit,
-                        const AllowanceClaim &Claim, size_t FrontCount,
-                        TimePoint Now);
+Millis waitForQuota(const LocalQuota &Quota, const QuotaLimit &Limit,
+                    const QuotaClaim &Claim, size_t FrontCount, TimePoint Now);
 /// Notes what was asked for, granted or not.
-void noteDemand(LocalAllowance &Allowance, const AllowanceClaim &Claim,
-                TimePoint Now);
+void noteDemand(LocalQuota &Quota, const QuotaClaim &Claim, TimePoint Now);
 
 } // namespace sassafras
 
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -244,8 +244,8 @@
 LimitRun runLimit(double Rate, double AskedRate, const std::vector<double> &Mix,
                   bool HasLeader, unsigned Seed) {
   std::mt19937 random(Seed);
-  AllowanceLimit limit{Rate, Rate, {Millis(8'000), 0.1, 17'000}};
-  std::vector<LocalAllowance> fronts(Mix.size());
+  QuotaLimit limit{Rate, Rate, {Millis(8'000), 0.1, 17'000}};
+  std::vector<LocalQuota> fronts(Mix.size());
   std::vector<std::string> names;
   for (size_t i = 0; i < Mix.size(); ++i)
     names.push_back("f" + std::to_string(i));
@@ -269,11 +269,11 @@
       for (size_t i = 0; i < fronts.size(); ++i)
         setShare(fronts[i], shares[names[i]], now);
     }
-    LocalAllowance &front = fronts[place(random)];
+    LocalQuota &front = fronts[place(random)];
     double cost = size(random);
     ++out.Asked;
     noteDemand(front, {cost, 1}, now);
-    if (!takeAllowance(front, limit, {cost, 1}, fronts.size(), now)) {
+    if (!takeQuota(front, limit, {cost, 1}, fronts.size(), now)) {
       ++out.Refused;
       continue;
     }
@@ -317,10 +317,10 @@
 // One organisation at six times its rate: a few large requests must not use
 // up what many small ones and those worth most could be served with.
 TEST_CASE("beyond the rate small and worthy requests are served first") {
-  AllowanceLimit limit{20'000, 20'000, {Millis(8'000), 0.1, 17'000}};
-  LocalAllowance front;
+  QuotaLimit limit{20'000, 20'000, {Millis(8'000), 0.1, 17'000}};
+  LocalQuota front;
   struct Kind {
-    AllowanceClaim Claim;
+    QuotaClaim Claim;
     int Asked = 0;
     int Served = 0;
   };
@@ -332,7 +332,7 @@
     Kind &it = kinds[mix(random)];
     ++it.Asked;
     noteDemand(front, it.Claim, now);
-    it.Served += takeAllowance(front, limit, it.Claim, 1, now);
+    it.Served += takeQuota(front, limit, it.Claim, 1, now);
   }
   auto part = [](const Kind &it) {
     return static_cast<double>(it.Served) / it.Asked;
@@ -344,12 +344,12 @@
 }
 
 TEST_CASE("share of a front that hears no leader shrinks, and never grows") {
-  LocalAllowance front;
+  LocalQuota front;
   setShare(front, 0.9, Start);
-  AllowanceLimit limit{1'000, 1'000, {}};
+  QuotaLimit limit{1'000, 1'000, {}};
   TimePoint late = Start + ShareLife + Millis(1);
-  REQUIRE(takeAllowance(front, limit, {5'000, 1}, 10, late));
-  Millis wait = waitForAllowance(front, limit, {1, 1}, 10, late);
+  REQUIRE(takeQuota(front, limit, {5'000, 1}, 10, late));
+  Millis wait = waitForQuota(front, limit, {1, 1}, 10, late);
   // A tenth of the rate is an equal share; half of that is kept.
   CHECK(wait > std::chrono::seconds(60));
 }
--- a/tests/wire/test_link.cpp
+++ b/tests/wire/test_link.cpp
@@ -39,7 +39,7 @@
   Link B;
 };
 
-wire::Envelope makeBeat(uint64_t Number) {
+wire::Envelope makeHeartbeat(uint64_t Number) {
   wire::Envelope message;
   message.mutable_heartbeat()->set_number(Number);
   return message;
@@ -50,7 +50,7 @@
 TEST_CASE("link names its sender and keeps the order") {
   LinkPair pair("fleet", "fleet");
   for (uint64_t i = 0; i < 500; ++i)
-    pair.A.send(pair.B.address(), makeBeat(i));
+    pair.A.send(pair.B.address(), makeHeartbeat(i));
   REQUIRE(pair.runUntil([&] { return pair.AtB.size() == 500; }));
   for (uint64_t i = 0; i < 500; ++i) {
     CHECK(pair.AtB[i].heartbeat().number() == i);
@@ -62,7 +62,7 @@
 
 TEST_CASE("link refuses another fleet and tells it") {
   LinkPair pair("fleet", "other");
-  pair.A.send(pair.B.address(), makeBeat(1));
+  pair.A.send(pair.B.address(), makeHeartbeat(1));
   REQUIRE(pair.runUntil([&] {
     return pair.CountsA.print().find("by_peer") != std::string::npos;
   }));
@@ -76,7 +76,7 @@
   zmq::context_t context;
   zmq::socket_t socket(context, zmq::socket_type::push);
   socket.connect("tcp://" + pair.B.address());
-  wire::Envelope message = makeBeat(1);
+  wire::Envelope message = makeHeartbeat(1);
   message.set_fleet("fleet");
   message.set_version(ProtocolVersion + 1);
   std::string bytes = message.SerializeAsString();
@@ -89,7 +89,7 @@
            counts.find("unknown protocol version") != std::string::npos;
   }));
   CHECK(pair.AtB.empty());
-  pair.A.send(pair.B.address(), makeBeat(2));
+  pair.A.send(pair.B.address(), makeHeartbeat(2));
   CHECK(pair.runUntil([&] { return pair.AtB.size() == 1; }));
 }
 
