--- a/agent/attempts.cpp
+++ b/agent/attempts.cpp
@@ -109,7 +109,7 @@
     replyOutcome(Out, ReplyAddress, key, ended->second.Outcome, "ended");
     return;
   }
-  // An earlier process may have started it; this one can swear nothing.
+  // An earlier process may have started it; this one cannot vouch for it.
   if (Attempt.agent_incarnation() != State.Options.Incarnation) {
     replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_FAILED,
                  "other_incarnation");
@@ -117,7 +117,7 @@
   }
   std::string reason = refuseAttempt(State, Attempt, Now);
   if (!reason.empty()) {
-    // Sworn: a late copy of this attempt will not be started either.
+    // Refused for good: a late copy of this attempt will not be started either.
     rememberEnd(State, key, wire::ATTEMPT_NOT_RUN);
     replyOutcome(Out, ReplyAddress, key, wire::ATTEMPT_NOT_RUN, reason);
     return;
