--- a/tests/agent/test_agent_state.cpp
+++ b/tests/agent/test_agent_state.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Contract of an agent towards entries: what it admits, what it swears.
+/// Contract of an agent towards entries: what it admits, what it states.
 #include "agent/agent_state.h"
 
 #include <catch2/catch.hpp>
@@ -97,10 +97,10 @@
 
 } // namespace
 
-TEST_CASE("agent admits or swears, case by case") {
+TEST_CASE("agent admits or refuses, case by case") {
   const Case cases[] = {
       {"good", [](Bench &, wire::Attempt &) {}, wire::ATTEMPT_NONE, "started"},
-      {"for an earlier process: nothing can be sworn",
+      {"for an earlier process: nothing can be stated",
        [](Bench &, wire::Attempt &It) { It.set_agent_incarnation(4); },
        wire::ATTEMPT_FAILED, "other_incarnation"},
       {"held up on its way",
@@ -167,7 +167,7 @@
   }
 }
 
-TEST_CASE("agent never starts what it swore not to run, nor anything twice") {
+TEST_CASE("agent never starts what it said it did not run, nor anything twice") {
   Bench bench;
   wire::Attempt refused = bench.attempt("r");
   refused.set_fence(Fence + 1);
