--- a/tests/agent/test_agent_state.cpp
+++ b/tests/agent/test_agent_state.cpp
@@ -167,7 +167,8 @@
   }
 }
 
-TEST_CASE("agent never starts what it said it did not run, nor anything twice") {
+TEST_CASE(
+    "agent never starts what it said it did not run, nor anything twice") {
   Bench bench;
   wire::Attempt refused = bench.attempt("r");
   refused.set_fence(Fence + 1);
