--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "http/status_pages.h"
 #include "replication/disk_log.h"
+#include "replication/group_status.h"
 #include "wire/link.h"
 
 #include <boost/asio/post.hpp>
@@ -158,7 +159,8 @@
   Counts.set("control_term", "", static_cast<double>(LastTerm));
   logEvent(LogLevel::Info, "role_changed",
            {{"term", std::to_string(LastTerm)},
-            {"leader", isLeader ? "yes" : "no"}});
+            {"leader", isLeader ? "yes" : "no"},
+            {"waits_for", waitsFor(State.Raft)}});
 }
 
 void ControlShell::exit() {
--- a/control/dissemination.cpp
+++ b/control/dissemination.cpp
@@ -1,6 +1,7 @@
 #include "control/control_parts.h"
 
 #include "core/timing.h"
+#include "replication/group_status.h"
 
 #include <algorithm>
 
@@ -80,14 +81,11 @@
   wire::Envelope answer;
   wire::StatusReply &reply = *answer.mutable_status_reply();
   reply.set_request_id(request.request_id());
-  reply.set_is_leader(canPropose(State.Raft, Now));
-  reply.set_leader_address(leaderAddress(State.Raft));
-  reply.set_term(State.Raft.Term);
+  reply.set_node(State.Raft.Self.Name);
+  fillGroupStatus(State.Raft, Now, reply);
   reply.set_version(State.Fleet.Version);
   reply.set_table_version(State.Fleet.TableVersion);
   reply.set_in_force_version(inForceVersion(State, Now));
-  for (const wire::Member &it : State.Raft.Members)
-    *reply.add_members() = it;
   for (const auto &[name, info] : State.Nodes) {
     wire::NodeStatus &node = *reply.add_nodes();
     node.set_name(name);
--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -1,5 +1,7 @@
 #include "control/serving_store.h"
 
+#include "replication/group_status.h"
+
 namespace sassafras {
 
 namespace {
@@ -133,6 +135,18 @@
     Out.push_back(StoreAnswer{Read.Number, whyNot(Store), 0, {}});
 }
 
+void answerStatus(const ServingStore &Store, const StoreStatus &Status,
+                  TimePoint Now, StoreEffects &Out) {
+  RaftSend effect;
+  effect.Address = Status.Address;
+  wire::StatusReply &reply = *effect.Message.mutable_status_reply();
+  reply = Status.Reply;
+  fillGroupStatus(Store.Raft, Now, reply);
+  reply.set_table_version(Store.Table.version());
+  reply.set_version(Store.Applied);
+  Out.push_back(std::move(effect));
+}
+
 /// Writes whose leader lost its term may or may not last.
 void dropPending(ServingStore &Store, StoreEffects &Out) {
   if (Store.Raft.Role == RaftRole::Leader)
@@ -160,6 +174,8 @@
     read(Store, *get, Now, Out);
   } else if (auto *greet = std::get_if<StoreGreet>(&Event)) {
     Store.Raft.GreetAddresses = greet->Addresses;
+  } else if (auto *status = std::get_if<StoreStatus>(&Event)) {
+    answerStatus(Store, *status, Now, Out);
   } else if (std::holds_alternative<StoreStop>(Event)) {
     Store.IsStopping = true;
     transferLeadership(Store.Raft, Now, Raft);
--- a/control/serving_store.h
+++ b/control/serving_store.h
@@ -59,8 +59,13 @@
   std::vector<std::string> Addresses;
 };
 struct StoreStop {};
+/// An operator asks; the group's part of \p Reply is filled in.
+struct StoreStatus {
+  std::string Address; ///< Inner address of who asks.
+  wire::StatusReply Reply;
+};
 using StoreEvent = std::variant<StoreTick, StoreReceived, StoreWrite, StoreRead,
-                                StoreGreet, StoreStop>;
+                                StoreGreet, StoreStop, StoreStatus>;
 
 enum class StoreOutcome { Done, NotLeader, Unavailable };
 
--- a/ctl/client.cpp
+++ b/ctl/client.cpp
@@ -3,8 +3,10 @@
 #include "core/hash.h"
 #include "core/metrics.h"
 #include "core/timing.h"
+#include "http/address.h"
 #include "wire/link.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace sassafras {
@@ -13,11 +15,23 @@
 
 constexpr Millis WaitSlice{50};
 
+/// Inner addresses of some members of the replicated group, by the settings
+/// of any process of the fleet.
+std::vector<std::string> groupAddresses(const Settings &Options) {
+  std::vector<std::string> out = Options.Control;
+  const std::vector<std::string> &seeds = Options.Role == NodeRole::Front
+                                              ? Options.FrontRole.Seeds
+                                              : Options.EngineAgentRole.Seeds;
+  for (const std::string &it : seeds)
+    out.push_back(atPortOf(it, Options.Listen));
+  return out;
+}
+
 } // namespace
 
 struct ControlClient::Impl {
   Impl(const Settings &Options, Millis Limit)
-      : Options(Options), Limit(Limit),
+      : Options(Options), Limit(Limit), Targets(groupAddresses(Options)),
         Peers(Io,
               LinkSelf{Options.Fleet, "ctl", drawIncarnation(), localAddress()},
               Counts, [this](wire::Envelope Message) {
@@ -26,11 +40,19 @@
 
   /// The control addresses tell by which interface the fleet is reached.
   std::string localAddress() const {
-    const std::string &peer = Options.Control.front();
+    const std::string &peer = Targets.front();
     bool isLocal = peer.starts_with("127.");
     return isLocal ? "127.0.0.1:0" : Options.Listen;
   }
 
+  /// The leader need not be one of the nodes that the settings name.
+  void addTarget(const std::string &Address) {
+    bool isKnown = Address.empty() || std::find(Targets.begin(), Targets.end(),
+                                                Address) != Targets.end();
+    if (!isKnown)
+      Targets.push_back(Address);
+  }
+
   /// Sends to all control processes every so often until \p Take is content
   /// with an answer.
   bool ask(const wire::Envelope &Question,
@@ -39,7 +61,7 @@
     TimePoint nextSend;
     while (!isPast(deadline, Clock::now())) {
       if (isPast(nextSend, Clock::now())) {
-        for (const std::string &it : Options.Control)
+        for (const std::string &it : Targets)
           Peers.send(it, Question);
         nextSend = Clock::now() + timing::ProposalRetry;
       }
@@ -56,6 +78,8 @@
 
   Settings Options;
   Millis Limit;
+  std::vector<std::string> Targets; ///< Inner addresses of members.
+  std::map<std::string, wire::StatusReply> Others;
   boost::asio::io_context Io;
   Metrics Counts;
   std::vector<wire::Envelope> Inbox;
@@ -79,30 +103,25 @@
   request.set_with_items(!Prefix.empty());
   request.set_prefix(Prefix);
   std::optional<wire::StatusReply> answer;
+  Data->Others.clear();
   Data->ask(question, [&](const wire::Envelope &It) {
-    bool isOurs = It.has_status_reply() && It.status_reply().is_leader() &&
-                  It.status_reply().request_id() == request.request_id();
-    if (isOurs)
-      answer = It.status_reply();
-    return isOurs;
+    if (!It.has_status_reply() ||
+        It.status_reply().request_id() != request.request_id())
+      return false;
+    const wire::StatusReply &reply = It.status_reply();
+    if (!reply.is_leader()) {
+      Data->Others[reply.node()] = reply;
+      Data->addTarget(reply.leader_address());
+      return false;
+    }
+    answer = reply;
+    return true;
   });
   return answer;
 }
 
-std::vector<wire::StatusReply> ControlClient::statusOfAll() {
-  wire::Envelope question;
-  question.mutable_status_request()->set_request_id(
-      std::to_string(Data->NextRequest++));
-  std::map<std::string, wire::StatusReply> answers;
-  Data->ask(question, [&](const wire::Envelope &It) {
-    if (It.has_status_reply())
-      answers[It.from()] = It.status_reply();
-    return answers.size() == Data->Options.Control.size();
-  });
-  std::vector<wire::StatusReply> all;
-  for (auto &[from, answer] : answers)
-    all.push_back(std::move(answer));
-  return all;
+const std::map<std::string, wire::StatusReply> &ControlClient::others() const {
+  return Data->Others;
 }
 
 std::optional<wire::ProposalReply>
--- a/ctl/client.h
+++ b/ctl/client.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 #include "wire/inner.pb.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,8 +27,9 @@
   /// Answer of the leader about everything under \p Prefix. Nothing when no
   /// leader answers in time.
   std::optional<wire::StatusReply> status(const std::string &Prefix);
-  /// Answers of every control process that answers in time.
-  std::vector<wire::StatusReply> statusOfAll();
+  /// Answers of members other than the leader that came in during the last
+  /// call of status, by node.
+  const std::map<std::string, wire::StatusReply> &others() const;
   /// Proposes \p Command, again until it is decided. Nothing when no leader
   /// decides in time; the command may have been accepted all the same.
   std::optional<wire::ProposalReply> propose(wire::Command Command);
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -23,6 +23,7 @@
   wire::NodeEntry Entry;
   TimePoint HeardAt;
   bool IsLeaving = false;
+  uint64_t TableVersion = 0; ///< By its last heartbeat.
 };
 
 struct Roster {
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -192,6 +192,7 @@
   for (const wire::EndpointSighting &it : Beat.alive())
     applySighting(State.Directory, it, Now);
   uint64_t version = State.Table ? State.Table->Version : 0;
+  State.Roster.Nodes[Beat.self().name()].TableVersion = Beat.table_version();
   if (Beat.table_version() > version &&
       mayRepair(Gossip, self.address(), "/table", Now)) {
     wire::Envelope message;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -7,6 +7,7 @@
 #include "core/metrics.h"
 #include "front/fleet_api.h"
 #include "front/front_core.h"
+#include "front/front_status.h"
 #include "front/leader_work.h"
 #include "front/relay.h"
 #include "http/address.h"
@@ -68,6 +69,7 @@
   void takeMessage(wire::Envelope Message);
   void takeHello(const wire::Envelope &Message);
   void takeReport(const wire::EngineReport &Report);
+  void answerStatus(const wire::Envelope &Message);
   void takeTable(uint64_t Version, const std::string &Content);
   void takeView(const StoreView &View);
   void send(NodeMessages Messages);
@@ -327,6 +329,9 @@
   case wire::Envelope::kBlankHello:
     takeHello(Message);
     break;
+  case wire::Envelope::kStatusRequest:
+    answerStatus(Message);
+    break;
   default:
     if (Group)
       Group->post(StoreReceived{std::move(Message)});
@@ -372,6 +377,20 @@
   HasChanged = true;
 }
 
+void FrontShell::answerStatus(const wire::Envelope &Message) {
+  wire::Envelope answer;
+  wire::StatusReply &reply = *answer.mutable_status_reply();
+  reply.set_request_id(Message.status_request().request_id());
+  printFrontStatus(Core.State, Clock::now(), reply);
+  if (Group) {
+    Group->post(StoreStatus{Message.reply_address(), std::move(reply)});
+    return;
+  }
+  reply.set_leader_address(Core.State.Leader.Address);
+  reply.set_term(Core.State.Leader.Term);
+  Peers->send(Message.reply_address(), std::move(answer));
+}
+
 void FrontShell::takeTable(uint64_t Version, const std::string &Content) {
   FrontState &state = Core.State;
   if (state.Table && Version <= state.Table->Version)
--- /dev/null
+++ b/front/front_status.cpp
@@ -0,0 +1,60 @@
+#include "front/front_status.h"
+
+namespace sassafras {
+
+namespace {
+
+const char *stateOf(const KnownEndpoint &Endpoint, const EngineState *Engine,
+                    TimePoint Now) {
+  if (Endpoint.HasLeft || Endpoint.IsDraining)
+    return "leaving";
+  if (!isUsable(Endpoint, Now) || (Engine && Engine->IsSilent))
+    return "silent";
+  return isPast(Endpoint.SlowUntil, Now) ? "usable" : "slow";
+}
+
+void printEngine(const EngineState &Engine, TimePoint Now,
+                 wire::EndpointStatus &Out) {
+  Out.set_active(Engine.Active);
+  Out.set_queued(Engine.Queued);
+  Out.set_report_age_ms(toMillis(Now - Engine.ReadAt));
+  for (const auto &[model, adapters] : Engine.Models) {
+    Out.add_models(model);
+    for (const std::string &it : adapters)
+      Out.add_models(model + '/' + it);
+  }
+  for (const std::string &it : Engine.InMemory)
+    Out.add_in_memory(it);
+  for (const std::string &it : Engine.OnDisk)
+    Out.add_on_disk(it);
+}
+
+} // namespace
+
+void printFrontStatus(const FrontState &State, TimePoint Now,
+                      wire::StatusReply &Out) {
+  Out.set_node(State.Self.name());
+  Out.set_table_version(State.Table ? State.Table->Version : 0);
+  for (const auto &[name, it] : State.Roster.Nodes) {
+    wire::NodeStatus &node = *Out.add_nodes();
+    node.set_name(name);
+    node.set_silent_ms(toMillis(Now - it.HeardAt));
+    node.set_is_agent(it.Entry.kind() != wire::NODE_FRONT);
+    node.set_applied_version(it.TableVersion);
+  }
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    const EngineState *engine = engineOf(State.Directory, known);
+    wire::EndpointStatus &endpoint = *Out.add_endpoints();
+    endpoint.set_id(id);
+    endpoint.set_service(known.Service);
+    endpoint.set_zone(known.Zone);
+    endpoint.set_address(known.Address);
+    endpoint.set_state(stateOf(known, engine, Now));
+    endpoint.set_slots(known.Slots);
+    endpoint.set_report_age_ms(toMillis(Now - known.HeardAt));
+    if (engine)
+      printEngine(*engine, Now, endpoint);
+  }
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/replication/group_status.cpp
@@ -0,0 +1,79 @@
+#include "replication/group_status.h"
+
+namespace sassafras {
+
+namespace {
+
+wire::MemberStatus describeMember(const RaftState &State,
+                                  const wire::Member &Member, TimePoint Now) {
+  wire::MemberStatus out;
+  *out.mutable_member() = Member;
+  if (Member.identity() == State.Self.Identity) {
+    out.set_is_heard(true);
+    return out;
+  }
+  auto peer = State.Peers.find(Member.identity());
+  if (peer == State.Peers.end() || peer->second.HeardAt == TimePoint()) {
+    out.set_missing(lastIndex(State));
+    return out;
+  }
+  Clock::duration silence = Now - peer->second.HeardAt;
+  out.set_silent_ms(toMillis(silence));
+  out.set_is_heard(silence < State.Self.Timing.MostElection);
+  out.set_missing(lastIndex(State) -
+                  std::min(lastIndex(State), peer->second.MatchIndex));
+  return out;
+}
+
+/// True when \p Member could at once take part in electing a leader that has
+/// all that was acknowledged.
+bool counts(const RaftState &State, const wire::MemberStatus &Member) {
+  return Member.member().voter() && Member.is_heard() &&
+         lastIndex(State) - Member.missing() >= State.Commit;
+}
+
+size_t countVoters(const RaftState &State) {
+  size_t n = 0;
+  for (const wire::Member &it : State.Members)
+    n += it.voter();
+  return n;
+}
+
+} // namespace
+
+size_t lossesBorne(const RaftState &State, TimePoint Now) {
+  size_t sound = 0;
+  for (const wire::Member &it : State.Members)
+    sound += counts(State, describeMember(State, it, Now));
+  size_t quorum = countVoters(State) / 2 + 1;
+  return sound > quorum ? sound - quorum : 0;
+}
+
+std::string waitsFor(const RaftState &State) {
+  if (State.Leader != 0)
+    return {};
+  if (State.Role == RaftRole::Blank)
+    return "a leader to take it in; its data folder was empty";
+  std::string names;
+  for (const wire::Member &it : State.Members)
+    if (it.voter() && it.identity() != State.Self.Identity)
+      names += (names.empty() ? "" : ", ") + it.name();
+  return std::to_string(countVoters(State) / 2) + " of these voters: " + names;
+}
+
+void fillGroupStatus(const RaftState &State, TimePoint Now,
+                     wire::StatusReply &Out) {
+  Out.set_is_leader(canPropose(State, Now));
+  Out.set_leader_address(leaderAddress(State));
+  Out.set_term(State.Term);
+  Out.set_waits_for(waitsFor(State));
+  for (const wire::Member &it : State.Members)
+    *Out.add_members() = it;
+  if (!Out.is_leader())
+    return;
+  for (const wire::Member &it : State.Members)
+    *Out.add_member_states() = describeMember(State, it, Now);
+  Out.set_losses_borne(static_cast<uint32_t>(lossesBorne(State, Now)));
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/tests/replication/test_group_status.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// What `status` says of a replicated group while members come and go.
+#include "replication/group_status.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafras;
+
+namespace {
+
+const TimePoint Start{std::chrono::hours(1)};
+
+wire::Member makeMember(uint64_t Identity, bool IsVoter = true) {
+  wire::Member out;
+  out.set_name("member-" + std::to_string(Identity));
+  out.set_identity(Identity);
+  out.set_voter(IsVoter);
+  return out;
+}
+
+/// A leader of three voters with ten entries, all of them committed.
+RaftState makeLeader() {
+  RaftState state = makeBlankRaft({"member-1", 1, "a:1"}, {}, 7, Start);
+  state.Role = RaftRole::Leader;
+  state.Leader = 1;
+  state.Term = 4;
+  for (uint64_t i = 1; i <= 10; ++i) {
+    wire::LogEntry entry;
+    entry.set_term(4);
+    entry.set_index(i);
+    state.Entries.push_back(entry);
+  }
+  state.Commit = 10;
+  state.LeaseEnd = Start + std::chrono::hours(1);
+  for (uint64_t it : {1, 2, 3})
+    state.Members.push_back(makeMember(it));
+  for (uint64_t it : {2, 3})
+    state.Peers[it] = {11, 10, 0, {}, Start};
+  return state;
+}
+
+} // namespace
+
+TEST_CASE("losses that are borne count only voters that are heard and have all "
+          "that was committed") {
+  struct Case {
+    const char *What;
+    size_t Losses;
+    std::function<void(RaftState &)> Change;
+  };
+  const Case cases[] = {
+      {"all are well", 1, [](RaftState &) {}},
+      {"one is silent", 0,
+       [](RaftState &it) {
+         it.Peers[3].HeardAt = Start - std::chrono::seconds(10);
+       }},
+      {"one lacks an entry", 0,
+       [](RaftState &it) { it.Peers[3].MatchIndex = 9; }},
+      {"one was replaced by an identity that was never heard", 0,
+       [](RaftState &it) { it.Members[2] = makeMember(9); }},
+      {"a learner does not count", 1,
+       [](RaftState &it) {
+         it.Members.push_back(makeMember(4, false));
+         it.Peers[4] = {11, 10, 0, {}, Start};
+       }},
+      {"five voters", 2,
+       [](RaftState &it) {
+         for (uint64_t i : {4, 5}) {
+           it.Members.push_back(makeMember(i));
+           it.Peers[i] = {11, 10, 0, {}, Start};
+         }
+       }},
+      {"four voters, one of them silent", 0,
+       [](RaftState &it) { it.Members.push_back(makeMember(4)); }},
+  };
+  for (const Case &it : cases) {
+    INFO(it.What);
+    RaftState state = makeLeader();
+    it.Change(state);
+    CHECK(lossesBorne(state, Start) == it.Losses);
+  }
+}
+
+TEST_CASE("member without a leader says what it waits for") {
+  RaftState state = makeLeader();
+  CHECK(waitsFor(state).empty());
+  state.Role = RaftRole::Follower;
+  state.Leader = 0;
+  CHECK(waitsFor(state) == "1 of these voters: member-2, member-3");
+  RaftState blank = makeBlankRaft({"member-1", 1, "a:1"}, {}, 7, Start);
+  CHECK(waitsFor(blank).find("data folder was empty") != std::string::npos);
+}
