Explain a request from the logs of all processes; log what decided

An operator with an id had to grep five kinds of lines by hand, and some inputs were in none: the quota's level, share and its age on a refusal, the load of the chosen endpoint and the age of that figure, the Retry-After told, pauses of endpoints, nodes coming into view and out of it. 'sassafrasctl explain ID LOG...' joins the lines of one request with its model's load, its engine and the group, in order of time. Latencies are kept by kind and stage.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -27,17 +27,19 @@
 };
 
 void printDistribution(std::ostream &Out, const std::string &Name,
-                       const Distribution &Values) {
-  Out << "# TYPE " << Name << " histogram\n";
+                       const std::string &Labels, const Distribution &Values) {
+  std::string before = Labels.empty() ? "" : Labels + ",";
+  std::string alone = Labels.empty() ? "" : "{" + Labels + "}";
   double below = Values.Buckets.at(-1);
   for (int i = 0; i < static_cast<int>(BucketCount); ++i) {
     below += Values.Buckets.at(i);
-    Out << Name << "_bucket{le=\"" << Values.Buckets.axis().bin(i).upper()
-        << "\"} " << below << '\n';
+    Out << Name << "_bucket{" << before << "le=\""
+        << Values.Buckets.axis().bin(i).upper() << "\"} " << below << '\n';
   }
-  Out << Name << "_bucket{le=\"+Inf\"} " << Values.Count << '\n';
-  Out << Name << "_sum " << Values.Sum << '\n';
-  Out << Name << "_count " << Values.Count << '\n';
+  Out << Name << "_bucket{" << before << "le=\"+Inf\"} " << Values.Count
+      << '\n';
+  Out << Name << "_sum" << alone << ' ' << Values.Sum << '\n';
+  Out << Name << "_count" << alone << ' ' << Values.Count << '\n';
 }
 
 } // namespace
@@ -46,7 +48,8 @@
   mutable std::mutex Lock;
   std::map<std::string, uint64_t> Counters;
   std::map<std::string, double> Gauges;
-  std::map<std::string, Distribution> Distributions;
+  /// By name and labels.
+  std::map<std::pair<std::string, std::string>, Distribution> Distributions;
 };
 
 Metrics::Metrics() : Data(std::make_unique<Impl>()) {}
@@ -68,10 +71,11 @@
   Data->Gauges[keyOf(Name, Labels)] = Value;
 }
 
-void Metrics::observe(const std::string &Name, Clock::duration Span) {
+void Metrics::observe(const std::string &Name, Clock::duration Span,
+                      const std::string &Labels) {
   double seconds = std::chrono::duration<double>(Span).count();
   std::lock_guard guard(Data->Lock);
-  Distribution &values = Data->Distributions[Name];
+  Distribution &values = Data->Distributions[{Name, Labels}];
   values.Buckets(seconds);
   values.Sum += seconds;
   ++values.Count;
@@ -100,8 +104,14 @@
     out << name << ' ' << n << '\n';
   for (const auto &[name, value] : Data->Gauges)
     out << name << ' ' << value << '\n';
-  for (const auto &[name, values] : Data->Distributions)
-    printDistribution(out, name, values);
+  std::string last;
+  for (const auto &[key, values] : Data->Distributions) {
+    const auto &[name, labels] = key;
+    if (name != last)
+      out << "# TYPE " << name << " histogram\n";
+    last = name;
+    printDistribution(out, name, labels, values);
+  }
   return out.str();
 }
 
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -25,7 +25,8 @@
   /// Sets gauge \p Name to \p Value.
   void set(const std::string &Name, const std::string &Labels, double Value);
   /// Records \p Span in the histogram \p Name, in seconds.
-  void observe(const std::string &Name, Clock::duration Span);
+  void observe(const std::string &Name, Clock::duration Span,
+               const std::string &Labels = {});
   /// Value of a counter, 0 when it was never counted.
   uint64_t read(const std::string &Name, const std::string &Labels = {}) const;
   /// Names with labels and values of all counters that begin with \p Prefix.
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "ctl/client.h"
+#include "ctl/log_trace.h"
 #include "fleet/item_store.h"
 #include "fleet/table.h"
 
@@ -451,4 +452,26 @@
   return fail(ToolExit::Usage, "unknown command; see --help");
 }
 
+ToolExit explainRequest(const std::vector<std::string> &Words) {
+  std::vector<LogLine> lines;
+  for (size_t i = 2; i < Words.size(); ++i) {
+    if (Words[i] == "-") {
+      readLog(std::cin, lines);
+      continue;
+    }
+    std::ifstream in(Words[i]);
+    if (!in)
+      return fail(ToolExit::Usage, "cannot read " + Words[i]);
+    readLog(in, lines);
+  }
+  auto trace = traceRequest(lines, Words[1]);
+  if (trace.empty())
+    return fail(ToolExit::Refused, "no line of " +
+                                       std::to_string(lines.size()) +
+                                       " tells of request " + Words[1]);
+  for (const LogLine &it : trace)
+    std::cout << it.Text << '\n';
+  return ToolExit::Ok;
+}
+
 } // namespace sassafras
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -32,6 +32,9 @@
 ToolExit runCommand(const Settings &Settings, const ToolOptions &Options,
                     const std::vector<std::string> &Words);
 
+/// `explain ID LOG...`: prints what the logs tell of one request.
+ToolExit explainRequest(const std::vector<std::string> &Words);
+
 } // namespace sassafras
 
 #endif
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -27,6 +27,8 @@
     "  endpoints                endpoints and their state\n"
     "  replicas                 what is loaded where\n"
     "  explain ROW              limits of a row and where it is loaded\n"
+    "  explain ID LOG...        what the logs tell of a request; - is the\n"
+    "                           standard input; needs no settings\n"
     "  check SETTINGS           check a settings file\n"
     "options:\n"
     "  -s, --settings FILE      settings of any process of the fleet\n"
@@ -116,6 +118,8 @@
   bool isCheck = line.Words.size() == 2 && line.Words[0] == "check";
   if (isCheck)
     line.SettingsFile = line.Words[1];
+  if (line.Words.size() > 2 && line.Words[0] == "explain")
+    return explainRequest(line.Words);
   if (line.SettingsFile.empty() || line.Words.empty())
     return showUsage();
   SettingsProblem problem;
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -201,7 +201,8 @@
   }
   if (IsSilent)
     logEvent(LogLevel::Info, "engine_regained",
-             {{"born", std::to_string(reading.born_ms())}});
+             {{"engine", Options.EngineAgentRole.Engine},
+              {"born", std::to_string(reading.born_ms())}});
   IsSilent = false;
   takeReading(State, reading);
   uint64_t done = State.OrderDone;
@@ -224,7 +225,8 @@
 
 void EngineAgentShell::loseEngine(const std::string &Reason) {
   if (!IsSilent)
-    logEvent(LogLevel::Warning, "engine_lost", {{"reason", Reason}});
+    logEvent(LogLevel::Warning, "engine_lost",
+             {{"engine", Options.EngineAgentRole.Engine}, {"reason", Reason}});
   IsSilent = true;
   loseReading(State);
   tell(Clock::now());
--- a/fleet/serving_table.cpp
+++ b/fleet/serving_table.cpp
@@ -90,4 +90,16 @@
   return Route.Services.back().Service;
 }
 
+std::string_view nameOf(RequestKind Kind) {
+  switch (Kind) {
+  case RequestKind::Idempotent:
+    return "idempotent";
+  case RequestKind::NonIdempotent:
+    return "non_idempotent";
+  case RequestKind::Streaming:
+    return "streaming";
+  }
+  return "unknown";
+}
+
 } // namespace sassafras
--- a/fleet/serving_table.h
+++ b/fleet/serving_table.h
@@ -23,6 +23,9 @@
   Streaming,     ///< At most once, unless the route is resumable.
 };
 
+/// Name of \p Kind in metrics.
+std::string_view nameOf(RequestKind Kind);
+
 /// Part of a route's requests that goes to a service.
 struct ServiceShare {
   std::string Service;
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "front/dispatch.h"
 
 #include "core/hash.h"
+#include "core/logging.h"
 
 #include <algorithm>
 
@@ -260,6 +261,23 @@
   return out;
 }
 
+void logQuotaRefusal(const FrontRequest &Request, const LocalQuota &Quota,
+                     size_t Fronts, Millis Wait, TimePoint Now) {
+  auto round = [](double Value) {
+    return std::to_string(static_cast<int64_t>(Value));
+  };
+  logEvent(LogLevel::Info, "quota_refused",
+           {{"id", Request.Facts.Id},
+            {"organisation", Request.Organisation},
+            {"cost", round(Request.Cost)},
+            {"level", round(Quota.Level)},
+            {"share_percent", round(100 * Quota.Share)},
+            {"share_left_ms", std::to_string(toMillis(Quota.ShareEnd - Now))},
+            {"demand_per_s", round(Quota.DemandRate)},
+            {"fronts", std::to_string(Fronts)},
+            {"wait_ms", std::to_string(Wait.count())}});
+}
+
 /// Charges the organisation. A decision only when the request must not go on.
 std::optional<DispatchDecision> charge(FrontState &State, FrontRequest &Request,
                                        TimePoint Now) {
@@ -281,8 +299,10 @@
   Millis wait = waitForQuota(quota, limit, claim, fronts, Now);
   Clock::duration patience =
       (Request.ObjectiveEnd - Request.ArrivedAt) / QuotaWaitPart;
-  if (Now + wait > Request.ArrivedAt + patience)
+  if (Now + wait > Request.ArrivedAt + patience) {
+    logQuotaRefusal(Request, quota, fronts, wait, Now);
     return refuse(State, RefusalReason::RateExceeded, wait);
+  }
   return WaitUntil{Now + wait};
 }
 
@@ -367,7 +387,12 @@
     return wait;
   }
   const KnownEndpoint &target = *found.Endpoints[*chosen];
-  out.Decision = SendTo{target.Id, target.Address};
+  const EndpointRecord &record = *found.Candidates[*chosen].Record;
+  Millis age =
+      record.ReportedAt == TimePoint()
+          ? Millis(0)
+          : std::chrono::duration_cast<Millis>(Now - record.ReportedAt);
+  out.Decision = SendTo{target.Id, target.Address, estimateLoad(record), age};
   return out;
 }
 
@@ -407,6 +432,22 @@
   noteServed(rowOf(State, Request), Request);
 }
 
+namespace {
+
+void logPause(const std::string &Endpoint, const EndpointRecord &Record,
+              TimePoint Now) {
+  if (isPast(Record.PausedUntil, Now))
+    return;
+  logEvent(LogLevel::Info, "endpoint_paused",
+           {{"endpoint", Endpoint},
+            {"failures_in_row", std::to_string(Record.FailuresInRow)},
+            {"failure_percent",
+             std::to_string(static_cast<int>(100 * Record.FailureShare))},
+            {"for_ms", std::to_string(toMillis(Record.PausedUntil - Now))}});
+}
+
+} // namespace
+
 AfterFailure decideAfterFailure(FrontState &State, FrontRequest &Request,
                                 const std::string &Endpoint,
                                 ExchangeFailure Failure, bool HasAnswer,
@@ -418,6 +459,7 @@
     record.PausedUntil = std::max(record.PausedUntil, Now + RejectPause);
   } else {
     noteFailure(record, Failure == ExchangeFailure::Unreachable, Now);
+    logPause(Endpoint, record, Now);
     Request.Tried.insert(Endpoint);
   }
   Request.Runs += isRun;
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -21,6 +21,8 @@
 struct SendTo {
   std::string Endpoint;
   std::string Address;
+  double Load = 0;   ///< Requests that it was believed to hold.
+  Millis LoadAge{0}; ///< Of the report on which that rests.
 };
 /// Ask again when something has changed, at the latest at Until.
 struct WaitUntil {
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -81,6 +81,7 @@
   void lead(TimePoint Now);
   void beat(TimePoint Now);
   void logFigures(TimePoint Now);
+  void logMembers(TimePoint Now);
   void stopIfDone(TimePoint Now);
   void exit();
 
@@ -106,7 +107,8 @@
   TimePoint NextFigures;
   TimePoint StopRotationEnd;
   TimePoint StopEnd;
-  bool HasChanged = false; ///< Waiting requests may be able to go on.
+  std::set<std::string> InView; ///< Nodes, as logged last.
+  bool HasChanged = false;      ///< Waiting requests may be able to go on.
   bool IsExiting = false;
 };
 
@@ -481,6 +483,7 @@
   if (isPast(NextSweep, now)) {
     NextSweep = now + SweepPeriod;
     Core.Client.sweep();
+    logMembers(now);
     expireNodes(Core.State.Roster, now);
     expireEndpoints(Core.State.Directory, now);
     std::erase_if(Core.State.AdapterWishes,
@@ -558,6 +561,23 @@
        {"sent_bytes_by_kind", bytes}});
 }
 
+void FrontShell::logMembers(TimePoint Now) {
+  for (const auto &[name, it] : Core.State.Roster.Nodes) {
+    bool isNow = isInView(it, Now);
+    if (isNow == InView.contains(name))
+      continue;
+    logEvent(LogLevel::Info, isNow ? "node_in_view" : "node_out_of_view",
+             {{"peer", name},
+              {"zone", it.Entry.zone()},
+              {"silent_ms", std::to_string(toMillis(Now - it.HeardAt))},
+              {"leaving", it.IsLeaving ? "yes" : "no"}});
+    if (isNow)
+      InView.insert(name);
+    else
+      InView.erase(name);
+  }
+}
+
 void FrontShell::stopIfDone(TimePoint Now) {
   if (!isPast(StopRotationEnd, Now))
     return;
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -113,15 +113,18 @@
   }
 }
 
-void Relay::send(const SendTo &Target) {
+void Relay::send(const SendTo &Chosen) {
   TimePoint now = Clock::now();
-  Endpoint = Target.Endpoint;
+  Target = Chosen;
+  Endpoint = Chosen.Endpoint;
   SentAt = now;
   HasHead = false;
   IsNotRun = false;
   IsStream = false;
   Body.clear();
   noteDispatched(Core.State, Request, Endpoint);
+  if (Request.Sends == 1)
+    observe("queue_seconds", now - Request.ArrivedAt);
   Millis left = std::chrono::duration_cast<Millis>(Request.Deadline - now);
   platform::EndpointFields fields{left, Endpoint, Request.Organisation,
                                   Request.Urgency, Request.LastEvent};
@@ -178,8 +181,7 @@
     return;
   IsAnswering = true;
   FirstByteAt = Clock::now();
-  Core.Counts.observe("time_to_first_byte_seconds",
-                      FirstByteAt - Request.ArrivedAt);
+  observe("first_byte_seconds", FirstByteAt - Request.ArrivedAt);
   Exchange->start(Head.Status, Head.Fields,
                   IsStream ? std::nullopt : Head.Length);
 }
@@ -190,7 +192,7 @@
   if (IsStream) {
     std::string events = cutEvents(Cutter, Bytes);
     if (!events.empty())
-      Exchange->write(std::move(events));
+      writeEvents(std::move(events));
     return;
   }
   if (IsAnswering) {
@@ -207,6 +209,14 @@
   Body = " ";
 }
 
+void Relay::writeEvents(std::string Events) {
+  TimePoint now = Clock::now();
+  if (LastEventAt != TimePoint())
+    observe("gap_seconds", now - LastEventAt);
+  LastEventAt = now;
+  Exchange->write(std::move(Events));
+}
+
 void Relay::takeEnd() {
   if (IsOver)
     return;
@@ -217,7 +227,7 @@
     noteSuccess(Core.State.Records[Endpoint]);
     Exchange->write(std::move(Cutter.Rest));
     Exchange->finish();
-    Core.Counts.observe("answer_seconds", now - Request.ArrivedAt);
+    observe("answer_seconds", now - Request.ArrivedAt);
     finish("answered", Head.Status);
     return;
   }
@@ -244,16 +254,20 @@
   passOn();
 }
 
+void Relay::observe(const char *Stage, Clock::duration Span) {
+  Core.Counts.observe(
+      Stage, Span, "kind=\"" + std::string(nameOf(Request.Route->Kind)) + '"');
+}
+
 /// Gives the caller the endpoint's own answer, unchanged.
 void Relay::passOn() {
   if (IsAnswering) {
     Exchange->finish();
   } else {
-    Core.Counts.observe("time_to_first_byte_seconds",
-                        Clock::now() - Request.ArrivedAt);
+    observe("first_byte_seconds", Clock::now() - Request.ArrivedAt);
     Exchange->respond(Head.Status, Head.Fields, std::move(Body));
   }
-  Core.Counts.observe("answer_seconds", Clock::now() - Request.ArrivedAt);
+  observe("answer_seconds", Clock::now() - Request.ArrivedAt);
   finish(Head.Status < 500 ? "answered" : "endpoint_error", Head.Status);
 }
 
@@ -297,6 +311,7 @@
              {{"id", Request.Facts.Id},
               {"reason", std::string(nameOf(*after.Why))},
               {"endpoint", Endpoint},
+              {"address", Target.Address},
               {"sends", std::to_string(Request.Sends)},
               {"runs", std::to_string(Request.Runs)},
               {"status", std::to_string(HasHead ? Head.Status : 0)}});
@@ -325,8 +340,9 @@
   }
   std::vector<HttpField> fields{{"content-type", "application/json"},
                                 platform::printRequestId(Request.Facts.Id)};
-  if (Refusal.RetryAfter)
-    fields.push_back(platform::printRetryAfter(*Refusal.RetryAfter));
+  RetryAfter = Refusal.RetryAfter;
+  if (RetryAfter)
+    fields.push_back(platform::printRetryAfter(*RetryAfter));
   unsigned status = statusOf(Refusal.Reason);
   // Only what has surely not run may be told so.
   if (Request.Runs > 0 && isPromise(status))
@@ -379,28 +395,33 @@
   setWaiting(false);
   forgetRequest(Core.State, Request);
   TimePoint now = Clock::now();
-  logEvent(LogLevel::Info, "request_done",
-           {{"id", Request.Facts.Id},
-            {"outcome", Outcome},
-            {"status", std::to_string(Status)},
-            {"route", Request.Route->Name},
-            {"organisation", Request.Organisation},
-            {"model", Request.Facts.Adapter.empty()
-                          ? Request.Facts.Model
-                          : Request.Facts.Model + "/" + Request.Facts.Adapter},
-            {"endpoint", Endpoint},
-            {"sends", std::to_string(Request.Sends)},
-            {"runs", std::to_string(Request.Runs)},
-            {"wait_ms",
-             std::to_string(toMillis((SentAt == TimePoint() ? now : SentAt) -
-                                     Request.ArrivedAt))},
-            {"first_ms",
-             std::to_string(FirstByteAt == TimePoint()
-                                ? 0
-                                : toMillis(FirstByteAt - Request.ArrivedAt))},
-            {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
-            {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
-            {"table", std::to_string(Request.Table->Version)}});
+  logEvent(
+      LogLevel::Info, "request_done",
+      {{"id", Request.Facts.Id},
+       {"outcome", Outcome},
+       {"status", std::to_string(Status)},
+       {"route", Request.Route->Name},
+       {"organisation", Request.Organisation},
+       {"model", Request.Facts.Adapter.empty()
+                     ? Request.Facts.Model
+                     : Request.Facts.Model + "/" + Request.Facts.Adapter},
+       {"endpoint", Endpoint},
+       {"address", Target.Address},
+       {"load", std::to_string(static_cast<int>(Target.Load))},
+       {"load_age_ms", std::to_string(Target.LoadAge.count())},
+       {"sends", std::to_string(Request.Sends)},
+       {"runs", std::to_string(Request.Runs)},
+       {"retry_after_ms", std::to_string(RetryAfter ? RetryAfter->count() : 0)},
+       {"wait_ms",
+        std::to_string(toMillis((SentAt == TimePoint() ? now : SentAt) -
+                                Request.ArrivedAt))},
+       {"first_ms",
+        std::to_string(FirstByteAt == TimePoint()
+                           ? 0
+                           : toMillis(FirstByteAt - Request.ArrivedAt))},
+       {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
+       {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
+       {"table", std::to_string(Request.Table->Version)}});
   Core.ByExchange.erase(Exchange.get());
   Core.Relays.erase(Request.Number); // May destroy this.
 }
--- a/front/relay.h
+++ b/front/relay.h
@@ -35,13 +35,16 @@
   void armDeadline(TimePoint At);
   void reachDeadline();
   void act(const DispatchResult &Result);
-  void send(const SendTo &Target);
+  void send(const SendTo &Chosen);
   void setWaiting(bool IsWaiting);
   void takeHead(HttpHead Head);
   void takeBody(std::string_view Bytes);
   void takeEnd();
   void takeBreak(HttpBreak Break);
   bool isTrusted(const HttpHead &Head) const;
+  void writeEvents(std::string Events);
+  /// Records the time of a stage in the histogram of the request's kind.
+  void observe(const char *Stage, Clock::duration Span);
   void startAnswer();
   void breakExchange(ExchangeFailure Failure);
   void failExchange(ExchangeFailure Failure);
@@ -56,12 +59,15 @@
   std::shared_ptr<HttpExchange> Exchange;
   boost::asio::steady_timer Timer;
   std::shared_ptr<HttpCall> Call;
-  std::string Endpoint; ///< Of the exchange under way.
-  HttpHead Head;        ///< Of the newest answer.
-  std::string Body;     ///< Held back until it is whole.
+  std::string Endpoint;             ///< Of the exchange under way.
+  SendTo Target;                    ///< With what decided for it.
+  std::optional<Millis> RetryAfter; ///< Told with a refusal.
+  HttpHead Head;                    ///< Of the newest answer.
+  std::string Body;                 ///< Held back until it is whole.
   EventCutter Cutter;
   TimePoint SentAt;
   TimePoint FirstByteAt;
+  TimePoint LastEventAt;
   bool HasHead = false;
   bool IsNotRun = false;    ///< The endpoint said so.
   bool IsStream = false;    ///< This exchange's answer is passed on in pieces.
--- /dev/null
+++ b/tests/ctl/test_log_trace.cpp
@@ -0,0 +1,54 @@
+/// \file
+/// Lines of several processes joined into the story of one request.
+#include "ctl/log_trace.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace sassafras;
+
+TEST_CASE("log line is read with quoted values and without a prefix") {
+  auto line = readLogLine("host-3 | time_ms=1700000000123 level=info node=a "
+                          "event=x reason=\"a \\\"b\\\" c=d\" id=7 empty=");
+  REQUIRE(line);
+  CHECK(line->TimeMs == 1'700'000'000'123);
+  CHECK(line->Text.starts_with("time_ms="));
+  CHECK(line->Fields.at("reason") == "a \"b\" c=d");
+  CHECK(line->Fields.at("id") == "7");
+  CHECK(line->Fields.at("empty").empty());
+}
+
+TEST_CASE("what is no log line is left out") {
+  for (const char *it : {"", "hello", "time_ms=x event=y", "time_ms=1 level=z",
+                         "time_ms= event=x", "time_ms=\"1"}) {
+    INFO(it);
+    CHECK_FALSE(readLogLine(it));
+  }
+}
+
+TEST_CASE("trace joins a request with its model's load, its engine and leader "
+          "changes, in order of time") {
+  std::istringstream in(
+      "time_ms=9000 event=request_done id=r1 model=m/a endpoint=e1 "
+      "address=10.0.0.1:7 total_ms=4000\n"
+      "time_ms=5100 event=load_planned model=m order=41 endpoint=e1\n"
+      "time_ms=5050 event=load_planned model=other order=40 endpoint=e1\n"
+      "time_ms=5200 event=order_received order=41\n"
+      "time_ms=5200 event=order_received order=40\n"
+      "time_ms=8000 event=order_done order=41\n"
+      "time_ms=8500 event=engine_lost engine=10.0.0.1:7\n"
+      "time_ms=8500 event=engine_lost engine=10.0.0.2:7\n"
+      "time_ms=5000 event=group_view is_leader=yes\n"
+      "time_ms=99000 event=group_view is_leader=no\n"
+      "time_ms=6000 event=request_done id=r2 model=m endpoint=e1\n"
+      "nonsense\n");
+  std::vector<LogLine> lines;
+  readLog(in, lines);
+  CHECK(lines.size() == 11);
+  std::vector<uint64_t> times;
+  for (const LogLine &it : traceRequest(lines, "r1"))
+    times.push_back(it.TimeMs);
+  CHECK(times == std::vector<uint64_t>{5000, 5100, 5200, 8000, 8500, 9000});
+  CHECK(traceRequest(lines, "r3").empty());
+}
--- a/tests/fakes/fake_platform_engine.cpp
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -52,7 +52,8 @@
 
 FakePlatformEngine::~FakePlatformEngine() {
   Io.stop();
-  Runner.join();
+  if (Runner.joinable())
+    Runner.join();
 }
 
 bool FakePlatformEngine::announce(const std::string &Control, bool IsDraining) {
@@ -68,6 +69,12 @@
              .Status == 200;
 }
 
+void FakePlatformEngine::hangUp() {
+  Io.stop();
+  Runner.join();
+  Server.reset();
+}
+
 std::vector<SeenRequest> FakePlatformEngine::seen() const {
   std::lock_guard guard(Lock);
   return Seen;
@@ -77,13 +84,28 @@
   std::lock_guard guard(Lock);
   return json::serialize(
       json::object{{"models", modelsOf(Models)},
-                   {"busy", false},
+                   {"busy", !Loading.empty()},
                    {"seq", Sequence},
                    {"born", Born},
                    {"available", json::object{{"in-memory", json::array()},
                                               {"on-disk", namesOf(OnDisk)}}}});
 }
 
+void FakePlatformEngine::beginLoad(const std::string &Model) {
+  if (LoadTime.load() == Millis(0)) {
+    Models.insert(Model);
+    return;
+  }
+  Loading = Model;
+  auto timer = std::make_shared<boost::asio::steady_timer>(Io, LoadTime.load());
+  timer->async_wait([this, timer](auto) {
+    std::lock_guard guard(Lock);
+    Models.insert(Loading);
+    Loading.clear();
+    ++Sequence;
+  });
+}
+
 void FakePlatformEngine::takeOrder(const HttpRequest &Request,
                                    HttpExchange &Exchange) {
   json::object order = json::parse(Request.Body).as_object();
@@ -96,7 +118,7 @@
   ++Sequence;
   std::string model(order.at("model").as_string());
   if (order.at("op").as_string() == "load")
-    Models.insert(model);
+    beginLoad(model);
   else
     Models.erase(model);
   Exchange.respond(202, {}, "");
@@ -117,6 +139,10 @@
     std::lock_guard guard(Lock);
     Seen.push_back({id, Request.Fields, Request.Body});
   }
+  if (BreaksAnswers) {
+    Exchange->abort();
+    return;
+  }
   Exchange->start(200, {{"content-type", "text/event-stream"},
                         {"sassafrasseam-attempt-id", id},
                         {"sassafrasseam-response-seal", "seal"}});
--- a/tests/fakes/fake_platform_engine.h
+++ b/tests/fakes/fake_platform_engine.h
@@ -42,11 +42,19 @@
   size_t countOrders() const { return Orders; }
   /// Time between the events of a stream.
   void setPace(Millis Pace) { this->Pace = Pace; }
+  /// Time from an accepted load to the loaded model.
+  void setLoadTime(Millis Time) { LoadTime = Time; }
+  /// Requests that run get a connection closed midway in place of an answer.
+  void breakAnswers(bool AreBroken) { BreaksAnswers = AreBroken; }
+  /// Closes the server: nothing is answered any more.
+  void hangUp();
 
 private:
   void take(const HttpRequest &Request,
             const std::shared_ptr<HttpExchange> &Exchange);
   void takeOrder(const HttpRequest &Request, HttpExchange &Exchange);
+  /// Precondition: the lock is held.
+  void beginLoad(const std::string &Model);
   void stream(const std::shared_ptr<HttpExchange> &Exchange, int Next);
   std::string printState() const;
 
@@ -65,6 +73,9 @@
   uint64_t Beats = 0;
   std::atomic<size_t> Orders{0};
   std::atomic<Millis> Pace{Millis(5)};
+  std::atomic<Millis> LoadTime{Millis(0)};
+  std::atomic<bool> BreaksAnswers{false};
+  std::string Loading; ///< Model on its way, or empty.
 };
 
 } // namespace sassafras
--- /dev/null
+++ b/tests/harness/front_fleet.cpp
@@ -0,0 +1,235 @@
+#include "tests/harness/front_fleet.h"
+
+#include "tests/harness/free_ports.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace sassafras {
+
+namespace files = std::filesystem;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int PortsOfHost = 8;
+/// Host of the engine of a ServedFleet.
+constexpr int EngineHost = 50;
+
+std::string readFile(const std::string &Path) {
+  std::ifstream in(Path);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+} // namespace
+
+FrontFleet::FrontFleet(FrontFleetSize Size) : Size(Size) {
+  std::string pattern =
+      (files::temp_directory_path() / "sassafras-front-XXXXXX").string();
+  Folder = mkdtemp(pattern.data());
+  Base = claimPorts(PortsOfHost);
+  for (int i = 1; i <= Size.Fronts; ++i)
+    start(i, true);
+}
+
+FrontFleet::~FrontFleet() {
+  for (const std::string &it : processes())
+    kill(it);
+  if (!std::getenv("KEEP_FLEET_FOLDER"))
+    files::remove_all(Folder);
+}
+
+std::string FrontFleet::frontName(int Host) {
+  return "front-" + std::to_string(Host);
+}
+
+std::string FrontFleet::agentName(int Host) {
+  return "agent-" + std::to_string(Host);
+}
+
+std::string FrontFleet::at(int Host, int Port) const {
+  return Net + std::to_string(Host) + ":" + std::to_string(Base + Port);
+}
+
+void FrontFleet::start(int Host, bool IsNew) {
+  std::string name = frontName(Host);
+  std::ostringstream toml;
+  toml << "role = \"front\"\nfleet = \"test\"\nnode = \"" << name
+       << "\"\nzone = \"a\"\nlisten = \"" << at(Host, 0) << "\"\nhttp = \""
+       << callers(Host) << "\"\n[front_role]\nready = \"" << at(Host, 2)
+       << "\"\ncontrol = \"" << control(Host) << "\"\nseeds = [\"" << control(1)
+       << "\", \"" << control(2) << "\", \"" << control(3)
+       << "\"]\nmay_form = " << (IsNew ? "true" : "false")
+       << "\ndata_folder = \""
+       << (Host <= Size.Disks ? Folder + "/" + name + "-data" : "") << "\"\n";
+  spawn(name, toml.str());
+}
+
+void FrontFleet::startAgent(int Host, const std::string &Engine) {
+  std::ostringstream toml;
+  toml << "role = \"engine_agent\"\nfleet = \"test\"\nnode = \"agent-" << Host
+       << "\"\nzone = \"a\"\nlisten = \"" << at(Host, 0) << "\"\nhttp = \""
+       << at(Host, 1) << "\"\n[engine_agent_role]\nengine = \"" << Engine
+       << "\"\nseeds = [\"" << control(1) << "\"]\n";
+  spawn(agentName(Host), toml.str());
+}
+
+void FrontFleet::signal(const std::string &Process, int Signal) {
+  auto found = Processes.find(Process);
+  if (found != Processes.end())
+    ::kill(found->second, Signal);
+}
+
+int FrontFleet::waitForExit(const std::string &Process, seconds Limit) {
+  auto found = Processes.find(Process);
+  if (found == Processes.end())
+    return -1;
+  int status = 0;
+  if (!waitUntil(Limit, [&] {
+        return ::waitpid(found->second, &status, WNOHANG) == found->second;
+      }))
+    return -1;
+  Processes.erase(found);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -2;
+}
+
+void FrontFleet::kill(const std::string &Process) {
+  signal(Process, SIGKILL);
+  waitForExit(Process, seconds(5));
+}
+
+void FrontFleet::loseDisk(int Host) {
+  files::remove_all(Folder + "/" + frontName(Host) + "-data");
+}
+
+bool FrontFleet::isReady(int Host) const {
+  return callHttp(at(Host, 2), {"GET", "/ready", {}, {}}, seconds(2)).Status ==
+         200;
+}
+
+unsigned FrontFleet::put(int Host, const std::string &Text) const {
+  HttpRequest request{"POST", "/Config.Put", {}, Text};
+  CallerAnswer answer = callHttp(control(Host), request, seconds(3));
+  if (answer.Status != 307)
+    return answer.Status;
+  std::string location(fieldOf(answer.Fields, "location"));
+  std::string leader = location.substr(7, location.find('/', 7) - 7);
+  return callHttp(leader, request, seconds(3)).Status;
+}
+
+std::string FrontFleet::logFile(const std::string &Process) const {
+  return Folder + "/" + Process + ".log";
+}
+
+std::string FrontFleet::log(const std::string &Process) const {
+  return readFile(logFile(Process));
+}
+
+std::string FrontFleet::settingsOf(const std::string &Process) const {
+  return Folder + "/" + Process + ".toml";
+}
+
+ToolResult FrontFleet::ctl(const std::string &Words) const {
+  static std::atomic<int> serial{0};
+  std::string base = Folder + "/ctl-" + std::to_string(serial++);
+  std::string command = std::string(TOOL_PROGRAM) + " --settings " +
+                        settingsOf(frontName(1)) + " " + Words + " >" + base +
+                        ".out 2>" + base + ".err";
+  int state = std::system(command.c_str());
+  return {WEXITSTATUS(state), readFile(base + ".out"), readFile(base + ".err")};
+}
+
+std::vector<std::string> FrontFleet::processes() const {
+  std::vector<std::string> out;
+  for (const auto &[name, pid] : Processes)
+    out.push_back(name);
+  return out;
+}
+
+void FrontFleet::spawn(const std::string &Process, const std::string &Toml) {
+  std::string path = settingsOf(Process);
+  std::ofstream(path) << Toml;
+  std::string output = logFile(Process);
+  size_t before = log(Process).size();
+  std::string program = DAEMON_PROGRAM;
+  std::string flag = "--settings";
+  char *words[] = {program.data(), flag.data(), path.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  pid_t pid = 0;
+  posix_spawn(&pid, words[0], &actions, nullptr, words, environ);
+  posix_spawn_file_actions_destroy(&actions);
+  Processes[Process] = pid;
+  bool isUp = waitUntil(seconds(10), [&] {
+    return log(Process).find("event=started ", before) != std::string::npos;
+  });
+  if (!isUp)
+    throw std::runtime_error(Process +
+                             " did not start: " + log(Process).substr(before));
+}
+
+std::string tableText(int Version, const std::string &Prefix,
+                      uint64_t RatePerSecond) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[{"name":"r","host":"h.example","path-prefix":")" +
+         Prefix +
+         R"(","kind":"streaming","timeout-ms":8000,"slo-ms":4000,)"
+         R"("service":"chat"}],"services":[{"name":"chat","engine":)"
+         R"({"slots":8,"weights-mb":100,"adapter-slots":2,"loads-per-s":5,)"
+         R"("models":[{"name":"warm","weights-mb":30,"load-s":1,)"
+         R"("disk-load-s":0.1},{"name":"cold","weights-mb":30,"load-s":1,)"
+         R"("disk-load-s":0.1}]}}],"tenants":[{"name":"first",)"
+         R"("rate-per-s":)" +
+         std::to_string(RatePerSecond) + R"(,"api-keys":["secret-key"]}]})";
+}
+
+CallerAnswer ask(const std::string &Address, const std::string &Id,
+                 const std::string &Model, const std::string &Key,
+                 const std::string &Path) {
+  HttpRequest request{"POST",
+                      Path,
+                      {{"authorization", "Bearer " + Key},
+                       {"sassafrasseam-attempt-id", Id},
+                       {"sassafrasseam-model", Model},
+                       {"sassafrasseam-deadline-ms", "8000"}},
+                      "body"};
+  request.Fields.push_back({"host", "h.example"});
+  return callHttp(Address, request, seconds(10));
+}
+
+ServedFleet::ServedFleet(const std::string &Table)
+    : Engine("i-1", "chat", Fleet.at(EngineHost, 7), {"warm"}, {"cold"}) {
+  Fleet.startAgent(EngineHost, Fleet.at(EngineHost, 7));
+  bool isPut =
+      waitUntil(seconds(15), [&] { return Fleet.put(1, Table) == 200; });
+  if (!isPut)
+    throw std::runtime_error("no front took the table");
+  Announcer = std::thread([this] {
+    for (int i = 0; IsAnnouncing; ++i) {
+      Engine.announce(Fleet.control(1 + i % Fleet.fronts()));
+      std::this_thread::sleep_for(Millis(300));
+    }
+  });
+  for (int i = 1; i <= Fleet.fronts(); ++i)
+    if (!waitUntil(seconds(10), [&] { return Fleet.isReady(i); }))
+      throw std::runtime_error(FrontFleet::frontName(i) + " is not ready");
+}
+
+void ServedFleet::stopAnnouncing() {
+  IsAnnouncing = false;
+  if (Announcer.joinable())
+    Announcer.join();
+}
+
+} // namespace sassafras
