--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -211,8 +211,10 @@
 
 void Relay::writeEvents(std::string Events) {
   TimePoint now = Clock::now();
-  if (LastEventAt != TimePoint())
+  if (LastEventAt != TimePoint()) {
     observe("gap_seconds", now - LastEventAt);
+    LongestGap = std::max(LongestGap, now - LastEventAt);
+  }
   LastEventAt = now;
   Exchange->write(std::move(Events));
 }
--- a/front/relay.h
+++ b/front/relay.h
@@ -68,6 +68,7 @@
   TimePoint SentAt;
   TimePoint FirstByteAt;
   TimePoint LastEventAt;
+  Clock::duration LongestGap{0}; ///< Between events passed on.
   bool HasHead = false;
   bool IsNotRun = false;    ///< The endpoint said so.
   bool IsStream = false;    ///< This exchange's answer is passed on in pieces.
