Wait for the leader's forecast; keep a leader's orders over a lost lease

Now a cold request waits 0.5 s for the forecast (2 s while there is no leader), a begun load is forecast from its beginning, a term's numbers only rise, and newcomers ask each 100 ms. New pools begin with a fifth of the burst.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -16,6 +16,10 @@
 constexpr Millis LoadOverhead{300};
 /// What the leader said of a load counts for this long.
 constexpr Millis ForecastLife{1'000};
+/// The leader's forecast is there within this: two of its periods and the way.
+constexpr Millis ForecastWait{500};
+/// The same while no leader is known: an election, and what follows it.
+constexpr Millis ElectionWait{2'000};
 /// An adapter that was asked for and is not there is asked for again.
 constexpr Millis AdapterRetry{150};
 constexpr Millis WishPeriod{100};
@@ -190,8 +194,18 @@
   return out;
 }
 
+/// True while the leader has not had time to say when a model will be there.
+/// It alone knows which engines have the weights near.
+bool isForecastDue(const FrontState &State, const FrontRequest &Request,
+                   TimePoint Now) {
+  bool hasLeader = State.Leader.HeardAt != TimePoint() &&
+                   Now - State.Leader.HeardAt < NodeSilence;
+  return Now - Request.ArrivedAt < (hasLeader ? ForecastWait : ElectionWait);
+}
+
 /// Time until a model that no engine holds could start this request: as the
-/// leader said, or by the nearest copy of its weights while it has not.
+/// leader said; while it has not, as if the weights were near; then by what is
+/// known here.
 Millis predictLoad(const FrontState &State, const FrontRequest &Request,
                    const Field &Found, const RowUse &Row, TimePoint Now) {
   if (Row.ForecastAt != TimePoint() && Now - Row.ForecastAt < ForecastLife)
@@ -201,7 +215,8 @@
   auto model = spec->Models.find(Request.Facts.Model);
   if (model == spec->Models.end())
     return Millis::max();
-  Millis load = Found.IsNear ? model->second.DiskLoad : model->second.StoreLoad;
+  bool mayBeNear = Found.IsNear || isForecastDue(State, Request, Now);
+  Millis load = mayBeNear ? model->second.DiskLoad : model->second.StoreLoad;
   Millis waited = std::chrono::duration_cast<Millis>(Now - Request.ArrivedAt);
   return LoadOverhead + (load > waited ? load - waited : Millis(0));
 }
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -15,6 +15,9 @@
 /// Fronts tell the leader their demand at this pace, and one another that they
 /// live as long as they are few.
 inline constexpr Millis HeartbeatPace{300};
+/// A front that has just started and knows no table asks at this pace: the
+/// first messages may find nobody listening yet.
+inline constexpr Millis NewcomerPace{100};
 /// Fronts for each of which a heartbeat to all others costs no more than the
 /// rest.
 inline constexpr size_t FewFronts = 10;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -445,12 +445,10 @@
 }
 
 void FrontShell::takeView(const StoreView &NewView) {
-  bool isNew =
-      NewView.IsLeader && (!View.IsLeader || Leader.Term != NewView.Term);
   View = NewView;
   Counts.set("group_leader", "", View.IsLeader ? 1 : 0);
   Counts.set("group_term", "", static_cast<double>(View.Term));
-  if (isNew)
+  if (View.IsLeader)
     openLeader(Leader, View.Term, Clock::now());
 }
 
@@ -563,7 +561,7 @@
 }
 
 void FrontShell::beat(TimePoint Now) {
-  NextBeat = Now + HeartbeatPace;
+  NextBeat = Now + (Core.State.Table ? HeartbeatPace : NewcomerPace);
   NodeMessages out;
   if (View.IsLeader) {
     wire::NodeHeartbeat own;
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -80,6 +80,18 @@
   return Engine.OrderDone >= Order.Number || isPast(Order.Expires, Now);
 }
 
+/// An unload may wait long for running requests: the load counts from when the
+/// engine reports it under way.
+void noteProgress(OpenOrder &Order, const EngineState &Engine, Millis Load) {
+  bool isUnloaded = std::none_of(
+      Order.Evict.begin(), Order.Evict.end(),
+      [&](const std::string &it) { return Engine.Models.contains(it); });
+  if (Order.HasBegun || !isUnloaded || !Engine.IsBusy)
+    return;
+  Order.HasBegun = true;
+  Order.ReadyAt = std::max(Order.ReadyAt, Engine.ReadAt + Load);
+}
+
 /// Engines of \p Service as the plan sees them, with their addresses.
 struct EngineField {
   std::vector<PlanEngine> Engines;
@@ -124,6 +136,9 @@
       } else {
         plan.CanOrder = false;
         plan.Loading = order->second.Model;
+        auto spec = Spec.Models.find(plan.Loading);
+        if (spec != Spec.Models.end())
+          noteProgress(order->second, *engine, loadTime(plan, spec->second));
         for (const std::string &it : order->second.Evict)
           plan.Models.erase(it);
         ++out.LoadsUnderWay;
@@ -182,6 +197,8 @@
 } // namespace
 
 void openLeader(LeaderState &Leader, uint64_t Term, TimePoint Now) {
+  if (Leader.Term == Term)
+    return;
   Leader.Term = Term;
   Leader.LedSince = Now;
   Leader.Orders.clear();
--- a/front/leader_work.h
+++ b/front/leader_work.h
@@ -23,7 +23,8 @@
   std::string Model;
   std::vector<std::string> Evict;
   bool IsFromStore = false;
-  TimePoint ReadyAt; ///< As far as it can be told.
+  bool HasBegun = false; ///< What it evicts is gone; the load is under way.
+  TimePoint ReadyAt;     ///< As far as it can be told.
   TimePoint Expires;
 };
 
@@ -42,7 +43,8 @@
   TimePoint NextShare;
 };
 
-/// Starts over for a new term.
+/// Starts over for a new term. A leader that regains its lease within a term
+/// goes on with the numbers of its orders: agents take rising ones only.
 void openLeader(LeaderState &Leader, uint64_t Term, TimePoint Now);
 /// A front cannot serve a model; it is planned for at once.
 void takeWish(LeaderState &Leader, const std::string &Front,
--- a/policy/quota_pool.cpp
+++ b/policy/quota_pool.cpp
@@ -16,6 +16,8 @@
 PoolAnswer drawFromPool(QuotaPool &Pool, const QuotaLimit &Limit,
                         const PoolWish &Wish, bool IsBeyond, TimePoint LedSince,
                         TimePoint Now) {
+  if (Pool.FilledAt == TimePoint())
+    Pool.Level = burstOf(Limit) * PoolStartPart;
   double rate = Limit.RatePerSecond * (1 - DividedPart);
   double most = burstOf(Limit) * PoolSavedPart;
   TimePoint since = std::max(Pool.FilledAt, LedSince);
--- a/policy/quota_pool.h
+++ b/policy/quota_pool.h
@@ -18,10 +18,14 @@
 /// tolerance.
 inline constexpr double PoolSavedPart = 0.55;
 
+/// Part that a new leader's pool begins with. An earlier leader may just have
+/// handed out all that it had saved up; this stays within the tolerance too.
+inline constexpr double PoolStartPart = 0.2;
+
 /// One organisation's pool at the leader.
 struct QuotaPool {
-  double Level = 0; ///< Tokens; below zero after a grant on credit.
-  TimePoint FilledAt;
+  double Level = 0;   ///< Tokens; below zero after a grant on credit.
+  TimePoint FilledAt; ///< Unset before the first wish.
 };
 
 /// What one front asks for.
@@ -37,9 +41,9 @@
   Millis Wait{0};
 };
 
-/// A leader's pools start empty at \p LedSince: what an earlier leader handed
-/// out may just have been spent. \p IsBeyond: the organisation asks for more
-/// than its rate, and a part is kept for favoured requests. Not thread safe.
+/// A leader's pools start at \p LedSince. \p IsBeyond: the organisation asks
+/// for more than its rate, and a part is kept for favoured requests. Not thread
+/// safe.
 PoolAnswer drawFromPool(QuotaPool &Pool, const QuotaLimit &Limit,
                         const PoolWish &Wish, bool IsBeyond, TimePoint LedSince,
                         TimePoint Now);
--- /dev/null
+++ b/tests/front/test_leader_work.cpp
@@ -0,0 +1,159 @@
+/// \file
+/// What the leader tells fronts of the models that it has loaded, and how it
+/// answers wishes for tokens.
+#include "front/leader_work.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafras;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+constexpr const char *EngineAddress = "10.0.0.1:7";
+constexpr Millis StoreLoad{6'000};
+
+/// One engine that holds "old" and shall load "new" from the store.
+struct Led {
+  FrontState State;
+  LeaderState Leader;
+
+  Led() {
+    auto table = std::make_shared<ServingTable>();
+    table->Version = 1;
+    EngineSpec spec;
+    spec.Slots = 4;
+    spec.WeightsMb = 100;
+    spec.LoadsPerSecond = 10;
+    for (const char *name : {"old", "new"}) {
+      ModelSpec model;
+      model.Name = name;
+      model.WeightsMb = 90;
+      model.StoreLoad = StoreLoad;
+      model.DiskLoad = Millis(500);
+      spec.Models[name] = model;
+    }
+    table->Services["chat"].Name = "chat";
+    table->Services["chat"].Engine = spec;
+    OrganisationSpec limited;
+    limited.Name = "limited";
+    limited.RatePerSecond = 1'000;
+    limited.Burst = 1'000;
+    table->Organisations.push_back(limited);
+    indexServingTable(*table);
+    State.Table = table;
+    State.Self.set_name("front");
+    openLeader(Leader, 2, Start);
+    sight("old", false, Start);
+    OpenOrder order;
+    order.Number = 1;
+    order.Endpoint = "i-1";
+    order.Model = "new";
+    order.Evict = {"old"};
+    order.IsFromStore = true;
+    order.ReadyAt = Start + StoreLoad;
+    order.Expires = Start + std::chrono::minutes(1);
+    Leader.Orders[EngineAddress] = order;
+  }
+
+  /// The engine reports what it holds.
+  void sight(const std::string &Model, bool IsBusy, TimePoint Now) {
+    wire::EndpointSighting it;
+    it.set_id("i-1");
+    it.set_service("chat");
+    it.set_address(EngineAddress);
+    it.set_born_ms(1);
+    it.set_sequence(++Sequence);
+    it.set_slots(4);
+    applySighting(State.Directory, it, Now);
+    wire::EngineReport report;
+    report.mutable_self()->set_name("agent");
+    report.mutable_self()->set_incarnation(1);
+    report.set_address(EngineAddress);
+    report.set_born_ms(1);
+    report.set_number(Sequence);
+    report.set_is_busy(IsBusy);
+    report.set_has_available(true);
+    if (!Model.empty())
+      report.add_models()->set_name(Model);
+    applyReport(State.Directory, report, Now);
+  }
+
+  /// When the front believes that "new" will be there, with callers waiting.
+  TimePoint readyAt(TimePoint Now) {
+    wire::RowDemand row;
+    row.set_model("new");
+    row.set_waiting(1);
+    row.set_waiting_worth(1);
+    takeWish(Leader, "front", row, Now);
+    NodeMessages out;
+    planPlacement(Leader, State, Now, out);
+    Leader.NextForecast = Now;
+    tellForecasts(Leader, State, Now, out);
+    return State.Rows["new"].ReadyAt;
+  }
+
+  uint64_t Sequence = 0;
+};
+
+} // namespace
+
+// An unload waited 2.4 s for a running request; the load from the store that
+// followed was forecast anew from every moment after it, and its callers were
+// refused two seconds before it was over.
+TEST_CASE("load that began late is forecast from when it began") {
+  Led test;
+  TimePoint begun = Start + Millis(2'400);
+  test.sight("", true, begun);
+  CHECK(test.readyAt(begun) == begun + StoreLoad);
+  TimePoint later = Start + Millis(7'000);
+  test.sight("", true, later);
+  CHECK(test.readyAt(later) == begun + StoreLoad);
+}
+
+TEST_CASE("load that waits for an unload is not taken as begun") {
+  Led test;
+  TimePoint later = Start + Millis(8'000);
+  test.sight("old", true, later);
+  CHECK(test.readyAt(later) > later + StoreLoad);
+}
+
+// A lease that was lost and regained within a term set the numbers of orders
+// back, and agents took none of them until the numbers had caught up.
+TEST_CASE("leader that regains its lease goes on with its orders") {
+  Led test;
+  test.Leader.NextOrder += 40;
+  uint64_t next = test.Leader.NextOrder;
+  openLeader(test.Leader, 2, Start + Millis(500));
+  CHECK(test.Leader.NextOrder == next);
+  CHECK(test.Leader.Orders.size() == 1);
+  openLeader(test.Leader, 3, Start + Millis(900));
+  CHECK(test.Leader.NextOrder > next);
+  CHECK(test.Leader.Orders.empty());
+}
+
+TEST_CASE("wishes for tokens are answered within the limit, and bad ones not") {
+  Led test;
+  wire::QuotaWish wish;
+  wish.set_organisation("limited");
+  wish.set_wanted(300);
+  wish.set_least(300);
+  auto grant = answerQuotaWish(test.Leader, test.State, wish, Start);
+  REQUIRE(grant);
+  CHECK(grant->granted() == 300);
+  CHECK(grant->term() == 2);
+  double sum = 0;
+  for (int i = 0; i < 1'000; ++i)
+    sum += answerQuotaWish(test.Leader, test.State, wish, Start)->granted();
+  CHECK(sum <= 2'000);
+  auto refused = answerQuotaWish(test.Leader, test.State, wish, Start);
+  CHECK(refused->granted() == 0);
+  CHECK(refused->wait_ms() > 0);
+  wish.set_least(400);
+  CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
+  wish.set_least(-1);
+  CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
+  wish.set_least(300);
+  wish.set_organisation("nobody");
+  CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
+}
