--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -20,7 +20,7 @@
 
 /// Share of an engine's slots that one busy model should use; the rest takes
 /// up bursts without queueing.
-inline constexpr double TargetUse = 0.45;
+inline constexpr double TargetUse = 0.35;
 /// Loads from the store under way at once; a few more than it serves at full
 /// speed would slow them all. Loads from an engine's own memory or disk do not
 /// slow one another.
