End load reports; a fault soak of real processes behind proxies

Cause, from their logs: a front that had been told that the endpoint was full, or whose sends were cut, sent nothing more, so it heard nothing newer; sends counted as load beyond their end. Reports now fade (engines 0.8 to 3 s, plain services 50 to 250 ms) and an exchange that is over counts no more. Tests first red: 'endpoint that was full once is tried again without a newer report', 'endpoint that never tells its load is full only with what is open'.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo check packages build bench slopes
+.PHONY: demo check packages build bench slopes soak
 
 DEPLOYMENT ?= bloomline
 SEEDS ?= 5
@@ -20,5 +20,8 @@
 bench: build
 	build/bench/policy_bench $(SEEDS) $(SECONDS_EACH)
 
+soak: build
+	build/tests/soak/soak $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
+
 slopes: build
 	build/tests/harness/slopes
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -118,7 +118,7 @@
   uint64_t bestRank = 0;
   for (size_t i = 0; i < Found.Candidates.size(); ++i) {
     const EndpointCandidate &it = Found.Candidates[i];
-    bool isFull = estimateLoad(*it.Record) >= it.Slots;
+    bool isFull = estimateLoad(*it.Record, Now) >= it.Slots;
     if (Found.Engines[i]->Agent.empty() || isFull ||
         !isPast(it.Record->PausedUntil, Now))
       continue;
@@ -454,7 +454,8 @@
       record.ReportedAt == TimePoint()
           ? Millis(0)
           : std::chrono::duration_cast<Millis>(Now - record.ReportedAt);
-  out.Decision = SendTo{target.Id, target.Address, estimateLoad(record), age};
+  out.Decision =
+      SendTo{target.Id, target.Address, estimateLoad(record, Now), age};
   return out;
 }
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -392,7 +392,7 @@
   auto id = Core.State.Directory.IdByAddress.find(Report.address());
   if (id != Core.State.Directory.IdByAddress.end())
     noteLoad(Core.State.Records[id->second], Report.active() + Report.queued(),
-             now);
+             EngineReportLife, now);
   HasChanged = true;
 }
 
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -164,7 +164,10 @@
   }
   if (fields.Load)
     noteLoad(Core.State.Records[Endpoint],
-             fields.Load->Running + fields.Load->Waiting, now);
+             fields.Load->Running + fields.Load->Waiting,
+             engineSpecOf(Core.State, Request.Service) ? EngineReportLife
+                                                       : PlainReportLife,
+             now);
   HasHead = true;
   IsNotRun = fields.IsNotRun;
   bool isStreaming = Request.Route->Kind == RequestKind::Streaming &&
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -13,11 +13,21 @@
 constexpr double SlowPenalty = 0.5;
 constexpr double AffinityLead = 0.05;
 
+double secondsOf(Clock::duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
 } // namespace
 
-double estimateLoad(const EndpointRecord &Record) {
+double estimateLoad(const EndpointRecord &Record, TimePoint Now) {
+  double part = 0;
+  if (!isPast(Record.ReportFullUntil, Now))
+    part = 1;
+  else if (!isPast(Record.ReportEnds, Now))
+    part = secondsOf(Record.ReportEnds - Now) /
+           secondsOf(Record.ReportEnds - Record.ReportFullUntil);
   return std::max<double>(Record.Open,
-                          Record.ReportedLoad + Record.SentSinceReport);
+                          part * Record.ReportedLoad + Record.SentSinceReport);
 }
 
 std::optional<size_t>
@@ -29,7 +39,7 @@
     const EndpointCandidate &it = Candidates[i];
     const EndpointRecord &record = *it.Record;
     double slots = it.Slots;
-    double load = estimateLoad(record);
+    double load = estimateLoad(record, Now);
     if (!isPast(record.PausedUntil, Now) || load >= slots * (1 + QueueShare))
       continue;
     double score = load / slots + FailureWeight * record.FailureShare +
@@ -48,10 +58,13 @@
   ++Record.SentSinceReport;
 }
 
-void noteLoad(EndpointRecord &Record, uint32_t Load, TimePoint Now) {
+void noteLoad(EndpointRecord &Record, uint32_t Load, ReportLife Life,
+              TimePoint Now) {
   Record.ReportedLoad = Load;
   Record.SentSinceReport = 0;
   Record.ReportedAt = Now;
+  Record.ReportFullUntil = Now + Life.Full;
+  Record.ReportEnds = Now + Life.Most;
 }
 
 void noteSuccess(EndpointRecord &Record) {
@@ -72,7 +85,9 @@
 void noteClosed(EndpointRecord &Record) {
   if (Record.Open > 0)
     --Record.Open;
-  if (Record.ReportedLoad > 0)
+  if (Record.SentSinceReport > 0)
+    --Record.SentSinceReport;
+  else if (Record.ReportedLoad > 0)
     --Record.ReportedLoad;
 }
 
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -33,13 +33,26 @@
 /// More wait at the front, where they can still go elsewhere.
 inline constexpr double QueueShare = 0.25;
 
+/// A report of an endpoint's load counts in full for the first of these times,
+/// then less and less until the second: what it told of has ended by then, and
+/// without a send no newer report may come. Of engines, whose requests run for
+/// a second or two; of plain services, whose requests take some milliseconds.
+struct ReportLife {
+  Millis Full;
+  Millis Most;
+};
+inline constexpr ReportLife EngineReportLife{Millis(800), Millis(3'000)};
+inline constexpr ReportLife PlainReportLife{Millis(50), Millis(250)};
+
 /// What this front experienced with one endpoint.
 struct EndpointRecord {
   uint32_t Open = 0; ///< Own requests under way there.
   uint32_t SentSinceReport = 0;
   uint32_t ReportedLoad = 0; ///< Running and waiting, from all fronts.
   TimePoint ReportedAt;
-  double FailureShare = 0; ///< Smoothed.
+  TimePoint ReportFullUntil; ///< The report counts in full before this,
+  TimePoint ReportEnds;      ///< and for nothing after this.
+  double FailureShare = 0;   ///< Smoothed.
   uint32_t FailuresInRow = 0;
   TimePoint PausedUntil;
 };
@@ -54,7 +67,7 @@
 };
 
 /// Requests that the endpoint holds by the best knowledge of this front.
-double estimateLoad(const EndpointRecord &Record);
+double estimateLoad(const EndpointRecord &Record, TimePoint Now);
 /// The endpoint to send to, or nothing when all are full or paused. Pure and
 /// thread safe.
 std::optional<size_t>
@@ -63,7 +76,8 @@
 
 void noteSent(EndpointRecord &Record);
 /// Load figures that an endpoint or its agent gave.
-void noteLoad(EndpointRecord &Record, uint32_t Load, TimePoint Now);
+void noteLoad(EndpointRecord &Record, uint32_t Load, ReportLife Life,
+              TimePoint Now);
 void noteSuccess(EndpointRecord &Record);
 /// \p IsCertain: nothing can be expected of it for now, as when it refuses
 /// connections; else it is paused only after repeated failures.
--- a/tests/fakes/fake_platform_engine.cpp
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -57,11 +57,14 @@
 }
 
 bool FakePlatformEngine::announce(const std::string &Control, bool IsDraining) {
-  json::object body{
-      {"service", Service}, {"address", Address},
-      {"zone", "a"},        {"version", "v1"},
-      {"slots", 8},         {"state", IsDraining ? "draining" : "ready"},
-      {"born", Born},       {"seq", ++Beats}};
+  json::object body{{"service", Service},
+                    {"address", Announced.empty() ? Address : Announced},
+                    {"zone", "a"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", IsDraining ? "draining" : "ready"},
+                    {"born", Born},
+                    {"seq", ++Beats}};
   return callHttp(
              Control,
              {"POST", "/Instances.Heartbeat/" + Id, {}, json::serialize(body)},
--- a/tests/fakes/fake_platform_engine.h
+++ b/tests/fakes/fake_platform_engine.h
@@ -38,6 +38,8 @@
 
   /// Announces itself to \p Control once.
   bool announce(const std::string &Control, bool IsDraining = false);
+  /// The address that announcements name in place of its own.
+  void announceAs(const std::string &Proxy) { Announced = Proxy; }
   std::vector<SeenRequest> seen() const;
   size_t countOrders() const { return Orders; }
   /// Time between the events of a stream.
@@ -61,6 +63,7 @@
   std::string Id;
   std::string Service;
   std::string Address;
+  std::string Announced; ///< In place of Address, where set.
   boost::asio::io_context Io;
   Metrics Counts;
   std::unique_ptr<HttpServer> Server;
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -116,14 +116,39 @@
          200;
 }
 
-unsigned FrontFleet::put(int Host, const std::string &Text) const {
-  HttpRequest request{"POST", "/Config.Put", {}, Text};
-  CallerAnswer answer = callHttp(control(Host), request, seconds(3));
+namespace {
+
+/// Follows one redirection to the leader.
+CallerAnswer callLeader(const std::string &Address,
+                        const HttpRequest &Request) {
+  CallerAnswer answer = callHttp(Address, Request, seconds(3));
   if (answer.Status != 307)
-    return answer.Status;
+    return answer;
   std::string location(fieldOf(answer.Fields, "location"));
   std::string leader = location.substr(7, location.find('/', 7) - 7);
-  return callHttp(leader, request, seconds(3)).Status;
+  return callHttp(leader, Request, seconds(3));
+}
+
+} // namespace
+
+unsigned FrontFleet::put(int Host, const std::string &Text) const {
+  return callLeader(control(Host), {"POST", "/Config.Put", {}, Text}).Status;
+}
+
+std::string FrontFleet::readTable(int Host) const {
+  CallerAnswer answer =
+      callLeader(control(Host), {"GET", "/Config.Get", {}, {}});
+  return answer.Status == 200 ? answer.Body : std::string();
+}
+
+bool FrontFleet::isRunning(const std::string &Process) const {
+  auto found = Processes.find(Process);
+  if (found == Processes.end())
+    return false;
+  siginfo_t info{};
+  waitid(P_PID, static_cast<id_t>(found->second), &info,
+         WEXITED | WNOHANG | WNOWAIT);
+  return info.si_pid == 0;
 }
 
 std::string FrontFleet::logFile(const std::string &Process) const {
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -198,12 +198,12 @@
 
 TEST_CASE("own sends count before a report tells of them") {
   EndpointRecord record;
-  noteLoad(record, 4, Start);
+  noteLoad(record, 4, EngineReportLife, Start);
   noteSent(record);
   noteSent(record);
-  CHECK(estimateLoad(record) == Approx(6));
-  noteLoad(record, 5, Start);
-  CHECK(estimateLoad(record) == Approx(5));
+  CHECK(estimateLoad(record, Start) == Approx(6));
+  noteLoad(record, 5, EngineReportLife, Start);
+  CHECK(estimateLoad(record, Start) == Approx(5));
 }
 
 TEST_CASE("full endpoints take nothing more") {
@@ -231,6 +231,34 @@
   CHECK(chooseEndpoint(alone, "a", Start + MostPause));
 }
 
+// One endpoint is left of a plain service and many fronts send to it. A front
+// that was told "full" sends nothing, so it hears nothing newer: it must not
+// take the endpoint for full for good.
+TEST_CASE("endpoint that was full once is tried again without a newer report") {
+  EndpointRecord record;
+  noteLoad(record, 9, PlainReportLife, Start);
+  std::vector<EndpointCandidate> alone = {{"d1", "a", 6, false, 0, &record}};
+  CHECK_FALSE(chooseEndpoint(alone, "a", Start + Millis(20)));
+  CHECK(chooseEndpoint(alone, "a", Start + Millis(250)));
+  noteLoad(record, 60, EngineReportLife, Start);
+  alone[0].Slots = 32;
+  CHECK_FALSE(chooseEndpoint(alone, "a", Start + Millis(500)));
+  CHECK(chooseEndpoint(alone, "a", Start + Millis(3'000)));
+}
+
+TEST_CASE("endpoint that never tells its load is full only with what is open") {
+  EndpointRecord record;
+  std::vector<EndpointCandidate> alone = {{"d1", "a", 6, false, 0, &record}};
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(chooseEndpoint(alone, "a", Start));
+    noteSent(record);
+    noteClosed(record);
+  }
+  for (int i = 0; i < 8; ++i)
+    noteSent(record);
+  CHECK_FALSE(chooseEndpoint(alone, "a", Start));
+}
+
 // ---- Limits ----
 
 namespace {
