--- a/ctl/log_trace.cpp
+++ b/ctl/log_trace.cpp
@@ -84,10 +84,10 @@
     return About.Endpoints.contains(fieldOf(Line, "endpoint"));
   if (event == "engine_lost" || event == "engine_regained")
     return About.Endpoints.contains(fieldOf(Line, "engine"));
-  static const std::set<std::string> OfAll{
+  static const std::set<std::string> ofAll{
       "group_view", "role_changed", "table_in_force",    "started",
       "stopping",   "disk_failed",  "log_lines_dropped", "node_out_of_view"};
-  return OfAll.contains(event);
+  return ofAll.contains(event);
 }
 
 /// Place among lines of the same millisecond: an order is given before it is
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -313,15 +313,15 @@
   return out;
 }
 
-/// True when the leader did not answer the last wish in time: it may be gone.
-bool hasLostPool(FrontState &State, LocalQuota &Quota, TimePoint Now) {
+/// A leader that did not answer the last wish in time may be gone: for a while
+/// nobody is asked.
+void noteUnanswered(FrontState &State, LocalQuota &Quota, TimePoint Now) {
   if (Quota.AskedAt == TimePoint() || Now - Quota.AskedAt < PoolAnswerLimit)
-    return false;
+    return;
   Quota.AskedAt = TimePoint();
   State.PoolLostUntil = Now + PoolRest;
   logEvent(LogLevel::Warning, "quota_wish_unanswered",
            {{"leader", State.Leader.Node}});
-  return true;
 }
 
 /// Charges the organisation. A decision only when the request must not go on.
@@ -336,7 +336,7 @@
   if (!organisation)
     return FrontRefusal{RefusalReason::KeyUnknown, {}};
   LocalQuota &quota = State.Quotas[organisation->Name];
-  hasLostPool(State, quota, Now);
+  noteUnanswered(State, quota, Now);
   QuotaLimit limit = limitOf(State, *organisation, Now);
   size_t fronts = countFronts(State, Now);
   QuotaClaim claim{Request.Cost, Request.Worth};
--- a/front/front_status.cpp
+++ b/front/front_status.cpp
@@ -21,7 +21,7 @@
   for (const auto &[model, adapters] : Engine.Models) {
     Out.add_models(model);
     for (const std::string &it : adapters)
-      Out.add_models(model + '/' + it);
+      Out.add_models(std::string(model).append("/").append(it));
   }
   for (const std::string &it : Engine.InMemory)
     Out.add_in_memory(it);
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -309,7 +309,9 @@
                                                 const FrontState &State,
                                                 const wire::QuotaWish &Wish,
                                                 TimePoint Now) {
-  if (!State.Table || Wish.least() < 0 || Wish.wanted() < Wish.least())
+  // Written so that what is not a number is refused as well.
+  bool isSound = Wish.least() >= 0 && Wish.wanted() >= Wish.least();
+  if (!State.Table || !isSound)
     return std::nullopt;
   const auto &organisations = State.Table->Organisations;
   auto found = std::find_if(
--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace sassafras;
 
 namespace {
@@ -153,6 +155,8 @@
   CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
   wish.set_least(-1);
   CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
+  wish.set_least(std::numeric_limits<double>::quiet_NaN());
+  CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
   wish.set_least(300);
   wish.set_organisation("nobody");
   CHECK_FALSE(answerQuotaWish(test.Leader, test.State, wish, Start));
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -13,7 +13,9 @@
   INFO("seed " << Seed << ", " << report.Faults << " faults");
   for (const std::string &it : report.Story)
     UNSCOPED_INFO(it);
-  CHECK(report.Broken == std::vector<std::string>{});
+  for (const std::string &it : report.Broken)
+    UNSCOPED_INFO("broken: " << it);
+  CHECK(report.Broken.empty());
   CHECK(report.Answered > 0);
 }
 
