Soak: no fault on a front while all of them are down

A front was killed once more while all fronts were down, and both ends of these faults started it. A fault of the soak, not of the front, which said why it did not start.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -21,6 +21,7 @@
 constexpr int CallerCount = 6;
 constexpr int EnginePort = 7;
 constexpr int ProxyPort = 6;
+constexpr const char *AllFronts = "all fronts";
 constexpr seconds CallLimit{6};
 constexpr seconds HealLimit{30};
 /// A disk is taken at most this often; the group repairs itself meanwhile.
@@ -260,8 +261,9 @@
   }
 
   bool isFree(const std::string &Name) const {
+    bool isFront = Name.starts_with("front-");
     for (const OpenFault &it : Open)
-      if (it.On == Name)
+      if (it.On == Name || (isFront && it.On == AllFronts))
         return false;
     return true;
   }
@@ -368,7 +370,7 @@
       return;
     for (int i = 1; i <= Fleet.fronts(); ++i)
       Fleet.kill(FrontFleet::frontName(i));
-    begin("kill", "all fronts", Millis(draw(50, 800)), [this] {
+    begin("kill", AllFronts, Millis(draw(50, 800)), [this] {
       for (int i = 1; i <= Fleet.fronts(); ++i)
         Fleet.start(i, false);
     });
