--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -358,10 +358,11 @@
       Wish = wishForTokens(quota, Request, isFirst, Now);
       return WaitUntil{std::min(patienceEnd, Now + PoolAnswerLimit)};
     }
-    wait = std::min(wait, std::chrono::ceil<Millis>(shut - Now));
+    if (!isPast(shut, Now))
+      wait = std::min(wait, std::chrono::ceil<Millis>(shut - Now));
   }
   quota.Wanting.erase(Request.Number);
-  if (Now + wait > patienceEnd) {
+  if (isPast(patienceEnd, Now) || Now + wait > patienceEnd) {
     logQuotaRefusal(Request, quota, fronts, wait, Now);
     return refuse(State, RefusalReason::RateExceeded, wait);
   }
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -107,6 +107,27 @@
 
 } // namespace
 
+// The leader was too busy to answer in time: its callers were held until their
+// deadlines in place of being told when to come back.
+TEST_CASE("request that was granted no tokens in time is refused, not held") {
+  FrontState state = makeState();
+  auto table = std::make_shared<ServingTable>(*state.Table);
+  table->Organisations[0].RatePerSecond = 1;
+  indexServingTable(*table);
+  state.Table = table;
+  addEndpoint(state, "e1", "chat", "10.0.0.1:80", {"m"});
+  FrontRequest request = admit(state, "/stream/x");
+  request.Cost = 50;
+  state.PoolHeardAt = Start;
+  auto first = decideDispatch(state, request, Start);
+  CHECK(std::holds_alternative<WaitUntil>(first.Decision));
+  CHECK(first.QuotaWish);
+  state.Quotas["first"].AskedAt = TimePoint();
+  auto last = decideDispatch(state, request, Start + Millis(210));
+  REQUIRE(refusalOf(last));
+  CHECK(refusalOf(last)->Reason == RefusalReason::RateExceeded);
+}
+
 // Only the leader hears which engines have weights near: a front that has not
 // been told yet took every cold model for one that comes from the store.
 TEST_CASE("cold request waits for the leader's forecast before it is refused") {
