--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -6,7 +6,7 @@
 
 #include "entry/caller.h"
 #include "fleet/node_view.h"
-#include "policy/wallet.h"
+#include "policy/held_grants.h"
 
 #include <deque>
 #include <map>
@@ -114,7 +114,7 @@
   EntryOptions Options;
   NodeView View;
   ViewIndex Index;
-  Wallet Tokens;
+  HeldGrants Tokens;
   std::map<std::string, RequestState> Requests;
   std::map<std::string, TenantQueue> Queues; ///< By tenant.
   std::string NextTenant;                    ///< Whose turn it is.
--- a/policy/wallet.cpp
+++ b/policy/held_grants.cpp
@@ -1,4 +1,4 @@
-#include "policy/wallet.h"
+#include "policy/held_grants.h"
 
 #include "core/timing.h"
 
@@ -19,10 +19,10 @@
 
 } // namespace
 
-uint64_t heldTokens(const Wallet &Wallet, const std::string &Tenant,
+uint64_t heldTokens(const HeldGrants &Held, const std::string &Tenant,
                     TimePoint Now) {
-  auto it = Wallet.Grants.find(Tenant);
-  if (it == Wallet.Grants.end())
+  auto it = Held.Grants.find(Tenant);
+  if (it == Held.Grants.end())
     return 0;
   uint64_t sum = 0;
   for (const HeldGrant &grant : it->second)
@@ -31,11 +31,11 @@
   return sum;
 }
 
-bool spendTokens(Wallet &Wallet, const std::string &Tenant, uint64_t Tokens,
+bool spendTokens(HeldGrants &Held, const std::string &Tenant, uint64_t Tokens,
                  TimePoint Now) {
-  if (heldTokens(Wallet, Tenant, Now) < Tokens)
+  if (heldTokens(Held, Tenant, Now) < Tokens)
     return false;
-  for (HeldGrant &it : Wallet.Grants[Tenant]) {
+  for (HeldGrant &it : Held.Grants[Tenant]) {
     if (isPast(it.Expires, Now))
       continue;
     uint64_t part = std::min(Tokens, it.Tokens);
@@ -45,13 +45,13 @@
   return true;
 }
 
-void wishTokens(Wallet &Wallet, const std::string &Tenant, uint64_t Cost) {
-  TenantWish &wish = Wallet.Wishes[Tenant];
+void wishTokens(HeldGrants &Held, const std::string &Tenant, uint64_t Cost) {
+  TenantWish &wish = Held.Wishes[Tenant];
   wish.Tokens += Cost * PrefetchFactor;
   wish.Least = wish.Least == 0 ? Cost : wish.Least;
 }
 
-void returnCharge(Wallet &Wallet, const std::string &Tenant, uint64_t Tokens,
+void returnCharge(HeldGrants &Held, const std::string &Tenant, uint64_t Tokens,
                   TimePoint ChargedAt, TimePoint Now) {
   if (Tokens == 0)
     return;
@@ -59,11 +59,11 @@
   back.set_tenant(Tenant);
   back.set_unspent(Tokens);
   back.set_charged_ago_ms(toMillis(Now - ChargedAt + RefundMargin));
-  Wallet.Returns.push_back(std::move(back));
+  Held.Returns.push_back(std::move(back));
 }
 
-void returnGrants(Wallet &Wallet, bool All, TimePoint Now) {
-  for (auto &entry : Wallet.Grants)
+void returnGrants(HeldGrants &Held, bool All, TimePoint Now) {
+  for (auto &entry : Held.Grants)
     std::erase_if(entry.second, [&](const HeldGrant &it) {
       if (!All && Now < it.Expires - ReturnMargin)
         return false;
@@ -72,55 +72,55 @@
         back.set_grant(it.Id);
         back.set_tenant(entry.first);
         back.set_unspent(it.Tokens);
-        Wallet.Returns.push_back(std::move(back));
+        Held.Returns.push_back(std::move(back));
       }
       return true;
     });
 }
 
-bool needsGrantRequest(const Wallet &Wallet, TimePoint Now) {
-  bool hasNews = !Wallet.Wishes.empty() || !Wallet.Returns.empty();
-  return hasNews && isPast(Wallet.NextRequest, Now);
+bool needsGrantRequest(const HeldGrants &Held, TimePoint Now) {
+  bool hasNews = !Held.Wishes.empty() || !Held.Returns.empty();
+  return hasNews && isPast(Held.NextRequest, Now);
 }
 
-wire::GrantRequest makeGrantRequest(Wallet &Wallet, TimePoint Now) {
+wire::GrantRequest makeGrantRequest(HeldGrants &Held, TimePoint Now) {
   wire::GrantRequest request;
-  request.set_number(Wallet.NextNumber++);
-  for (const auto &[tenant, wish] : Wallet.Wishes) {
+  request.set_number(Held.NextNumber++);
+  for (const auto &[tenant, wish] : Held.Wishes) {
     wire::TenantGrant &wanted = *request.add_wanted();
     wanted.set_tenant(tenant);
     wanted.set_tokens(wish.Tokens);
     wanted.set_least(wish.Least);
   }
-  for (wire::GrantReturn &it : Wallet.Returns)
+  for (wire::GrantReturn &it : Held.Returns)
     *request.add_returned() = std::move(it);
-  SentGrantRequest &sent = Wallet.Sent[request.number()];
+  SentGrantRequest &sent = Held.Sent[request.number()];
   sent.At = Now;
   for (const wire::TenantGrant &it : request.wanted())
     sent.Wanted.push_back(it.tenant());
-  std::erase_if(Wallet.Sent, [&](const auto &it) {
+  std::erase_if(Held.Sent, [&](const auto &it) {
     return Now - it.second.At > timing::GrantLife;
   });
-  Wallet.Wishes.clear();
-  Wallet.Returns.clear();
-  Wallet.NextRequest = Now + timing::GrantRetry;
+  Held.Wishes.clear();
+  Held.Returns.clear();
+  Held.NextRequest = Now + timing::GrantRetry;
   return request;
 }
 
-void takeGrants(Wallet &Wallet, const wire::GrantReply &Reply) {
-  auto sent = Wallet.Sent.find(Reply.number());
-  if (sent == Wallet.Sent.end())
+void takeGrants(HeldGrants &Held, const wire::GrantReply &Reply) {
+  auto sent = Held.Sent.find(Reply.number());
+  if (sent == Held.Sent.end())
     return;
-  Wallet.Short.insert(sent->second.Wanted.begin(), sent->second.Wanted.end());
+  Held.Short.insert(sent->second.Wanted.begin(), sent->second.Wanted.end());
   // The life counts from the sending, which was before the giving.
   TimePoint expires = sent->second.At + timing::GrantLife;
   for (const wire::Grant &it : Reply.grants()) {
-    Wallet.Grants[it.tenant()].push_back({it.id(), it.tokens(), expires});
-    Wallet.Short.erase(it.tenant());
+    Held.Grants[it.tenant()].push_back({it.id(), it.tokens(), expires});
+    Held.Short.erase(it.tenant());
   }
   // A second copy of the reply finds no request.
-  Wallet.Sent.erase(sent);
-  Wallet.NextRequest = TimePoint();
+  Held.Sent.erase(sent);
+  Held.NextRequest = TimePoint();
 }
 
 } // namespace sassafras
--- a/policy/wallet.h
+++ b/policy/held_grants.h
@@ -1,8 +1,8 @@
 /// \file
 /// Tokens that an entry holds for its tenants: grants of the control leader
 /// with their ends.
-#ifndef SASSAFRAS_POLICY_WALLET_H
-#define SASSAFRAS_POLICY_WALLET_H
+#ifndef SASSAFRAS_POLICY_HELD_GRANTS_H
+#define SASSAFRAS_POLICY_HELD_GRANTS_H
 
 #include "core/time.h"
 #include "wire/inner.pb.h"
@@ -32,7 +32,7 @@
   std::vector<std::string> Wanted; ///< Tenants.
 };
 
-struct Wallet {
+struct HeldGrants {
   std::map<std::string, std::deque<HeldGrant>> Grants;
   std::map<std::string, TenantWish> Wishes;
   std::vector<wire::GrantReturn> Returns;
@@ -44,25 +44,25 @@
 };
 
 /// Tokens of \p Tenant that can be spent at \p Now.
-uint64_t heldTokens(const Wallet &Wallet, const std::string &Tenant,
+uint64_t heldTokens(const HeldGrants &Held, const std::string &Tenant,
                     TimePoint Now);
 /// Spends \p Tokens, the soonest ending first. False, and nothing spent, when
 /// there are too few.
-bool spendTokens(Wallet &Wallet, const std::string &Tenant, uint64_t Tokens,
+bool spendTokens(HeldGrants &Held, const std::string &Tenant, uint64_t Tokens,
                  TimePoint Now);
 /// Notes that a request of \p Cost waits for tokens only.
-void wishTokens(Wallet &Wallet, const std::string &Tenant, uint64_t Cost);
+void wishTokens(HeldGrants &Held, const std::string &Tenant, uint64_t Cost);
 /// Notes a charge's part that was not needed, for the next request.
-void returnCharge(Wallet &Wallet, const std::string &Tenant, uint64_t Tokens,
+void returnCharge(HeldGrants &Held, const std::string &Tenant, uint64_t Tokens,
                   TimePoint ChargedAt, TimePoint Now);
 /// Moves grants that end soon, or all with \p All, to the returns.
-void returnGrants(Wallet &Wallet, bool All, TimePoint Now);
+void returnGrants(HeldGrants &Held, bool All, TimePoint Now);
 /// True when a request should be sent now.
-bool needsGrantRequest(const Wallet &Wallet, TimePoint Now);
+bool needsGrantRequest(const HeldGrants &Held, TimePoint Now);
 /// Makes the request and clears wishes and returns.
-wire::GrantRequest makeGrantRequest(Wallet &Wallet, TimePoint Now);
+wire::GrantRequest makeGrantRequest(HeldGrants &Held, TimePoint Now);
 /// Takes grants; a reply to no request of this process is ignored.
-void takeGrants(Wallet &Wallet, const wire::GrantReply &Reply);
+void takeGrants(HeldGrants &Held, const wire::GrantReply &Reply);
 
 } // namespace sassafras
 
--- a/tests/policy/test_token_bank.cpp
+++ b/tests/policy/test_token_bank.cpp
@@ -2,8 +2,8 @@
 /// The bucket of a tenant and the grants from it: never above rate * window +
 /// burst, whatever is lost, doubled or late.
 #include "core/timing.h"
+#include "policy/held_grants.h"
 #include "policy/token_bank.h"
-#include "policy/wallet.h"
 
 #include <catch2/catch.hpp>
 
@@ -123,7 +123,7 @@
       return static_cast<int>(random() % 100) < Percent;
     };
     TokenBank bank = openAt(Start);
-    Wallet wallets[2];
+    HeldGrants holders[2];
     std::vector<Spending> spent;
     std::vector<std::pair<TimePoint, wire::GrantReply>> replies[2];
     std::vector<std::pair<size_t, TimePoint>> charges;
@@ -133,22 +133,22 @@
       if (chance(1))
         openBank(bank, now);
       size_t who = random() % 2;
-      Wallet &wallet = wallets[who];
+      HeldGrants &held = holders[who];
       uint64_t cost = 1 + random() % 150;
-      if (spendTokens(wallet, "alpha", cost, now)) {
+      if (spendTokens(held, "alpha", cost, now)) {
         spent.push_back({now, static_cast<double>(cost)});
         if (chance(50)) {
           // Later on part of it turns out not to be needed.
           uint64_t unused = random() % cost;
           spent.back().Tokens -= static_cast<double>(unused);
-          returnCharge(wallet, "alpha", unused, now, now);
+          returnCharge(held, "alpha", unused, now, now);
         }
       } else {
-        wishTokens(wallet, "alpha", cost);
+        wishTokens(held, "alpha", cost);
       }
-      returnGrants(wallet, false, now);
-      if (needsGrantRequest(wallet, now)) {
-        auto request = makeGrantRequest(wallet, now);
+      returnGrants(held, false, now);
+      if (needsGrantRequest(held, now)) {
+        auto request = makeGrantRequest(held, now);
         if (chance(10))
           continue;
         for (const auto &it : request.returned())
@@ -179,7 +179,7 @@
         std::erase_if(replies[node], [&](auto &it) {
           if (it.first > now)
             return false;
-          takeGrants(wallets[node], it.second);
+          takeGrants(holders[node], it.second);
           return true;
         });
     }
