Say which voters are waited for in order of their names

Cause: the message listed the voters in the order in which they founded or joined the group, which differs from run to run; the test expects them by name. Ruled out: another count of voters or another member answering, as the message printed had the right beginning. Names are now sorted, so an operator reads the same line at each member; seen red first in 'member without a leader says what it waits for' with two members exchanged.

--- a/replication/group_status.cpp
+++ b/replication/group_status.cpp
@@ -1,5 +1,8 @@
 #include "replication/group_status.h"
 
+#include <set>
+#include <string>
+
 namespace sassafras {
 
 namespace {
@@ -54,11 +57,15 @@
     return {};
   if (State.Role == RaftRole::Blank)
     return "a leader to take it in; its data folder was empty";
-  std::string names;
+  // By name: members keep the order in which they joined, which is any.
+  std::set<std::string> names;
   for (const wire::Member &it : State.Members)
     if (it.voter() && it.identity() != State.Self.Identity)
-      names += (names.empty() ? "" : ", ") + it.name();
-  return std::to_string(countVoters(State) / 2) + " of these voters: " + names;
+      names.insert(it.name());
+  std::string list;
+  for (const std::string &it : names)
+    list += (list.empty() ? "" : ", ") + it;
+  return std::to_string(countVoters(State) / 2) + " of these voters: " + list;
 }
 
 void fillGroupStatus(const RaftState &State, TimePoint Now,
--- a/tests/replication/test_group_status.cpp
+++ b/tests/replication/test_group_status.cpp
@@ -87,6 +87,9 @@
   state.Role = RaftRole::Follower;
   state.Leader = 0;
   CHECK(waitsFor(state) == "1 of these voters: member-2, member-3");
+  // Members that founded the group or came back in another order.
+  std::swap(state.Members[1], state.Members[2]);
+  CHECK(waitsFor(state) == "1 of these voters: member-2, member-3");
   RaftState blank = makeBlankRaft({"member-1", 1, "a:1"}, {}, 7, Start);
   CHECK(waitsFor(blank).find("data folder was empty") != std::string::npos);
 }
