Spread a busy model's requests over its engines; a new leader is known at once

Load pattern one: 31 fronts read the same reports, up to 1.2 s old, and all turned to the engine that was least loaded then. Fronts now draw among the engines as if all fronts together filled them evenly until the next reports.

Load pattern two: all hosts lose power. Requests waited for a leader: pre-votes that failed because voters were still barred were repeated after a whole election timeout (23 of 200 replays later than 0.3 s after a quorum could vote, 1 now); fronts heard of the leader with its next beat, up to 0.8 s later, and told their demand with the next of theirs. A front that had just started refused all requests for 0.7 s as it had heard of no endpoint yet.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -425,6 +425,12 @@
     found = surveyEndpoints(State, Request, isEngine, Now);
   }
   if (found.Usable == 0) {
+    // A front that has just started has not heard of the endpoints yet.
+    if (!isPast(State.EndpointsKnownAt, Now) &&
+        State.EndpointsKnownAt < Request.PatienceEnd) {
+      out.Decision = WaitUntil{Now + WaitPeriod};
+      return out;
+    }
     out.Decision = refuse(State, RefusalReason::NoCapacity, NoEndpointRetry);
     return out;
   }
@@ -433,7 +439,7 @@
   if (isEngine && !Request.Facts.Adapter.empty()) {
     Field all = found;
     keepAdapterHolders(Request, found);
-    if (!chooseEndpoint(found.Candidates, State.Self.zone(), Now))
+    if (!chooseEndpoint(found.Candidates, State.Self.zone(), 0, Now))
       if (auto wish = wishForAdapter(State, Request, all, Now))
         out.Wishes.push_back(std::move(*wish));
     if (found.Candidates.empty()) {
@@ -443,7 +449,9 @@
       return wait;
     }
   }
-  auto chosen = chooseEndpoint(found.Candidates, State.Self.zone(), Now);
+  std::uniform_real_distribution<double> point(0, 1);
+  auto chosen = chooseEndpoint(found.Candidates, State.Self.zone(),
+                               point(State.Random), Now);
   if (!chosen) {
     DispatchResult wait = awaitSlot(State, Request, found, isEngine, Now);
     wait.Wishes = std::move(out.Wishes);
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -169,6 +169,28 @@
       send(Out, it, message);
 }
 
+namespace {
+
+/// A new leader has to plan and divide for requests that it knows nothing of.
+void tellNewLeader(FrontState &State, TimePoint Now, NodeMessages &Out) {
+  wire::Envelope message = makeHeartbeat(State, false, 0, Now);
+  takeOwnDemand(State, *message.mutable_node_heartbeat(), Now);
+  send(Out, State.Leader.Address, std::move(message));
+}
+
+void takeLeader(FrontState &State, const wire::NodeHeartbeat &Beat,
+                TimePoint Now, NodeMessages &Out) {
+  const wire::NodeEntry &self = Beat.self();
+  bool isNew =
+      State.Leader.Node != self.name() || State.Leader.Term != Beat.term();
+  State.Leader = {self.name(), self.address(), self.control_address(),
+                  Beat.term(), Now};
+  if (isNew)
+    tellNewLeader(State, Now, Out);
+}
+
+} // namespace
+
 void takeNodeHeartbeat(FrontState &State, GossipState &Gossip,
                        FleetDemand &Demand, const wire::NodeHeartbeat &Beat,
                        TimePoint Now, NodeMessages &Out) {
@@ -186,8 +208,7 @@
   bool isNew = hearNode(State.Roster, self, Now);
   State.Roster.Nodes[self.name()].IsLeaving = Beat.is_leaving();
   if (Beat.is_leader() && isNewerLeader(State, Beat, Now))
-    State.Leader = {self.name(), self.address(), self.control_address(),
-                    Beat.term(), Now};
+    takeLeader(State, Beat, Now, Out);
   noteDemandOf(Demand, self.name(), Beat, Now);
   for (const wire::EndpointSighting &it : Beat.alive())
     applySighting(State.Directory, it, Now);
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -37,6 +37,9 @@
 constexpr Millis ExitDelay{150};
 /// Some figures are logged at this pace, for a look back without metrics.
 constexpr Millis FiguresPeriod{5'000};
+/// Every endpoint announces itself within this: the platform's pace of 1.2 s,
+/// with room for one that has to try another front.
+constexpr Millis AnnouncementSpan{1'800};
 /// A front that has just started hears its fleet's endpoints within this.
 constexpr Millis LearnSpan{700};
 /// Fleet calls carry whole tables. Bytes.
@@ -134,6 +137,7 @@
   if (!Peers->start(Problem))
     return false;
   FrontState &state = Core.State;
+  state.EndpointsKnownAt = StartedAt + AnnouncementSpan;
   state.Self.set_name(Options.Node);
   state.Self.set_address(Peers->address());
   state.Self.set_incarnation(incarnation);
@@ -445,6 +449,11 @@
 }
 
 void FrontShell::takeView(const StoreView &NewView) {
+  if (NewView.IsLeader && !View.IsLeader) {
+    // All fronts are told at once: they wait for forecasts and tokens.
+    NextBeat = TimePoint();
+    Gossip.NextToAll = TimePoint();
+  }
   View = NewView;
   Counts.set("group_leader", "", View.IsLeader ? 1 : 0);
   Counts.set("group_term", "", static_cast<double>(View.Term));
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -67,6 +67,8 @@
   std::map<std::string, RowUse> Rows;         ///< By model.
   /// When an adapter may be asked for again, by engine and adapter.
   std::map<std::string, TimePoint> AdapterWishes;
+  /// Endpoints that are there have announced themselves by then.
+  TimePoint EndpointsKnownAt;
   KnownLeader Leader;
   TimePoint PoolHeardAt;   ///< Of the leader's last share or grant.
   TimePoint PoolLostUntil; ///< It left a wish unanswered.
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A new leader learns the fronts' demand and the agents' reports first.
-constexpr Millis LearnSpan{350};
+constexpr Millis LearnSpan{200};
 /// Part of the store's allowed loads that is used; the rest covers loads that
 /// an earlier leader ordered.
 constexpr double StoreMargin = 0.75;
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -30,11 +30,20 @@
                           part * Record.ReportedLoad + Record.SentSinceReport);
 }
 
-std::optional<size_t>
-chooseEndpoint(const std::vector<EndpointCandidate> &Candidates,
-               const std::string &OwnZone, TimePoint Now) {
-  std::optional<size_t> best;
-  double bestScore = 0;
+namespace {
+
+/// An endpoint that may be sent to, and what speaks against it in requests:
+/// those that it holds, and as many as its other drawbacks are worth.
+struct Level {
+  size_t Candidate = 0;
+  double Height = 0;
+};
+
+/// Those that may be sent to, lowest first.
+std::vector<Level> listLevels(const std::vector<EndpointCandidate> &Candidates,
+                              const std::string &OwnZone, TimePoint Now,
+                              double &Held) {
+  std::vector<Level> out;
   for (size_t i = 0; i < Candidates.size(); ++i) {
     const EndpointCandidate &it = Candidates[i];
     const EndpointRecord &record = *it.Record;
@@ -42,15 +51,45 @@
     double load = estimateLoad(record, Now);
     if (!isPast(record.PausedUntil, Now) || load >= slots * (1 + QueueShare))
       continue;
-    double score = load / slots + FailureWeight * record.FailureShare +
-                   (it.Zone == OwnZone ? 0 : ZoneLead) +
-                   (it.IsSlow ? SlowPenalty : 0) - AffinityLead * it.Affinity;
-    if (!best || score < bestScore) {
-      best = i;
-      bestScore = score;
-    }
+    double drawbacks = FailureWeight * record.FailureShare +
+                       (it.Zone == OwnZone ? 0 : ZoneLead) +
+                       (it.IsSlow ? SlowPenalty : 0) -
+                       AffinityLead * it.Affinity;
+    out.push_back({i, load + slots * drawbacks});
+    Held += load;
+  }
+  std::sort(out.begin(), out.end(),
+            [](const Level &A, const Level &B) { return A.Height < B.Height; });
+  return out;
+}
+
+} // namespace
+
+std::optional<size_t>
+chooseEndpoint(const std::vector<EndpointCandidate> &Candidates,
+               const std::string &OwnZone, double Point, TimePoint Now) {
+  double held = 0;
+  std::vector<Level> levels = listLevels(Candidates, OwnZone, Now, held);
+  if (levels.empty())
+    return std::nullopt;
+  double coming = std::max(1.0, held * ComingShare);
+  // The lowest are filled up with what comes until they are all level.
+  double sum = 0;
+  double surface = 0;
+  size_t filled = 0;
+  while (filled < levels.size()) {
+    sum += levels[filled++].Height;
+    surface = (sum + coming) / static_cast<double>(filled);
+    if (filled < levels.size() && surface <= levels[filled].Height)
+      break;
+  }
+  double left = Point * coming;
+  for (size_t i = 0; i < filled; ++i) {
+    left -= surface - levels[i].Height;
+    if (left < 0)
+      return levels[i].Candidate;
   }
-  return best;
+  return levels.front().Candidate;
 }
 
 void noteSent(EndpointRecord &Record) {
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -1,10 +1,13 @@
 /// \file
 /// Which endpoint a request goes to.
 ///
-/// Load patterns: a busy model on several engines while reports lag by some
-/// hundred milliseconds (own sends count first); endpoints that fail or stall
-/// while their health looks good (judged by outcomes); costly links between
-/// availability zones (a near endpoint first while it has room).
+/// Load patterns: a busy model on several engines while reports lag by a
+/// second and many fronts read the same ones (own sends count first, and each
+/// front spreads its requests as if all of them together filled the engines
+/// evenly, so that they do not all turn to the one that was least loaded);
+/// endpoints that fail or stall while their health looks good (judged by
+/// outcomes); costly links between availability zones (a near endpoint first
+/// while it has room).
 #ifndef SASSAFRAS_POLICY_ENDPOINT_CHOICE_H
 #define SASSAFRAS_POLICY_ENDPOINT_CHOICE_H
 
@@ -29,6 +32,10 @@
 /// before the far one is taken: a crossing costs about as much as a fifth of
 /// a slot's wait.
 inline constexpr double ZoneLead = 0.2;
+/// Requests that come to the candidates from all fronts until newer reports
+/// are there, as a part of those that they hold: a report is up to 1.2 s old,
+/// and a request is held for about 1.7 s.
+inline constexpr double ComingShare = 0.7;
 /// Requests beyond its slots that an endpoint may hold, as a share of slots.
 /// More wait at the front, where they can still go elsewhere.
 inline constexpr double QueueShare = 0.25;
@@ -68,11 +75,12 @@
 
 /// Requests that the endpoint holds by the best knowledge of this front.
 double estimateLoad(const EndpointRecord &Record, TimePoint Now);
-/// The endpoint to send to, or nothing when all are full or paused. Pure and
-/// thread safe.
+/// The endpoint to send to, or nothing when all are full or paused. \p Point
+/// is drawn evenly from 0 up to 1; at 0 it is the least loaded. Pure and thread
+/// safe.
 std::optional<size_t>
 chooseEndpoint(const std::vector<EndpointCandidate> &Candidates,
-               const std::string &OwnZone, TimePoint Now);
+               const std::string &OwnZone, double Point, TimePoint Now);
 
 void noteSent(EndpointRecord &Record);
 /// Load figures that an endpoint or its agent gave.
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Parts of the shortest election timeout after which a lost round is tried
+/// again. A vote syncs disks and raises the term, a pre-vote does neither.
+constexpr int VoteRetryPart = 1;
+constexpr int PreVoteRetryPart = 2;
+
 const wire::Member *findMember(const RaftState &State, uint64_t Identity) {
   for (const wire::Member &it : State.Members)
     if (it.identity() == Identity)
@@ -36,6 +41,15 @@
   return Now + Millis(spread(State.Random));
 }
 
+/// When a round of votes that nobody won is followed by another one. Members
+/// may have been barred from voting that are not for long: waiting for a whole
+/// election timeout once more would leave the group without a leader.
+TimePoint drawRetryDeadline(RaftState &State, int Part, TimePoint Now) {
+  Millis most = State.Self.Timing.LeastElection / Part;
+  std::uniform_int_distribution<int64_t> spread(most.count() / 3, most.count());
+  return Now + Millis(spread(State.Random));
+}
+
 void send(RaftEffects &Out, const std::string &Address,
           wire::Envelope Message) {
   Out.push_back(RaftSend{Address, std::move(Message)});
@@ -231,7 +245,7 @@
   State.Leader = 0;
   ++State.Term;
   State.VotedFor = State.Self.Identity;
-  State.ElectionDeadline = drawElectionDeadline(State, Now);
+  State.ElectionDeadline = drawRetryDeadline(State, VoteRetryPart, Now);
   persistHardState(State, Out);
   State.Votes = {{State.Self.Identity, true}};
   if (countVotes(State) >= quorum(State)) {
@@ -244,7 +258,7 @@
 void startPreVote(RaftState &State, TimePoint Now, RaftEffects &Out) {
   State.Role = RaftRole::PreCandidate;
   State.Leader = 0;
-  State.ElectionDeadline = drawElectionDeadline(State, Now);
+  State.ElectionDeadline = drawRetryDeadline(State, PreVoteRetryPart, Now);
   State.Votes = {{State.Self.Identity, true}};
   if (countVotes(State) >= quorum(State)) {
     startElection(State, false, Now, Out);
@@ -265,6 +279,24 @@
   return member ? member->address() : std::string();
 }
 
+/// Of two that ask for pre-votes at the same time only the one of the lower
+/// identity goes on, so that they do not split the votes.
+bool isRivalAhead(const RaftState &State, const wire::VoteRequest &Request) {
+  return State.Role == RaftRole::PreCandidate &&
+         State.Self.Identity < Request.candidate();
+}
+
+/// Whoever was granted a pre-vote gets time for its vote.
+void yieldTo(RaftState &State, TimePoint Now) {
+  if (State.Role == RaftRole::PreCandidate) {
+    State.Role = RaftRole::Follower;
+    State.Votes.clear();
+  }
+  State.ElectionDeadline =
+      std::max(State.ElectionDeadline,
+               drawRetryDeadline(State, PreVoteRetryPart, Now));
+}
+
 void receive(RaftState &State, const wire::VoteRequest &Request,
              const std::string &ReplyAddress, TimePoint Now, RaftEffects &Out) {
   // A member that heard from a live leader does not help to replace it, so
@@ -277,7 +309,10 @@
     becomeFollower(State, Request.term(), 0, Now, Out);
   bool isGranted = Request.term() >= State.Term && isUpToDate(State, Request);
   if (Request.pre_vote()) {
-    isGranted = isGranted && Request.term() > State.Term;
+    isGranted = isGranted && Request.term() > State.Term &&
+                !isRivalAhead(State, Request);
+    if (isGranted && State.Role != RaftRole::Leader)
+      yieldTo(State, Now);
   } else {
     isGranted = isGranted &&
                 (State.VotedFor == 0 || State.VotedFor == Request.candidate());
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -288,6 +288,23 @@
   CHECK(refusalOf(result)->Reason == RefusalReason::NoCapacity);
 }
 
+TEST_CASE(
+    "front that has just started waits for the endpoints' announcements") {
+  FrontState state = makeState();
+  state.EndpointsKnownAt = Start + Millis(1'800);
+  FrontRequest stream = admit(state, "/stream/x");
+  auto first = decideDispatch(state, stream, Start);
+  CHECK(std::holds_alternative<WaitUntil>(first.Decision));
+  // They were to be heard by then: there are none.
+  auto later = decideDispatch(state, stream, Start + Millis(1'800));
+  CHECK(std::holds_alternative<FrontRefusal>(later.Decision));
+  // One that would be too late by then is refused at once.
+  state.EndpointsKnownAt = Start + Millis(20'000);
+  FrontRequest other = admit(state, "/stream/x");
+  CHECK(std::holds_alternative<FrontRefusal>(
+      decideDispatch(state, other, Start).Decision));
+}
+
 TEST_CASE("failed exchange is repeated only where that is safe") {
   struct Case {
     const char *Path;
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -190,10 +190,10 @@
   EndpointRecord far;
   std::vector<EndpointCandidate> both{{"far", "b", 10, false, 0, &far},
                                       {"near", "a", 10, false, 0, &near}};
-  CHECK(both[*chooseEndpoint(both, "a", Start)].Id == "near");
+  CHECK(both[*chooseEndpoint(both, "a", 0, Start)].Id == "near");
   for (int i = 0; i < 3; ++i)
     noteSent(near);
-  CHECK(both[*chooseEndpoint(both, "a", Start)].Id == "far");
+  CHECK(both[*chooseEndpoint(both, "a", 0, Start)].Id == "far");
 }
 
 TEST_CASE("own sends count before a report tells of them") {
@@ -206,11 +206,97 @@
   CHECK(estimateLoad(record, Start) == Approx(5));
 }
 
+namespace {
+
+/// Many fronts that send one model's requests to its engines and read the
+/// engines' reports at a slow pace.
+struct HerdRun {
+  int Fronts = 31;
+  int Engines = 4;
+  double RequestsPerSecond = 24;
+  Millis ReportPeriod{1'200};
+  Millis Service{1'700};
+  bool IsNear = true; ///< Each front has an engine in its zone.
+};
+
+/// Part of the requests that found more than twice their share at the engine.
+double crowdedShare(const HerdRun &Run, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  std::uniform_real_distribution<double> point(0, 1);
+  std::exponential_distribution<double> gap(Run.RequestsPerSecond);
+  std::vector<std::vector<EndpointRecord>> known(Run.Fronts);
+  for (auto &it : known)
+    it.resize(Run.Engines);
+  struct Running {
+    TimePoint Ends;
+    int Front;
+  };
+  std::vector<std::vector<Running>> engines(Run.Engines);
+  std::vector<TimePoint> nextReport(Run.Engines);
+  for (int i = 0; i < Run.Engines; ++i)
+    nextReport[i] = Start + i * Run.ReportPeriod / Run.Engines;
+  double share = Run.RequestsPerSecond *
+                 std::chrono::duration<double>(Run.Service).count() /
+                 Run.Engines;
+  size_t sent = 0;
+  size_t crowded = 0;
+  TimePoint now = Start;
+  while (now < Start + std::chrono::seconds(60)) {
+    now += std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(gap(random)));
+    for (int i = 0; i < Run.Engines; ++i) {
+      std::erase_if(engines[i], [&](const Running &it) {
+        if (it.Ends > now)
+          return false;
+        noteClosed(known[it.Front][i]);
+        return true;
+      });
+      if (nextReport[i] > now)
+        continue;
+      nextReport[i] = now + Run.ReportPeriod;
+      for (auto &it : known)
+        noteLoad(it[i], static_cast<uint32_t>(engines[i].size()),
+                 EngineReportLife, now);
+    }
+    int front = static_cast<int>(random() % Run.Fronts);
+    std::vector<EndpointCandidate> candidates;
+    for (int i = 0; i < Run.Engines; ++i)
+      candidates.push_back({std::to_string(i), "z" + std::to_string(i), 32,
+                            false, 0, &known[front][i]});
+    std::string zone =
+        Run.IsNear ? "z" + std::to_string(front % Run.Engines) : "elsewhere";
+    auto chosen = chooseEndpoint(candidates, zone, point(random), now);
+    REQUIRE(chosen);
+    auto &engine = engines[*chosen];
+    ++sent;
+    crowded += static_cast<double>(engine.size()) > 2 * share;
+    double stretch = 0.5 + point(random);
+    engine.push_back({now + std::chrono::duration_cast<Clock::duration>(
+                                Run.Service * stretch),
+                      front});
+    noteSent(known[front][*chosen]);
+  }
+  return static_cast<double>(crowded) / static_cast<double>(sent);
+}
+
+} // namespace
+
+TEST_CASE("many fronts with late reports do not all turn to one engine") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    CHECK(crowdedShare({}, seed) < 0.02);
+    // Nothing but the load decides where no engine is near.
+    HerdRun far;
+    far.IsNear = false;
+    CHECK(crowdedShare(far, seed) < 0.02);
+  }
+}
+
 TEST_CASE("full endpoints take nothing more") {
   EndpointRecord record;
   std::vector<EndpointCandidate> one{{"e", "a", 4, false, 0, &record}};
   size_t sent = 0;
-  while (chooseEndpoint(one, "a", Start) && sent < 100) {
+  while (chooseEndpoint(one, "a", 0, Start) && sent < 100) {
     noteSent(record);
     ++sent;
   }
@@ -225,10 +311,10 @@
                                       {"good", "b", 32, false, 0, &good}};
   for (int i = 0; i < 3; ++i)
     noteFailure(bad, false, Start);
-  CHECK(both[*chooseEndpoint(both, "a", Start)].Id == "good");
+  CHECK(both[*chooseEndpoint(both, "a", 0, Start)].Id == "good");
   std::vector<EndpointCandidate> alone{both[0]};
-  CHECK_FALSE(chooseEndpoint(alone, "a", Start));
-  CHECK(chooseEndpoint(alone, "a", Start + MostPause));
+  CHECK_FALSE(chooseEndpoint(alone, "a", 0, Start));
+  CHECK(chooseEndpoint(alone, "a", 0, Start + MostPause));
 }
 
 // One endpoint is left of a plain service and many fronts send to it. A front
@@ -238,25 +324,25 @@
   EndpointRecord record;
   noteLoad(record, 9, PlainReportLife, Start);
   std::vector<EndpointCandidate> alone = {{"d1", "a", 6, false, 0, &record}};
-  CHECK_FALSE(chooseEndpoint(alone, "a", Start + Millis(20)));
-  CHECK(chooseEndpoint(alone, "a", Start + Millis(250)));
+  CHECK_FALSE(chooseEndpoint(alone, "a", 0, Start + Millis(20)));
+  CHECK(chooseEndpoint(alone, "a", 0, Start + Millis(250)));
   noteLoad(record, 60, EngineReportLife, Start);
   alone[0].Slots = 32;
-  CHECK_FALSE(chooseEndpoint(alone, "a", Start + Millis(500)));
-  CHECK(chooseEndpoint(alone, "a", Start + Millis(3'000)));
+  CHECK_FALSE(chooseEndpoint(alone, "a", 0, Start + Millis(500)));
+  CHECK(chooseEndpoint(alone, "a", 0, Start + Millis(3'000)));
 }
 
 TEST_CASE("endpoint that never tells its load is full only with what is open") {
   EndpointRecord record;
   std::vector<EndpointCandidate> alone = {{"d1", "a", 6, false, 0, &record}};
   for (int i = 0; i < 100; ++i) {
-    REQUIRE(chooseEndpoint(alone, "a", Start));
+    REQUIRE(chooseEndpoint(alone, "a", 0, Start));
     noteSent(record);
     noteClosed(record);
   }
   for (int i = 0; i < 8; ++i)
     noteSent(record);
-  CHECK_FALSE(chooseEndpoint(alone, "a", Start));
+  CHECK_FALSE(chooseEndpoint(alone, "a", 0, Start));
 }
 
 // ---- Limits ----
--- a/tests/replication/test_raft.cpp
+++ b/tests/replication/test_raft.cpp
@@ -5,6 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+#include <map>
+
 using namespace sassafras;
 
 namespace {
@@ -56,6 +59,91 @@
 
 const TimePoint Free = Start + timing::ElectionMin;
 
+/// Voters that start over from their disks one after the other, with links
+/// that take a few milliseconds.
+class RestartedGroup {
+public:
+  RestartedGroup(const std::vector<Millis> &StartDelays, uint64_t Seed)
+      : Seed(Seed) {
+    Snapshot.set_index(1);
+    Snapshot.set_term(1);
+    for (size_t i = 0; i < StartDelays.size(); ++i) {
+      wire::Member &member = *Snapshot.add_members();
+      member.set_name(nameOf(i));
+      member.set_identity(i + 1);
+      member.set_address(nameOf(i));
+      member.set_voter(true);
+      StartTimes[nameOf(i)] = Start + StartDelays[i];
+    }
+  }
+
+  /// Time from the first start until one may propose, at most two seconds.
+  Millis timeToLeader() {
+    for (TimePoint now = Start; now < Start + Millis(2'000); now += Step) {
+      startMembers(now);
+      deliver(now);
+      for (auto &[name, state] : Members) {
+        RaftEffects out;
+        tickRaft(state, now, out);
+        take(name, out, now);
+        if (canPropose(state, now))
+          return std::chrono::duration_cast<Millis>(now - Start);
+      }
+    }
+    return Millis(2'000);
+  }
+
+private:
+  static constexpr Millis Step{5};
+  static constexpr Millis LinkDelay{10};
+
+  struct OnTheWay {
+    TimePoint At;
+    std::string To;
+    wire::Envelope Message;
+  };
+
+  static std::string nameOf(size_t I) { return "c" + std::to_string(I + 1); }
+
+  void startMembers(TimePoint Now) {
+    for (const wire::Member &it : Snapshot.members())
+      if (!Members.contains(it.name()) && Now >= StartTimes[it.name()])
+        Members.emplace(it.name(),
+                        restoreRaft({it.name(), it.identity(), it.address(),
+                                     timing::QuickGroup},
+                                    {}, Snapshot, {}, {},
+                                    Seed * 100 + it.identity(), Now));
+  }
+
+  void deliver(TimePoint Now) {
+    while (!Links.empty() && Links.front().At <= Now) {
+      OnTheWay it = std::move(Links.front());
+      Links.pop_front();
+      auto member = Members.find(it.To);
+      if (member == Members.end())
+        continue;
+      RaftEffects out;
+      receiveRaft(member->second, it.Message, Now, out);
+      take(it.To, out, Now);
+    }
+  }
+
+  void take(const std::string &From, RaftEffects &Effects, TimePoint Now) {
+    for (RaftEffect &it : Effects)
+      if (auto *send = std::get_if<RaftSend>(&it)) {
+        send->Message.set_from(From);
+        send->Message.set_reply_address(From);
+        Links.push_back({Now + LinkDelay, send->Address, send->Message});
+      }
+  }
+
+  uint64_t Seed;
+  wire::Snapshot Snapshot;
+  std::map<std::string, TimePoint> StartTimes;
+  std::map<std::string, RaftState> Members;
+  std::deque<OnTheWay> Links;
+};
+
 } // namespace
 
 TEST_CASE("member votes once a term, across its restart too") {
@@ -144,3 +232,22 @@
   // A frozen leader that wakes may not propose.
   CHECK_FALSE(canPropose(state, sent + timing::ElectionMin));
 }
+
+TEST_CASE("group that starts over after a loss of power soon has a leader") {
+  // Eight voters started within 435 ms; the fifth of them, with whom a quorum
+  // may vote, 202 ms after the first. Each is barred for LeastElection.
+  const std::vector<Millis> starts{Millis(0),   Millis(53),  Millis(137),
+                                   Millis(184), Millis(202), Millis(384),
+                                   Millis(404), Millis(435)};
+  Millis mayVote = Millis(202) + timing::QuickGroup.LeastElection;
+  size_t late = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    Millis time = RestartedGroup(starts, seed).timeToLeader();
+    INFO("seed " << seed << " took " << time.count() << " ms");
+    CHECK(time >= mayVote);
+    CHECK(time <= mayVote + timing::QuickGroup.MostElection);
+    late += time > mayVote + Millis(300);
+  }
+  // A vote that is split now and then may take another round.
+  CHECK(late <= 10);
+}
