Loads of engines that are gone hold no place at the store; new leaders know of loads

Load pattern: engines are taken away or leaders change while loads from the weight store are under way, and rare models that lie on no engine are asked for. Besides, each new leader ordered such loads again, at another engine (four at once in place of three, 11.7 s in place of 7.8 s each), and loads of busy models that lie on other disks took the store's few places. Ruled out: slow disks (579 loads from disks took 0.5 to 1.2 s), waiting for unloads (0.08 s in the middle, 2.3 s for 3 in 100).

Orders whose engine is gone are forgotten; agents tell which model they were ordered to load; busy models that are near take one place of the store at most. Three tests, each seen red without its change.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -298,6 +298,8 @@
     out.set_kv_total(State.Reading.kv_total());
     out.set_is_plain(!IsWhole);
   }
+  if (IsWhole && State.Goal)
+    out.set_loading(State.Goal->Load);
   *out.mutable_self() = Self;
   out.set_address(Options.EngineAgentRole.Engine);
   out.set_is_silent(IsSilent);
@@ -319,6 +321,7 @@
   shape.set_is_silent(whole.is_silent());
   shape.set_order_done(whole.order_done());
   shape.set_is_busy(whole.is_busy());
+  shape.set_loading(whole.loading());
   shape.set_born_ms(whole.born_ms());
   std::string models = shape.SerializeAsString();
   bool isDue = isPast(NextWhole, Now);
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -150,6 +150,7 @@
   if (Report.is_plain())
     return true;
   known.BornMs = Report.born_ms();
+  state.Loading = Report.loading();
   state.Models.clear();
   for (const wire::LoadedModel &it : Report.models())
     state.Models[it.name()] = {it.adapters().begin(), it.adapters().end()};
@@ -178,13 +179,17 @@
   }
 }
 
-bool isUsable(const KnownEndpoint &Endpoint, TimePoint Now) {
+bool isServing(const KnownEndpoint &Endpoint, TimePoint Now) {
   bool isTakenAway =
       Endpoint.TakenAwayAt != TimePoint() && Now >= Endpoint.TakenAwayAt;
-  return !Endpoint.HasLeft && !Endpoint.IsDraining && !isTakenAway &&
+  return !Endpoint.HasLeft && !isTakenAway &&
          Now - Endpoint.HeardAt < EndpointSilence;
 }
 
+bool isUsable(const KnownEndpoint &Endpoint, TimePoint Now) {
+  return isServing(Endpoint, Now) && !Endpoint.IsDraining;
+}
+
 const EngineState *engineOf(const EndpointDirectory &Directory,
                             const KnownEndpoint &Endpoint) {
   auto reading = Directory.Readings.find(Endpoint.Address);
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -36,7 +36,8 @@
   uint64_t KvUsed = 0;
   uint64_t KvTotal = 0;
   uint64_t OrderDone = 0;
-  std::string Agent; ///< Inner address of its agent, or empty.
+  std::string Agent;   ///< Inner address of its agent, or empty.
+  std::string Loading; ///< Model that its agent was ordered to load, or empty.
   std::map<std::string, std::set<std::string>> Models; ///< With adapters.
   std::set<std::string> InMemory;
   std::set<std::string> OnDisk;
@@ -89,6 +90,8 @@
 /// Forgets what is gone for long.
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now);
 
+/// True while it is there, though it may take no new work.
+bool isServing(const KnownEndpoint &Endpoint, TimePoint Now);
 /// True while new work may be sent there.
 bool isUsable(const KnownEndpoint &Endpoint, TimePoint Now);
 /// Newest knowledge of its engine, or null.
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -80,6 +80,27 @@
   return Engine.OrderDone >= Order.Number || isPast(Order.Expires, Now);
 }
 
+/// Forgets orders whose engine is gone: nothing will come of them, and they
+/// would hold what the weight store allows until they expire.
+void dropLostOrders(LeaderState &Leader, const FrontState &State,
+                    TimePoint Now) {
+  std::erase_if(Leader.Orders, [&](const auto &it) {
+    const OpenOrder &order = it.second;
+    auto known = State.Directory.Endpoints.find(order.Endpoint);
+    auto holder = State.Directory.IdByAddress.find(it.first);
+    bool isThere = known != State.Directory.Endpoints.end() &&
+                   holder != State.Directory.IdByAddress.end() &&
+                   holder->second == order.Endpoint &&
+                   isServing(known->second, Now);
+    if (!isThere)
+      logEvent(LogLevel::Info, "order_lost",
+               {{"order", std::to_string(order.Number)},
+                {"endpoint", order.Endpoint},
+                {"model", order.Model}});
+    return !isThere;
+  });
+}
+
 /// An unload may wait long for running requests: the load counts from when the
 /// engine reports it under way.
 void noteProgress(OpenOrder &Order, const EngineState &Engine, Millis Load) {
@@ -92,6 +113,10 @@
   Order.ReadyAt = std::max(Order.ReadyAt, Engine.ReadAt + Load);
 }
 
+bool isNearAt(const EngineState &Engine, const std::string &Model) {
+  return Engine.OnDisk.contains(Model) || Engine.InMemory.contains(Model);
+}
+
 /// Engines of \p Service as the plan sees them, with their addresses.
 struct EngineField {
   std::vector<PlanEngine> Engines;
@@ -144,6 +169,12 @@
         ++out.LoadsUnderWay;
         out.StoreLoadsUnderWay += order->second.IsFromStore;
       }
+    } else if (!engine->Loading.empty()) {
+      // Ordered by an earlier leader.
+      plan.CanOrder = false;
+      plan.Loading = engine->Loading;
+      ++out.LoadsUnderWay;
+      out.StoreLoadsUnderWay += !isNearAt(*engine, engine->Loading);
     }
     out.Engines.push_back(std::move(plan));
     out.Endpoints.push_back(&known);
@@ -225,6 +256,7 @@
     return;
   Leader.NextPlan = Now + PlanPeriod;
   auto demand = sumDemand(Leader, Now);
+  dropLostOrders(Leader, State, Now);
   for (const auto &[name, service] : State.Table->Services) {
     if (!service.Engine)
       continue;
@@ -353,8 +385,7 @@
                     TimePoint Now) {
   for (const auto &[id, known] : State.Directory.Endpoints) {
     const EngineState *engine = engineOf(State.Directory, known);
-    if (engine && isUsable(known, Now) &&
-        (engine->OnDisk.contains(Model) || engine->InMemory.contains(Model)))
+    if (engine && isUsable(known, Now) && isNearAt(*engine, Model))
       return true;
   }
   return false;
@@ -372,6 +403,33 @@
   return nullptr;
 }
 
+using ReadyTimes = std::map<std::string, TimePoint>;
+
+/// When models that are on their way will be there, at the earliest.
+ReadyTimes listUnderWay(const LeaderState &Leader, const FrontState &State,
+                        TimePoint Now) {
+  ReadyTimes out;
+  auto note = [&](const std::string &Model, TimePoint At) {
+    auto [it, isNew] = out.emplace(Model, At);
+    it->second = std::min(it->second, At);
+  };
+  for (const auto &[address, order] : Leader.Orders)
+    note(order.Model, order.ReadyAt);
+  for (const auto &[id, known] : State.Directory.Endpoints) {
+    const EngineState *engine = engineOf(State.Directory, known);
+    const ModelSpec *spec = engine && isServing(known, Now)
+                                ? findSpec(State, engine->Loading)
+                                : nullptr;
+    if (!spec || Leader.Orders.contains(known.Address))
+      continue;
+    // An earlier leader's order: it began before the report that tells of it.
+    bool isNear = isNearAt(*engine, spec->Name);
+    note(spec->Name,
+         engine->ReadAt + (isNear ? spec->DiskLoad : spec->StoreLoad));
+  }
+  return out;
+}
+
 /// Time until each model that somebody waits for is there.
 std::map<std::string, Millis> forecastLoads(const LeaderState &Leader,
                                             const FrontState &State,
@@ -381,11 +439,7 @@
     if (demand.Waiting > 0)
       wanted.emplace_back(demand.WaitingWorth, model);
   std::sort(wanted.rbegin(), wanted.rend());
-  std::map<std::string, TimePoint> underWay;
-  for (const auto &[address, order] : Leader.Orders) {
-    auto [it, isNew] = underWay.emplace(order.Model, order.ReadyAt);
-    it->second = std::min(it->second, order.ReadyAt);
-  }
+  ReadyTimes underWay = listUnderWay(Leader, State, Now);
   std::map<std::string, Millis> out;
   size_t storeAhead = 0;
   for (const auto &[worth, model] : wanted) {
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -31,6 +31,7 @@
   ModelDemand Demand;
   size_t Replicas = 0; ///< Loaded or on their way.
   size_t Wanted = 0;
+  bool IsNear = false; ///< Its weights lie at an engine that stays.
 };
 
 using ModelStates = std::map<std::string, ModelState>;
@@ -74,6 +75,10 @@
     for (const std::string &it : engine.Models)
       if (auto found = states.find(it); found != states.end())
         ++found->second.Replicas;
+    for (const auto *near : {&engine.Models, &engine.InMemory, &engine.OnDisk})
+      for (const std::string &it : *near)
+        if (auto found = states.find(it); found != states.end())
+          found->second.IsNear = true;
     if (auto found = states.find(engine.Loading); found != states.end())
       if (!engine.Models.contains(engine.Loading))
         ++found->second.Replicas;
@@ -220,7 +225,8 @@
     if (!want.IsUrgent && underWay >= MostPlannedLoads)
       continue;
     ModelState &state = states[want.Name];
-    bool mayUseStore = storeLeft > 0 && storeUnderWay < MostStoreLoads;
+    size_t places = state.IsNear ? MostSpareStoreLoads : MostStoreLoads;
+    bool mayUseStore = storeLeft > 0 && storeUnderWay < places;
     auto choice = cheapest(want.Name, state, states, Input, taken, mayUseStore);
     if (!choice)
       continue;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -5,7 +5,9 @@
 /// the engine that has the weights nearest, at once); demand moving from the
 /// busy models to others (replicas follow the requests under way); engines
 /// lost or added (their replicas are made up for elsewhere); loads slowing
-/// one another (few at once, and within what the weight store allows).
+/// one another (few at once, and within what the weight store allows); models
+/// whose weights were lost with an engine while busy ones are short of
+/// replicas (most of the store's places are left to them).
 #ifndef SASSAFRAS_POLICY_MODEL_PLAN_H
 #define SASSAFRAS_POLICY_MODEL_PLAN_H
 
@@ -25,6 +27,9 @@
 /// speed would slow them all. Loads from an engine's own memory or disk do not
 /// slow one another.
 inline constexpr size_t MostStoreLoads = 3;
+/// Those of them for models whose weights lie at some engine: they have
+/// another way to be served, the others have not.
+inline constexpr size_t MostSpareStoreLoads = 1;
 /// Loads for models that nobody waits for yet, so that engines stay free for
 /// those that somebody does.
 inline constexpr size_t MostPlannedLoads = 3;
--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 #include <limits>
 
 using namespace sassafras;
@@ -76,6 +78,7 @@
     report.set_number(Sequence);
     report.set_is_busy(IsBusy);
     report.set_has_available(true);
+    report.set_loading(Loading);
     if (!Model.empty())
       report.add_models()->set_name(Model);
     applyReport(State.Directory, report, Now);
@@ -96,6 +99,7 @@
   }
 
   uint64_t Sequence = 0;
+  std::string Loading; ///< By the engine's agent.
 };
 
 } // namespace
@@ -122,6 +126,76 @@
 
 // A lease that was lost and regained within a term set the numbers of orders
 // back, and agents took none of them until the numbers had caught up.
+// Two leaders in a row ordered the same model from the store, at two engines,
+// and with it more loads at once than the store serves at full speed.
+TEST_CASE("new leader knows of loads that an earlier one ordered") {
+  Led led;
+  openLeader(led.Leader, 3, Start);
+  led.Loading = "new";
+  led.sight("old", true, Start + Millis(100));
+  // The engine is taken, though it could be given an order otherwise, and the
+  // model is on its way.
+  TimePoint readyAt = led.readyAt(Start + Millis(1'000));
+  CHECK(led.Leader.Orders.empty());
+  CHECK(readyAt == Start + Millis(100) + StoreLoad);
+  led.Loading.clear();
+  led.sight("old", false, Start + Millis(1'100));
+  noteArrival(led.Leader.Demand.Rates["new"], 10, Start + Millis(2'000));
+  led.readyAt(Start + Millis(2'000));
+  CHECK(led.Leader.Orders.size() == 1);
+}
+
+// Ten engines were taken away with three loads from the store under way. For
+// 27 s no other load from the store was ordered, and all callers of models that
+// lay on no engine were refused.
+TEST_CASE("order at an engine that is gone holds no place at the store") {
+  struct Case {
+    const char *What;
+    std::function<void(wire::EndpointSighting &)> Change;
+    Millis After;
+    bool IsHeld;
+  };
+  const Case cases[] = {
+      {"engine is there", [](wire::EndpointSighting &) {}, Millis(300), true},
+      {"engine drains, its load goes on",
+       [](wire::EndpointSighting &it) { it.set_is_draining(true); },
+       Millis(300), true},
+      {"engine left", [](wire::EndpointSighting &it) { it.set_has_left(true); },
+       Millis(300), false},
+      {"engine was taken away",
+       [](wire::EndpointSighting &it) {
+         it.set_is_draining(true);
+         it.set_remaining_ms(2'000);
+       },
+       Millis(2'100), false},
+      {"engine fell silent", [](wire::EndpointSighting &) {},
+       EndpointSilence + Millis(300), false},
+      {"another engine has its address",
+       [](wire::EndpointSighting &it) {
+         it.set_id("i-2");
+         it.set_born_ms(2);
+       },
+       Millis(300), false},
+  };
+  for (const Case &it : cases) {
+    INFO(it.What);
+    Led led;
+    wire::EndpointSighting sighting;
+    sighting.set_id("i-1");
+    sighting.set_service("chat");
+    sighting.set_address(EngineAddress);
+    sighting.set_born_ms(1);
+    sighting.set_sequence(100);
+    sighting.set_slots(4);
+    it.Change(sighting);
+    applySighting(led.State.Directory, sighting, Start);
+    NodeMessages out;
+    led.Leader.NextPlan = Start;
+    planPlacement(led.Leader, led.State, Start + it.After, out);
+    CHECK(led.Leader.Orders.contains(EngineAddress) == it.IsHeld);
+  }
+}
+
 TEST_CASE("leader that regains its lease goes on with its orders") {
   Led test;
   test.Leader.NextOrder += 40;
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -94,6 +94,31 @@
   CHECK(loads[0].Model == "m0");
 }
 
+TEST_CASE("busy models leave the store to those that lie on no engine") {
+  EngineSpec spec = smallSpec(8);
+  // Six empty engines have joined; m0 is busy and lies on a full one, m1 to m3
+  // were lost with their engine and are waited for.
+  std::vector<PlanEngine> engines;
+  for (int i = 0; i < 6; ++i)
+    engines.push_back(engine("new-" + std::to_string(i), {}));
+  engines.push_back(engine("old", {"m0"}));
+  engines.back().OnDisk = {"m0"};
+  engines.back().CanOrder = false;
+  std::map<std::string, ModelDemand> demand;
+  demand["m0"] = {100, 60, 30, 300};
+  for (const char *it : {"m1", "m2", "m3"})
+    demand[it] = {1, 1, 1, 8};
+  PlanInput input{spec, demand, engines, 0, 0, 10};
+  std::vector<PlannedLoad> loads = planModels(input);
+  CHECK(countLoads(loads, "m0") == 1);
+  CHECK(countLoads(loads, "m1") + countLoads(loads, "m2") +
+            countLoads(loads, "m3") ==
+        2);
+  // With one under way none is left for the busy one.
+  PlanInput later{spec, demand, engines, 1, 1, 10};
+  CHECK(countLoads(planModels(later), "m0") == 0);
+}
+
 TEST_CASE("plan never overcommits an engine and orders one load for each") {
   std::mt19937 random(7);
   for (int round = 0; round < 300; ++round) {
