--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -61,19 +61,21 @@
   }
 
   /// The engine reports what it holds.
-  void sight(const std::string &Model, bool IsBusy, TimePoint Now) {
+  void sight(const std::string &Model, bool IsBusy, TimePoint Now,
+             const std::string &Id = "i-1",
+             const std::string &Address = EngineAddress) {
     wire::EndpointSighting it;
-    it.set_id("i-1");
+    it.set_id(Id);
     it.set_service("chat");
-    it.set_address(EngineAddress);
+    it.set_address(Address);
     it.set_born_ms(1);
     it.set_sequence(++Sequence);
     it.set_slots(4);
     applySighting(State.Directory, it, Now);
     wire::EngineReport report;
-    report.mutable_self()->set_name("agent");
+    report.mutable_self()->set_name("agent-" + Id);
     report.mutable_self()->set_incarnation(1);
-    report.set_address(EngineAddress);
+    report.set_address(Address);
     report.set_born_ms(1);
     report.set_number(Sequence);
     report.set_is_busy(IsBusy);
@@ -133,14 +135,14 @@
   openLeader(led.Leader, 3, Start);
   led.Loading = "new";
   led.sight("old", true, Start + Millis(100));
-  // The engine is taken, though it could be given an order otherwise, and the
-  // model is on its way.
+  led.Loading.clear();
+  led.sight("", false, Start + Millis(100), "i-2", "10.0.0.2:7");
+  noteArrival(led.Leader.Demand.Rates["new"], 10, Start + Millis(1'000));
+  // The other engine is free, but the model is on its way.
   TimePoint readyAt = led.readyAt(Start + Millis(1'000));
   CHECK(led.Leader.Orders.empty());
   CHECK(readyAt == Start + Millis(100) + StoreLoad);
-  led.Loading.clear();
   led.sight("old", false, Start + Millis(1'100));
-  noteArrival(led.Leader.Demand.Rates["new"], 10, Start + Millis(2'000));
   led.readyAt(Start + Millis(2'000));
   CHECK(led.Leader.Orders.size() == 1);
 }
