A member that cannot win an election does not hold up the one that can

Found by reading the change of the votes before it lands: of two pre-candidates the one of the lower identity refused the other as long as it asked itself. It refuses only a rival with the same log, and only while its own round can still be answered. Test: 'member that lacks an entry does not hold up the one that has it', red before.

--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -13,6 +13,9 @@
 /// again. A vote syncs disks and raises the term, a pre-vote does neither.
 constexpr int VoteRetryPart = 1;
 constexpr int PreVoteRetryPart = 2;
+/// Part of it that a round of pre-votes takes at most: some times the way
+/// between members.
+constexpr int PreVotePart = 10;
 
 const wire::Member *findMember(const RaftState &State, uint64_t Identity) {
   for (const wire::Member &it : State.Members)
@@ -259,6 +262,7 @@
   State.Role = RaftRole::PreCandidate;
   State.Leader = 0;
   State.ElectionDeadline = drawRetryDeadline(State, PreVoteRetryPart, Now);
+  State.PreVoteEnds = Now + State.Self.Timing.LeastElection / PreVotePart;
   State.Votes = {{State.Self.Identity, true}};
   if (countVotes(State) >= quorum(State)) {
     startElection(State, false, Now, Out);
@@ -279,10 +283,15 @@
   return member ? member->address() : std::string();
 }
 
-/// Of two that ask for pre-votes at the same time only the one of the lower
-/// identity goes on, so that they do not split the votes.
-bool isRivalAhead(const RaftState &State, const wire::VoteRequest &Request) {
-  return State.Role == RaftRole::PreCandidate &&
+/// Of two that ask for pre-votes at the same time and have the same log only
+/// the one of the lower identity goes on, so that they do not split the votes.
+/// Once its round is over it helps the other: it may be unable to win.
+bool isRivalAhead(const RaftState &State, const wire::VoteRequest &Request,
+                  TimePoint Now) {
+  bool isSameLog = Request.last_index() == lastIndex(State) &&
+                   Request.last_term() == termAt(State, lastIndex(State));
+  return State.Role == RaftRole::PreCandidate && isSameLog &&
+         !isPast(State.PreVoteEnds, Now) &&
          State.Self.Identity < Request.candidate();
 }
 
@@ -292,9 +301,8 @@
     State.Role = RaftRole::Follower;
     State.Votes.clear();
   }
-  State.ElectionDeadline =
-      std::max(State.ElectionDeadline,
-               drawRetryDeadline(State, PreVoteRetryPart, Now));
+  State.ElectionDeadline = std::max(
+      State.ElectionDeadline, drawRetryDeadline(State, PreVoteRetryPart, Now));
 }
 
 void receive(RaftState &State, const wire::VoteRequest &Request,
@@ -310,7 +318,7 @@
   bool isGranted = Request.term() >= State.Term && isUpToDate(State, Request);
   if (Request.pre_vote()) {
     isGranted = isGranted && Request.term() > State.Term &&
-                !isRivalAhead(State, Request);
+                !isRivalAhead(State, Request, Now);
     if (isGranted && State.Role != RaftRole::Leader)
       yieldTo(State, Now);
   } else {
--- a/replication/raft.h
+++ b/replication/raft.h
@@ -65,7 +65,8 @@
   std::map<uint64_t, TimePoint> RoundSent;
   TimePoint LeaseEnd;
   TimePoint ElectionDeadline;
-  TimePoint VoteBarEnd; ///< No vote against a live leader before this.
+  TimePoint VoteBarEnd;  ///< No vote against a live leader before this.
+  TimePoint PreVoteEnds; ///< Its own round of pre-votes is over by then.
   TimePoint NextAppend;
   std::map<std::string, wire::BlankHello> BlankPeers;
   std::vector<std::string> SeedAddresses; ///< Control addresses of settings.
--- a/tests/replication/test_raft.cpp
+++ b/tests/replication/test_raft.cpp
@@ -63,8 +63,10 @@
 /// that take a few milliseconds.
 class RestartedGroup {
 public:
-  RestartedGroup(const std::vector<Millis> &StartDelays, uint64_t Seed)
-      : Seed(Seed) {
+  /// \p Newest of them, counted from one, has an entry more; 0 for none.
+  RestartedGroup(const std::vector<Millis> &StartDelays, uint64_t Seed,
+                 uint64_t Newest = 0)
+      : Seed(Seed), Newest(Newest) {
     Snapshot.set_index(1);
     Snapshot.set_term(1);
     for (size_t i = 0; i < StartDelays.size(); ++i) {
@@ -111,10 +113,19 @@
         Members.emplace(it.name(),
                         restoreRaft({it.name(), it.identity(), it.address(),
                                      timing::QuickGroup},
-                                    {}, Snapshot, {}, {},
+                                    {}, Snapshot, {}, entriesOf(it.identity()),
                                     Seed * 100 + it.identity(), Now));
   }
 
+  std::vector<wire::LogEntry> entriesOf(uint64_t Identity) const {
+    if (Identity != Newest)
+      return {};
+    wire::LogEntry entry;
+    entry.set_term(1);
+    entry.set_index(Snapshot.index() + 1);
+    return {entry};
+  }
+
   void deliver(TimePoint Now) {
     while (!Links.empty() && Links.front().At <= Now) {
       OnTheWay it = std::move(Links.front());
@@ -138,6 +149,7 @@
   }
 
   uint64_t Seed;
+  uint64_t Newest;
   wire::Snapshot Snapshot;
   std::map<std::string, TimePoint> StartTimes;
   std::map<std::string, RaftState> Members;
@@ -251,3 +263,17 @@
   // A vote that is split now and then may take another round.
   CHECK(late <= 10);
 }
+
+TEST_CASE("member that lacks an entry does not hold up the one that has it") {
+  // One of three is down for good, so that both others are needed. The one of
+  // the lower identity cannot win, whether it asks first or not.
+  for (Millis delay : {Millis(0), Millis(200)}) {
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+      INFO("seed " << seed << " delay " << delay.count());
+      Millis time = RestartedGroup({Millis(0), delay, Millis(60'000)}, seed, 2)
+                        .timeToLeader();
+      CHECK(time <= delay + timing::QuickGroup.LeastElection +
+                        timing::QuickGroup.MostElection);
+    }
+  }
+}
