--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -244,76 +244,99 @@
   bool IsNear = true; ///< Each front has an engine in its zone.
 };
 
-/// Part of the requests that found more than twice their share at the engine.
-double crowdedShare(const HerdRun &Run, uint64_t Seed) {
-  std::mt19937_64 random(Seed);
-  std::uniform_real_distribution<double> point(0, 1);
-  std::exponential_distribution<double> gap(Run.RequestsPerSecond);
-  std::vector<std::vector<EndpointRecord>> known(Run.Fronts);
-  for (auto &it : known)
-    it.resize(Run.Engines);
+class Herd {
+public:
+  Herd(HerdRun Run, uint64_t Seed)
+      : Run(Run), Random(Seed), Known(Run.Fronts), Engines(Run.Engines),
+        NextReport(Run.Engines) {
+    for (auto &it : Known)
+      it.resize(Run.Engines);
+    for (int i = 0; i < Run.Engines; ++i)
+      NextReport[i] = Start + i * Run.ReportPeriod / Run.Engines;
+  }
+
+  /// Part of the requests of a minute that found more than twice an engine's
+  /// share at theirs.
+  double crowdedShare() {
+    std::exponential_distribution<double> gap(Run.RequestsPerSecond);
+    for (TimePoint now = Start; now < Start + std::chrono::seconds(60);) {
+      now += std::chrono::duration_cast<Clock::duration>(
+          std::chrono::duration<double>(gap(Random)));
+      for (int i = 0; i < Run.Engines; ++i) {
+        endRequests(i, now);
+        report(i, now);
+      }
+      send(static_cast<int>(Random() % Run.Fronts), now);
+    }
+    return static_cast<double>(Crowded) / static_cast<double>(Sent);
+  }
+
+private:
   struct Running {
     TimePoint Ends;
     int Front;
   };
-  std::vector<std::vector<Running>> engines(Run.Engines);
-  std::vector<TimePoint> nextReport(Run.Engines);
-  for (int i = 0; i < Run.Engines; ++i)
-    nextReport[i] = Start + i * Run.ReportPeriod / Run.Engines;
-  double share = Run.RequestsPerSecond *
-                 std::chrono::duration<double>(Run.Service).count() /
-                 Run.Engines;
-  size_t sent = 0;
-  size_t crowded = 0;
-  TimePoint now = Start;
-  while (now < Start + std::chrono::seconds(60)) {
-    now += std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(gap(random)));
-    for (int i = 0; i < Run.Engines; ++i) {
-      std::erase_if(engines[i], [&](const Running &it) {
-        if (it.Ends > now)
-          return false;
-        noteClosed(known[it.Front][i]);
-        return true;
-      });
-      if (nextReport[i] > now)
-        continue;
-      nextReport[i] = now + Run.ReportPeriod;
-      for (auto &it : known)
-        noteLoad(it[i], static_cast<uint32_t>(engines[i].size()),
-                 EngineReportLife, now);
-    }
-    int front = static_cast<int>(random() % Run.Fronts);
+
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(Random); }
+
+  void endRequests(int Engine, TimePoint Now) {
+    std::erase_if(Engines[Engine], [&](const Running &it) {
+      if (it.Ends > Now)
+        return false;
+      noteClosed(Known[it.Front][Engine]);
+      return true;
+    });
+  }
+
+  void report(int Engine, TimePoint Now) {
+    if (NextReport[Engine] > Now)
+      return;
+    NextReport[Engine] = Now + Run.ReportPeriod;
+    for (auto &it : Known)
+      noteLoad(it[Engine], static_cast<uint32_t>(Engines[Engine].size()),
+               EngineReportLife, Now);
+  }
+
+  void send(int Front, TimePoint Now) {
     std::vector<EndpointCandidate> candidates;
     for (int i = 0; i < Run.Engines; ++i)
       candidates.push_back({std::to_string(i), "z" + std::to_string(i), 32,
-                            false, 0, &known[front][i]});
+                            false, 0, &Known[Front][i]});
     std::string zone =
-        Run.IsNear ? "z" + std::to_string(front % Run.Engines) : "elsewhere";
-    auto chosen = chooseEndpoint(candidates, zone, point(random), now);
+        Run.IsNear ? "z" + std::to_string(Front % Run.Engines) : "elsewhere";
+    auto chosen = chooseEndpoint(candidates, zone, draw(), Now);
     REQUIRE(chosen);
-    auto &engine = engines[*chosen];
-    ++sent;
-    crowded += static_cast<double>(engine.size()) > 2 * share;
-    double stretch = 0.5 + point(random);
-    engine.push_back({now + std::chrono::duration_cast<Clock::duration>(
-                                Run.Service * stretch),
-                      front});
-    noteSent(known[front][*chosen]);
+    auto &engine = Engines[*chosen];
+    double share = Run.RequestsPerSecond *
+                   std::chrono::duration<double>(Run.Service).count() /
+                   Run.Engines;
+    ++Sent;
+    Crowded += static_cast<double>(engine.size()) > 2 * share;
+    auto length = std::chrono::duration_cast<Clock::duration>(Run.Service *
+                                                              (0.5 + draw()));
+    engine.push_back({Now + length, Front});
+    noteSent(Known[Front][*chosen]);
   }
-  return static_cast<double>(crowded) / static_cast<double>(sent);
-}
+
+  HerdRun Run;
+  std::mt19937_64 Random;
+  std::vector<std::vector<EndpointRecord>> Known; ///< By front and engine.
+  std::vector<std::vector<Running>> Engines;
+  std::vector<TimePoint> NextReport;
+  size_t Sent = 0;
+  size_t Crowded = 0;
+};
 
 } // namespace
 
 TEST_CASE("many fronts with late reports do not all turn to one engine") {
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     INFO("seed " << seed);
-    CHECK(crowdedShare({}, seed) < 0.02);
+    CHECK(Herd({}, seed).crowdedShare() < 0.02);
     // Nothing but the load decides where no engine is near.
     HerdRun far;
     far.IsNear = false;
-    CHECK(crowdedShare(far, seed) < 0.02);
+    CHECK(Herd(far, seed).crowdedShare() < 0.02);
   }
 }
 
