A blank member says what it waits for though it was told of a leader

The whole line reads 'waits for 1 of these voters: control-2', and nothing of control-1. Where control-3 led and its lease had not ended, it began to replace the lost voter by its blank successor: control-1 is no voter any more, and the line is true (unit test 'member that began to replace a lost voter waits for the others only'). The blank member had heard of that leader and so said nothing, for good: a fault, mended, unit test red before.

--- a/replication/group_status.cpp
+++ b/replication/group_status.cpp
@@ -53,10 +53,11 @@
 }
 
 std::string waitsFor(const RaftState &State) {
-  if (State.Leader != 0)
-    return {};
+  // A blank member is told of leaders, but has none before it is taken in.
   if (State.Role == RaftRole::Blank)
     return "a leader to take it in; its data folder was empty";
+  if (State.Leader != 0)
+    return {};
   // By name: members keep the order in which they joined, which is any.
   std::set<std::string> names;
   for (const wire::Member &it : State.Members)
--- a/tests/replication/test_group_status.cpp
+++ b/tests/replication/test_group_status.cpp
@@ -92,4 +92,26 @@
   CHECK(waitsFor(state) == "1 of these voters: member-2, member-3");
   RaftState blank = makeBlankRaft({"member-1", 1, "a:1"}, {}, 7, Start);
   CHECK(waitsFor(blank).find("data folder was empty") != std::string::npos);
+  // It was told of a leader that was lost before it took this member in.
+  blank.Leader = 3;
+  CHECK(waitsFor(blank).find("data folder was empty") != std::string::npos);
+}
+
+TEST_CASE(
+    "member that began to replace a lost voter waits for the others only") {
+  RaftState state = makeLeader();
+  state.Entries.back().mutable_command()->mutable_noop();
+  wire::Envelope hello;
+  hello.set_from("member-2");
+  hello.set_reply_address("b:1");
+  hello.mutable_blank_hello()->set_name("member-2");
+  hello.mutable_blank_hello()->set_address("b:1");
+  hello.mutable_blank_hello()->set_identity(22);
+  hello.mutable_blank_hello()->set_is_blank(true);
+  RaftEffects out;
+  receiveRaft(state, hello, Start, out);
+  // Its lease ends before the change is acknowledged.
+  state.Role = RaftRole::Follower;
+  state.Leader = 0;
+  CHECK(waitsFor(state) == "1 of these voters: member-3");
 }
