Agents ask at once whether an endpoint that broke off is gone

Cause: of a broken exchange an agent learned that its endpoint was gone only from the next slow probe, 1.1 to 1.9 s later; until then the death was charged to no request, and the request that caused it ran at a third endpoint.

A broken exchange now asks the endpoint's port at once and again while it is still closing. Unit test, red without the probe.

--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -27,6 +27,10 @@
 /// A silent endpoint's port is tried this often.
 constexpr Millis ProbePeriod{1000};
 constexpr Millis ProbeSilence{2000};
+/// One that broke off an answer is tried at this pace and so often: a process
+/// that ends closes its connections some milliseconds before its port.
+constexpr Millis QuickProbePause{15};
+constexpr int MostQuickProbes = 10;
 constexpr unsigned StatusOk = 200;
 
 class AgentShell : public RoleShell,
@@ -48,7 +52,9 @@
   void perform(AgentEffect &Effect);
   void startExchange(const StartExchange &Start);
   void giveOrder(const GiveOrder &Order);
-  void probe();
+  void probeSilent();
+  void probe(int MoreTries);
+  void probeLater(int MoreTries);
   void exit();
   void post(AgentEvent Event) { sendEvent(Role, std::move(Event)); }
 
@@ -67,6 +73,7 @@
   // Touched on the context's thread only.
   std::string EndpointAddress;
   TimePoint LastAnnounce;
+  bool IsProbing = false;
   std::map<AttemptKey, std::shared_ptr<HttpCall>> Calls;
 };
 
@@ -165,29 +172,49 @@
   startHttpCall(Io, EndpointAddress, request, OrderLimit, std::move(calls));
 }
 
-/// A port that refuses connections proves that a silent endpoint is gone.
-void AgentShell::probe() {
+/// Asks again and again whether an endpoint that became silent is still there.
+void AgentShell::probeSilent() {
   ProbeTimer.expires_after(ProbePeriod);
-  ProbeTimer.async_wait([this](auto ec) {
+  ProbeTimer.async_wait([self = shared_from_this()](auto ec) {
     if (ec)
       return;
-    bool isSilent =
-        !EndpointAddress.empty() && Clock::now() - LastAnnounce > ProbePeriod;
-    if (isSilent) {
-      HttpCalls calls;
-      calls.OnHead = [](const HttpHead &) {};
-      calls.OnBody = [](std::string_view) {};
-      calls.OnEnd = [] {};
-      calls.OnBreak = [this](HttpBreak Break) {
-        if (!Break.IsRefused)
-          return;
-        EndpointAddress.clear();
-        post(EndpointGone{});
-      };
-      startHttpCall(Io, EndpointAddress, {"GET", "/healthz", {}, {}},
-                    ProbeSilence, std::move(calls));
+    if (Clock::now() - self->LastAnnounce > ProbePeriod)
+      self->probe(0);
+    self->probeSilent();
+  });
+}
+
+/// A port that refuses connections proves that an endpoint is gone. One that
+/// is just ending may still take a connection and break it off; it is tried
+/// again \p MoreTries times.
+void AgentShell::probe(int MoreTries) {
+  if (IsProbing || EndpointAddress.empty())
+    return;
+  IsProbing = true;
+  HttpCalls calls;
+  calls.OnHead = [](const HttpHead &) {};
+  calls.OnBody = [](std::string_view) {};
+  calls.OnEnd = [self = shared_from_this()] { self->IsProbing = false; };
+  calls.OnBreak = [self = shared_from_this(), MoreTries,
+                   announced = LastAnnounce](HttpBreak Break) {
+    self->IsProbing = false;
+    // An announcement meanwhile may be of a new process at this address.
+    if (Break.IsRefused && self->LastAnnounce == announced) {
+      self->EndpointAddress.clear();
+      self->post(EndpointGone{});
+    } else if (MoreTries > 0 && !Break.IsTimeout) {
+      self->probeLater(MoreTries - 1);
     }
-    probe();
+  };
+  startHttpCall(Io, EndpointAddress, {"GET", "/healthz", {}, {}}, ProbeSilence,
+                std::move(calls));
+}
+
+void AgentShell::probeLater(int MoreTries) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(Io, QuickProbePause);
+  timer->async_wait([self = shared_from_this(), timer, MoreTries](auto ec) {
+    if (!ec)
+      self->probe(MoreTries);
   });
 }
 
@@ -206,6 +233,8 @@
           self->startExchange(*start);
         } else if (const auto *order = std::get_if<GiveOrder>(&effect)) {
           self->giveOrder(*order);
+        } else if (std::holds_alternative<ProbeEndpoint>(effect)) {
+          self->probe(MostQuickProbes);
         } else if (const auto *cancel = std::get_if<CancelExchange>(&effect)) {
           auto call = self->Calls.find(cancel->Key);
           if (call == self->Calls.end())
@@ -271,7 +300,7 @@
       [self = shared_from_this()](AgentEvent &it) { self->step(it); };
   Role = System.spawn(makeRoleBehavior<AgentEvent>, step,
                       AgentEvent(AgentTick{}), TickPeriod);
-  probe();
+  probeSilent();
   return true;
 }
 
--- a/agent/agent_state.cpp
+++ b/agent/agent_state.cpp
@@ -162,9 +162,11 @@
     passBody(State, *body, out);
   else if (const auto *end = std::get_if<EndpointEnd>(&Event))
     endAttempt(State, end->Key, Now, out);
-  else if (const auto *broken = std::get_if<EndpointBroken>(&Event))
+  else if (const auto *broken = std::get_if<EndpointBroken>(&Event)) {
     breakAttempt(State, *broken, Now, out);
-  else if (const auto *done = std::get_if<OrderDone>(&Event)) {
+    if (State.IsEndpointUp)
+      out.push_back(ProbeEndpoint{});
+  } else if (const auto *done = std::get_if<OrderDone>(&Event)) {
     takeOrderDone(State, *done, Now);
     State.View.NextHeartbeat = Now;
   } else if (std::holds_alternative<AgentStop>(Event))
--- a/agent/agent_state.h
+++ b/agent/agent_state.h
@@ -177,9 +177,13 @@
   uint64_t Fence = 0;  ///< Of the decision that the order carries out.
   uint64_t Number = 0; ///< Fencing number for the endpoint; never falls.
 };
+/// Find out at once whether the endpoint's process is still there. A death
+/// counts against the requests that ran only once it is known, and until then
+/// another endpoint may be given one of them.
+struct ProbeEndpoint {};
 struct AgentExit {};
 using AgentEffect = std::variant<AgentSend, StartExchange, CancelExchange,
-                                 GiveOrder, AgentExit>;
+                                 GiveOrder, ProbeEndpoint, AgentExit>;
 using AgentEffects = std::vector<AgentEffect>;
 
 /// Takes one event at \p Now.
--- a/tests/agent/test_agent_state.cpp
+++ b/tests/agent/test_agent_state.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace sassafras;
 
 namespace {
@@ -190,3 +192,25 @@
   CHECK(bench.send(bench.attempt("t")).outcome() == wire::ATTEMPT_NOT_RUN);
   CHECK(bench.Started == 1);
 }
+
+TEST_CASE("agent asks at once whether an endpoint that broke off is gone") {
+  // A request that kills its endpoint comes again at once; the death counts
+  // against it only once the agent knows of it.
+  Bench bench;
+  bench.send(bench.attempt("r"));
+  auto hasProbe = [](const AgentEffects &Effects) {
+    return std::any_of(Effects.begin(), Effects.end(), [](const auto &it) {
+      return std::holds_alternative<ProbeEndpoint>(it);
+    });
+  };
+  CHECK(hasProbe(
+      stepAgent(bench.State, EndpointBroken{{"r", 1}, true}, bench.Now)));
+  auto effects = stepAgent(bench.State, EndpointGone{}, bench.Now);
+  CHECK_FALSE(hasProbe(effects));
+  bool isTold =
+      std::any_of(effects.begin(), effects.end(), [](const AgentEffect &it) {
+        const auto *send = std::get_if<AgentSend>(&it);
+        return send && send->Message.heartbeat().deaths_size() == 1;
+      });
+  CHECK(isTold);
+}
