Fronts ask for cold models themselves while nobody leads; new leaders await what lies near

The first load was planned 1.1 s after the agents were up, as a leader had to be elected first. The new leader had not yet heard what lies on the engines' disks: it took 10 of 60 waiting models for ones that only the store has, told their callers to go away, and loaded models from the store that lay on a disk; agents took up to 1 s to find all fronts. Ruled out: lost disks (the same models were loaded from disk 0.3 s later); shorter elections (members bar votes for 0.6 s after a restart for the lease).

A front that hears no leader, or no forecast in time, asks the engine that all fronts with its view would ask, for loads into free memory only; the agent refuses what would undo anything. A new leader uses the store, and forecasts loads from it, once every engine's weights are known or 2.5 s have passed. New agents ask for the fronts each 0.1 s. Tests, red without the change.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -32,6 +32,10 @@
 constexpr Millis MostWholePeriod{9'000};
 constexpr Millis MostLoadPeriod{1'200};
 constexpr Millis RosterPeriod{500};
+/// One that has just started asks more often, for so long: fronts that started
+/// at the same time know only some of the others at first.
+constexpr Millis NewcomerPeriod{100};
+constexpr Millis NewcomerSpan{2'000};
 constexpr Millis SweepPeriod{2'000};
 constexpr Millis ExitDelay{150};
 /// All orders come from this process alone, so its fence never needs to rise.
@@ -84,6 +88,7 @@
   uint32_t ToldLoad = 0;
   uint64_t NextNumber = 1;
   size_t NextFront = 0;
+  TimePoint StartedAt;
   TimePoint NextWhole;
   TimePoint NextLoad;
   TimePoint NextSweep;
@@ -94,6 +99,7 @@
 };
 
 bool EngineAgentShell::start(std::string &Problem) {
+  StartedAt = Clock::now();
   uint64_t incarnation = drawIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
@@ -371,7 +377,8 @@
   if (!targets.empty())
     Peers->send(targets[NextFront++ % targets.size()], message);
   expireNodes(Fronts, now);
-  BeatTimer.expires_after(RosterPeriod);
+  BeatTimer.expires_after(now - StartedAt < NewcomerSpan ? NewcomerPeriod
+                                                         : RosterPeriod);
   BeatTimer.async_wait([self = shared_from_this()](auto ec) {
     if (!ec)
       self->beat();
--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -127,11 +127,25 @@
 
 } // namespace
 
+namespace {
+
+/// Fronts that hear no leader know little of one another: what one of them
+/// asks for must not undo what another one, or the last leader, asked for.
+bool mayTakeUnled(const EngineAgentState &State,
+                  const wire::EngineOrder &Order) {
+  return !State.Goal && State.HasReading && !State.Reading.is_busy() &&
+         Order.evict().empty();
+}
+
+} // namespace
+
 bool takeOrder(EngineAgentState &State, const wire::EngineOrder &Order,
                TimePoint Now) {
-  if (Order.number() <= State.HighestOrder)
+  bool isUnled = Order.number() == 0;
+  if (isUnled ? !mayTakeUnled(State, Order)
+              : Order.number() <= State.HighestOrder)
     return false;
-  State.HighestOrder = Order.number();
+  State.HighestOrder = std::max(State.HighestOrder, Order.number());
   if (State.Goal)
     endGoal(State);
   State.Sizes = Order.sizes();
--- a/engine_agent/engine_orders.h
+++ b/engine_agent/engine_orders.h
@@ -59,7 +59,9 @@
   uint64_t ExpectedSequence = 0;
 };
 
-/// Takes an order of the leader. False when it is old.
+/// Takes an order of the leader, or one without a number of a front that hears
+/// no leader. False when it is old, and when one without a number finds
+/// another order or would make other models give way.
 bool takeOrder(EngineAgentState &State, const wire::EngineOrder &Order,
                TimePoint Now);
 void takeAdapterWish(EngineAgentState &State, const wire::AdapterWish &Wish,
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -14,10 +14,6 @@
 /// From an order to a loaded model beyond the load itself: the way to the
 /// leader and the agent, an unload, and the report back.
 constexpr Millis LoadOverhead{300};
-/// What the leader said of a load counts for this long.
-constexpr Millis ForecastLife{1'000};
-/// The leader's forecast is there within this: two of its periods and the way.
-constexpr Millis ForecastWait{500};
 /// The same while no leader is known: an election, and what follows it.
 constexpr Millis ElectionWait{2'000};
 /// An adapter that was asked for and is not there is asked for again.
@@ -240,6 +236,7 @@
   }
   noteWaiting(row, Request);
   out.Wish = wishForModel(row, Request.Facts.Model, Now);
+  out.Load = askWithoutLeader(State, Request, Now);
   out.Decision = WaitUntil{Now + WaitPeriod};
   return out;
 }
@@ -428,6 +425,8 @@
     // A front that has just started has not heard of the endpoints yet.
     if (!isPast(State.EndpointsKnownAt, Now) &&
         State.EndpointsKnownAt < Request.PatienceEnd) {
+      if (isEngine)
+        out.Load = askWithoutLeader(State, Request, Now);
       out.Decision = WaitUntil{Now + WaitPeriod};
       return out;
     }
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -10,6 +10,7 @@
 #define SASSAFRAS_FRONT_DISPATCH_H
 
 #include "front/admission.h"
+#include "front/unled_wish.h"
 
 #include <string>
 #include <variant>
@@ -39,6 +40,8 @@
 struct DispatchResult {
   DispatchDecision Decision;
   std::vector<AskForAdapter> Wishes;
+  /// An engine's agent should be asked for the model itself.
+  std::optional<AskForModel> Load;
   /// The leader should be told of this model now.
   std::optional<wire::RowDemand> Wish;
   /// The leader should be asked for these tokens now.
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -42,6 +42,7 @@
   TimePoint WantedUntil; ///< A caller was told to come back.
   double WantedWorth = 0;
   TimePoint NextWish;   ///< The leader is told at once, but not too often.
+  TimePoint NextAsk;    ///< The same for agents, while nobody leads.
   TimePoint ReadyAt;    ///< Loaded by then, as the leader planned last.
   TimePoint ForecastAt; ///< When it said so.
 };
@@ -89,6 +90,12 @@
 /// After one that was not, the front goes by its own share for this long.
 inline constexpr Millis PoolRest{500};
 
+/// The leader's forecast of a load is there within this: two of its periods and
+/// the way.
+inline constexpr Millis ForecastWait{500};
+/// What it said counts for this long.
+inline constexpr Millis ForecastLife{1'000};
+
 /// Limit of the organisation in force, none when it has none.
 QuotaLimit limitOf(const FrontState &State,
                    const OrganisationSpec &Organisation, TimePoint Now);
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -10,6 +10,9 @@
 
 /// A new leader learns the fronts' demand and the agents' reports first.
 constexpr Millis LearnSpan{200};
+/// Agents and engines tell a new leader within this what lies at each engine;
+/// one whose agent is gone is waited for no longer.
+constexpr Millis WeightsLearnSpan{2'500};
 /// Part of the store's allowed loads that is used; the rest covers loads that
 /// an earlier leader ordered.
 constexpr double StoreMargin = 0.75;
@@ -113,6 +116,24 @@
   Order.ReadyAt = std::max(Order.ReadyAt, Engine.ReadAt + Load);
 }
 
+/// False while a new leader may not have heard of weights that lie near: then
+/// no model is taken for one that only the store has.
+bool areWeightsKnown(const LeaderState &Leader, const FrontState &State,
+                     TimePoint Now) {
+  if (Now - Leader.LedSince >= WeightsLearnSpan)
+    return true;
+  if (!isPast(State.EndpointsKnownAt, Now))
+    return false;
+  const auto &endpoints = State.Directory.Endpoints;
+  return std::all_of(endpoints.begin(), endpoints.end(), [&](const auto &it) {
+    const KnownEndpoint &known = it.second;
+    if (!isUsable(known, Now) || !engineSpecOf(State, known.Service))
+      return true;
+    const EngineState *engine = engineOf(State.Directory, known);
+    return engine && engine->KnowsWeights;
+  });
+}
+
 bool isNearAt(const EngineState &Engine, const std::string &Model) {
   return Engine.OnDisk.contains(Model) || Engine.InMemory.contains(Model);
 }
@@ -257,6 +278,7 @@
   Leader.NextPlan = Now + PlanPeriod;
   auto demand = sumDemand(Leader, Now);
   dropLostOrders(Leader, State, Now);
+  bool mayUseStore = areWeightsKnown(Leader, State, Now);
   for (const auto &[name, service] : State.Table->Services) {
     if (!service.Engine)
       continue;
@@ -268,7 +290,8 @@
                     field.Engines,
                     field.LoadsUnderWay,
                     field.StoreLoadsUnderWay,
-                    static_cast<uint32_t>(Leader.StoreTokens)};
+                    mayUseStore ? static_cast<uint32_t>(Leader.StoreTokens)
+                                : 0};
     for (const PlannedLoad &it : planModels(input)) {
       if (it.IsFromStore)
         Leader.StoreTokens -= 1;
@@ -440,6 +463,7 @@
       wanted.emplace_back(demand.WaitingWorth, model);
   std::sort(wanted.rbegin(), wanted.rend());
   ReadyTimes underWay = listUnderWay(Leader, State, Now);
+  bool isKnown = areWeightsKnown(Leader, State, Now);
   std::map<std::string, Millis> out;
   size_t storeAhead = 0;
   for (const auto &[worth, model] : wanted) {
@@ -451,7 +475,7 @@
       out[model] = Millis(toMillis(order->second - Now));
       continue;
     }
-    bool isNear = isNearAnywhere(State, model, Now);
+    bool isNear = !isKnown || isNearAnywhere(State, model, Now);
     out[model] = queuedLoadTime(Leader, *spec, isNear, storeAhead);
     storeAhead += !isNear;
   }
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -98,6 +98,16 @@
     *message.mutable_adapter_wish() = it.Wish;
     messages.push_back({it.Agent, std::move(message)});
   }
+  if (Result.Load) {
+    logEvent(LogLevel::Info, "load_asked",
+             {{"id", Request.Facts.Id},
+              {"model", Result.Load->Order.load()},
+              {"engine", Result.Load->Order.engine_address()},
+              {"leader", Core.State.Leader.Node}});
+    wire::Envelope message;
+    *message.mutable_engine_order() = Result.Load->Order;
+    messages.push_back({Result.Load->Agent, std::move(message)});
+  }
   if (!messages.empty())
     Core.Send(std::move(messages));
   if (Result.Wish)
--- /dev/null
+++ b/front/unled_wish.cpp
@@ -0,0 +1,83 @@
+#include "front/unled_wish.h"
+
+#include "policy/unled_load.h"
+
+namespace sassafras {
+
+namespace {
+
+/// Reports of agents show within this what came of an order.
+constexpr Millis AskPeriod{250};
+/// An engine whose agent has not spoken for this long may have changed; some
+/// of the agents' periods.
+constexpr Millis ReadingLife{2'500};
+/// The order is given up after the load's time and this much.
+constexpr Millis OrderSlack{1'000};
+
+/// True when no leader plans for \p Request: none is known, or the one that
+/// was does not answer.
+bool isUnled(const FrontState &State, const FrontRequest &Request,
+             const RowUse &Row, TimePoint Now) {
+  if (State.Leader.HeardAt == TimePoint() ||
+      Now - State.Leader.HeardAt >= NodeSilence)
+    return true;
+  return Now - Request.ArrivedAt > ForecastWait &&
+         Now - Row.ForecastAt > ForecastLife;
+}
+
+/// Memory that is free at an engine, adapters counted; none where it holds a
+/// model of unknown size.
+uint64_t freeMemory(const EngineSpec &Spec, const EngineState &Engine) {
+  uint64_t used = 0;
+  for (const auto &[model, adapters] : Engine.Models) {
+    auto it = Spec.Models.find(model);
+    if (it == Spec.Models.end())
+      return 0;
+    used += it->second.WeightsMb + adapters.size() * it->second.AdapterMb;
+  }
+  return Spec.WeightsMb > used ? Spec.WeightsMb - used : 0;
+}
+
+} // namespace
+
+std::optional<AskForModel> askWithoutLeader(FrontState &State,
+                                            const FrontRequest &Request,
+                                            TimePoint Now) {
+  const EngineSpec *spec = engineSpecOf(State, Request.Service);
+  const std::string &name = Request.Facts.Model;
+  RowUse &row = State.Rows[name];
+  if (!spec || !spec->Models.contains(name) || !isPast(row.NextAsk, Now) ||
+      !isUnled(State, Request, row, Now))
+    return std::nullopt;
+  const ModelSpec &model = spec->Models.at(name);
+  std::vector<FreeEngine> engines;
+  std::vector<const EngineState *> states;
+  // An agent may speak before its engine has announced itself here.
+  for (const auto &[address, reading] : State.Directory.Readings) {
+    const EngineState &engine = reading.State;
+    if (engine.IsSilent || Now - engine.ReadAt > ReadingLife)
+      continue;
+    if (engine.Loading == name || engine.Models.contains(name))
+      return std::nullopt;
+    bool isInMemory = engine.InMemory.contains(name);
+    bool isFree = !engine.IsBusy && engine.Loading.empty();
+    if (!isFree || (!isInMemory && !engine.OnDisk.contains(name)))
+      continue;
+    engines.push_back({address, freeMemory(*spec, engine), isInMemory});
+    states.push_back(&engine);
+  }
+  auto chosen = chooseFreeEngine(name, model.WeightsMb, engines);
+  if (!chosen)
+    return std::nullopt;
+  row.NextAsk = Now + AskPeriod;
+  AskForModel out;
+  out.Agent = states[*chosen]->Agent;
+  out.Order.set_engine_address(engines[*chosen].Address);
+  out.Order.set_load(name);
+  *out.Order.mutable_sizes() = sizesFor(*spec);
+  out.Order.set_expires_in_ms(
+      static_cast<uint64_t>((model.DiskLoad + OrderSlack).count()));
+  return out;
+}
+
+} // namespace sassafras
--- a/tests/engine_agent/test_engine_orders.cpp
+++ b/tests/engine_agent/test_engine_orders.cpp
@@ -99,6 +99,29 @@
   CHECK(decideOrder(state, Start)->Model == "m1");
 }
 
+TEST_CASE("order of a front without a leader undoes nothing") {
+  EngineAgentState state;
+  CHECK_FALSE(takeOrder(state, order(0, "m1", {}), Start));
+  takeReading(state, reading(0, {}));
+  CHECK_FALSE(takeOrder(state, order(0, "m1", {"m2"}), Start));
+  REQUIRE(takeOrder(state, order(0, "m1", {}), Start));
+  CHECK_FALSE(takeOrder(state, order(0, "m2", {}), Start));
+  CHECK(decideOrder(state, Start)->Model == "m1");
+  // A leader's order goes before it; then a front's order waits.
+  REQUIRE(takeOrder(state, order(7, "m3", {}), Start));
+  CHECK(decideOrder(state, Start)->Model == "m3");
+  CHECK_FALSE(takeOrder(state, order(0, "m1", {}), Start));
+  takeReading(state, reading(1, {"m3"}));
+  CHECK_FALSE(decideOrder(state, Start));
+  CHECK(state.OrderDone == 7);
+  REQUIRE(takeOrder(state, order(0, "m1", {}), Start));
+  CHECK_FALSE(takeOrder(state, order(7, "m2", {}), Start));
+  // What does not fit beside the rest is not loaded.
+  takeReading(state, reading(2, {"m3", "m4"}));
+  CHECK_FALSE(decideOrder(state, Start));
+  CHECK_FALSE(state.Goal);
+}
+
 TEST_CASE("order ends with its time or with the engine's process") {
   EngineAgentState state;
   takeReading(state, reading(0, {}));
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -166,6 +166,77 @@
   }
 }
 
+namespace {
+
+/// An agent tells of its engine, with "m" on its disk.
+void report(FrontState &State, const std::string &Address, bool IsBusy,
+            const std::vector<std::string> &Models, TimePoint Now) {
+  static uint64_t number = 0;
+  wire::EngineReport it;
+  it.mutable_self()->set_address("agent of " + Address);
+  it.mutable_self()->set_incarnation(1);
+  it.set_address(Address);
+  it.set_number(++number);
+  it.set_is_busy(IsBusy);
+  it.set_has_available(true);
+  it.add_on_disk("m");
+  for (const std::string &model : Models)
+    it.add_models()->set_name(model);
+  applyReport(State.Directory, it, Now);
+}
+
+} // namespace
+
+// Everything had lost power: callers were back a second before a leader planned
+// the first load, and engines with free memory stood idle meanwhile.
+TEST_CASE("front asks for a cold model itself while nobody leads") {
+  FrontState state = makeState();
+  state.EndpointsKnownAt = Start + Millis(1'800);
+  FrontRequest request = admit(state, "/stream/x");
+  CHECK_FALSE(decideDispatch(state, request, Start).Load);
+  for (const char *it : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"})
+    report(state, it, false, {}, Start);
+  auto load = decideDispatch(state, request, Start).Load;
+  REQUIRE(load);
+  CHECK(load->Order.load() == "m");
+  CHECK(load->Order.number() == 0);
+  CHECK(load->Agent == "agent of " + load->Order.engine_address());
+  // Another front with the same view asks the same engine.
+  FrontState other = makeState();
+  for (const char *it : {"10.0.0.3:7", "10.0.0.2:7", "10.0.0.1:7"})
+    report(other, it, false, {}, Start);
+  other.EndpointsKnownAt = state.EndpointsKnownAt;
+  FrontRequest same = admit(other, "/stream/x");
+  CHECK(decideDispatch(other, same, Start).Load->Order.engine_address() ==
+        load->Order.engine_address());
+  // Not again at once; and if the engine has begun something else, another one.
+  CHECK_FALSE(decideDispatch(state, request, Start + Millis(50)).Load);
+  report(state, load->Order.engine_address(), true, {}, Start + Millis(100));
+  auto next = decideDispatch(state, request, Start + Millis(300)).Load;
+  REQUIRE(next);
+  CHECK(next->Order.engine_address() != load->Order.engine_address());
+}
+
+TEST_CASE("front asks for no load where a leader plans or nothing is free") {
+  FrontState state = makeState();
+  addEndpoint(state, "e1", "chat", "10.0.0.1:7", {}, {"m"});
+  report(state, "10.0.0.1:7", false, {}, Start);
+  state.Leader.HeardAt = Start;
+  FrontRequest request = admit(state, "/stream/x");
+  CHECK_FALSE(decideDispatch(state, request, Start).Load);
+  // The leader fell silent: no forecast came in time.
+  CHECK(decideDispatch(state, request, Start + Millis(600)).Load);
+  state.Rows["m"].NextAsk = TimePoint();
+  state.Rows["m"].ForecastAt = Start + Millis(500);
+  state.Rows["m"].ReadyAt = Start + Millis(900);
+  CHECK_FALSE(decideDispatch(state, request, Start + Millis(600)).Load);
+  state.Leader.HeardAt = TimePoint();
+  report(state, "10.0.0.1:7", true, {}, Start);
+  CHECK_FALSE(decideDispatch(state, request, Start).Load);
+  report(state, "10.0.0.1:7", false, {"of unknown size"}, Start);
+  CHECK_FALSE(decideDispatch(state, request, Start).Load);
+}
+
 TEST_CASE("request is refused at the door for each cause") {
   struct Case {
     const char *What;
--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -87,11 +87,11 @@
   }
 
   /// When the front believes that "new" will be there, with callers waiting.
-  TimePoint readyAt(TimePoint Now) {
+  TimePoint readyAt(TimePoint Now, double Worth = 1) {
     wire::RowDemand row;
     row.set_model("new");
     row.set_waiting(1);
-    row.set_waiting_worth(1);
+    row.set_waiting_worth(Worth);
     takeWish(Leader, "front", row, Now);
     NodeMessages out;
     planPlacement(Leader, State, Now, out);
@@ -106,6 +106,30 @@
 
 } // namespace
 
+// Everything had lost power. The new leader had not heard yet what lies on the
+// engines' disks: it took 10 of 60 models for ones that only the store has, told
+// their callers to go away, and loaded three from the store that lay on a disk.
+TEST_CASE("new leader takes no model for one of the store before it knows") {
+  Led led;
+  led.Leader.Orders.clear();
+  wire::EndpointSighting silent;
+  silent.set_id("i-2");
+  silent.set_service("chat");
+  silent.set_address("10.0.0.2:7");
+  silent.set_born_ms(1);
+  silent.set_sequence(1);
+  applySighting(led.State.Directory, silent, Start);
+  TimePoint now = Start + Millis(300);
+  CHECK(led.readyAt(now, 10) <= now + Millis(1'000));
+  CHECK(led.Leader.Orders.empty());
+  // The engine that said nothing of its weights is not waited for for ever.
+  now = Start + Millis(2'600);
+  led.sight("old", false, now);
+  addTo(led.Leader.Demand.Rates["new"].ShortWorth, 50, ShortSpan, now);
+  CHECK(led.readyAt(now, 10) >= now + StoreLoad);
+  CHECK(led.Leader.Orders.size() == 1);
+}
+
 // An unload waited 2.4 s for a running request; the load from the store that
 // followed was forecast anew from every moment after it, and its callers were
 // refused two seconds before it was over.
