--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -314,6 +314,23 @@
   return wants;
 }
 
+/// True while the replicas of \p Model cannot take what is asked of them.
+bool isOverloaded(const ModelState &Model, const EngineSpec &Spec) {
+  return Model.Replicas > 0 &&
+         Model.Demand.Busy > HeavyUse * static_cast<double>(Spec.Slots) *
+                                 static_cast<double>(Model.Replicas);
+}
+
+/// Loads from the store that may be under way, one for \p Model among them.
+size_t storePlaces(const ModelState &Model, const PlanInput &Input,
+                   bool HasLost) {
+  if (Model.Near == 0)
+    return Input.StorePlaces;
+  if (!isOverloaded(Model, Input.Spec))
+    return HasLost ? 0 : MostSpareStoreLoads;
+  return HasLost ? MostSpareStoreLoads : Input.StorePlaces;
+}
+
 } // namespace
 
 size_t wantedReplicas(double Busy, uint32_t Slots) {
@@ -344,8 +361,7 @@
     if (!want.IsUrgent && underWay >= MostPlannedLoads)
       continue;
     ModelState &state = view.States[want.Name];
-    bool isSpare = hasLost && state.Near > 0;
-    size_t places = isSpare ? MostSpareStoreLoads : Input.StorePlaces;
+    size_t places = storePlaces(state, Input, hasLost);
     bool mayUseStore = storeLeft > 0 && storeUnderWay < places;
     auto choice = cheapest(want.Name, state, view, taken, mayUseStore);
     if (!choice)
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -34,10 +34,13 @@
 /// Share of an engine's slots that one busy model should use; the rest takes
 /// up bursts without queueing.
 inline constexpr double TargetUse = 0.35;
-/// Loads from the store at once for models whose weights lie at some engine,
-/// while others that lie at none are waited for: they have another way to be
-/// served.
+/// Loads from the store at once that have another way: for models whose weights
+/// lie at some engine.
 inline constexpr size_t MostSpareStoreLoads = 1;
+/// Share of the slots of all its replicas beyond which a model whose weights
+/// lie at some engine may use the store for one more: below it nobody waits,
+/// and the load keeps an engine for seconds from models that lie only there.
+inline constexpr double HeavyUse = 0.7;
 /// Loads for models that nobody waits for yet, so that engines stay free for
 /// those that somebody does.
 inline constexpr size_t MostPlannedLoads = 3;
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -135,6 +135,27 @@
   CHECK(countLoads(planModels(input), "m0") == 1);
 }
 
+// On 18 engines up to five loads from the store of busy models that lay near
+// kept their engines for 6 s each: callers of rare ones that lay there only
+// waited 3 to 8 s.
+TEST_CASE("busy model uses the store only once its replicas cannot do") {
+  EngineSpec spec = smallSpec(8);
+  std::vector<PlanEngine> engines{engine("old", {"m0"}), engine("a", {"m1"}),
+                                  engine("b", {"m2"})};
+  engines[0].CanOrder = false;
+  std::map<std::string, ModelDemand> demand;
+  demand["m0"] = {30, 14, 1, 3}; // Two replicas are wanted.
+  CHECK(planModels({spec, demand, engines, 1, 1, 10}).empty());
+  demand["m0"].Busy = 30;
+  CHECK(countLoads(planModels({spec, demand, engines, 1, 1, 10}), "m0") == 1);
+  // From a disk it is loaded at once.
+  demand["m0"].Busy = 14;
+  engines[2].OnDisk = {"m0"};
+  auto loads = planModels({spec, demand, engines, 1, 1, 10});
+  REQUIRE(countLoads(loads, "m0") == 1);
+  CHECK_FALSE(loads[0].IsFromStore);
+}
+
 // A model that rose to 30 requests a second lay on the disk of one engine,
 // which a load from the store kept under order for 15.6 s. As it lay near, it
 // was not loaded from the store either, and all its callers were refused.
