A load from near never becomes one from the store; leaders ask nobody; forecasts behind orders

The front was the leader: it does not hear itself, so it took itself for one without a leader. Engines under a load from the store for 12 s counted as near for what lay there only: 23 callers of two models were told half a second, waited for 7.4 s and were refused then. Ruled out: the leader's bucket of store loads (18 a second).

An agent gives up a load from near where its engine has no copy. A front that leads asks for nothing itself. A model near only at engines under order is forecast after them, an overdue load from the store counts 3 s more. Tests, red without each.

--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -57,15 +57,28 @@
   State.Goal.reset();
 }
 
+/// True where the engine's own memory or disk has the weights; also while it
+/// does not say what they have.
+bool isNear(const EngineAgentState &State, const std::string &Model) {
+  const wire::EngineReport &reading = State.Reading;
+  auto has = [&](const auto &List) {
+    return std::find(List.begin(), List.end(), Model) != List.end();
+  };
+  return !reading.has_available() || has(reading.in_memory()) ||
+         has(reading.on_disk());
+}
+
 std::optional<EngineDecision> pursueGoal(EngineAgentState &State,
                                          TimePoint Now) {
   const ModelGoal &goal = *State.Goal;
   if (State.Reading.is_busy())
     return std::nullopt;
   bool isReached = findModel(State, goal.Load) != nullptr;
+  // Another process may have taken the place of one that had the weights.
+  bool isAllowed = goal.MayUseStore || isNear(State, goal.Load);
   const wire::ModelSize *size = sizeOf(State, goal.Load);
   auto used = usedMemory(State);
-  if (isReached || isPast(goal.Expires, Now) || !size || !used) {
+  if (isReached || !isAllowed || isPast(goal.Expires, Now) || !size || !used) {
     endGoal(State);
     return std::nullopt;
   }
@@ -149,11 +162,10 @@
   if (State.Goal)
     endGoal(State);
   State.Sizes = Order.sizes();
-  State.Goal = ModelGoal{Order.number(),
-                         Order.endpoint(),
-                         Order.load(),
-                         {Order.evict().begin(), Order.evict().end()},
-                         Now + Millis(Order.expires_in_ms())};
+  State.Goal = ModelGoal{
+      Order.number(),        Order.endpoint(),
+      Order.load(),          {Order.evict().begin(), Order.evict().end()},
+      Order.may_use_store(), Now + Millis(Order.expires_in_ms())};
   return true;
 }
 
--- a/engine_agent/engine_orders.h
+++ b/engine_agent/engine_orders.h
@@ -29,6 +29,7 @@
   std::string Endpoint;
   std::string Load;
   std::vector<std::string> Evict;
+  bool MayUseStore = false;
   TimePoint Expires;
 };
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -194,9 +194,8 @@
 /// It alone knows which engines have the weights near.
 bool isForecastDue(const FrontState &State, const FrontRequest &Request,
                    TimePoint Now) {
-  bool hasLeader = State.Leader.HeardAt != TimePoint() &&
-                   Now - State.Leader.HeardAt < NodeSilence;
-  return Now - Request.ArrivedAt < (hasLeader ? ForecastWait : ElectionWait);
+  Millis wait = hasLeader(State, Now) ? ForecastWait : ElectionWait;
+  return Now - Request.ArrivedAt < wait;
 }
 
 /// Time until a model that no engine holds could start this request: as the
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -490,6 +490,7 @@
     Gossip.NextToAll = TimePoint();
   }
   View = NewView;
+  Core.State.IsLeading = View.IsLeader;
   Counts.set("group_leader", "", View.IsLeader ? 1 : 0);
   Counts.set("group_term", "", static_cast<double>(View.Term));
   if (View.IsLeader)
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -6,6 +6,11 @@
   return countInView(State.Roster, wire::NODE_FRONT, Now) + 1;
 }
 
+bool hasLeader(const FrontState &State, TimePoint Now) {
+  return State.IsLeading || (State.Leader.HeardAt != TimePoint() &&
+                             Now - State.Leader.HeardAt < NodeSilence);
+}
+
 QuotaLimit limitOf(const FrontState &State,
                    const OrganisationSpec &Organisation, TimePoint Now) {
   bool hasPool = State.PoolHeardAt != TimePoint() &&
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -70,7 +70,8 @@
   std::map<std::string, TimePoint> AdapterWishes;
   /// Endpoints that are there have announced themselves by then.
   TimePoint EndpointsKnownAt;
-  KnownLeader Leader;
+  KnownLeader Leader; ///< Another front; a leader does not hear itself.
+  bool IsLeading = false;
   TimePoint PoolHeardAt;   ///< Of the leader's last share or grant.
   TimePoint PoolLostUntil; ///< It left a wish unanswered.
   uint64_t SharesTerm = 0;
@@ -96,6 +97,9 @@
 /// What it said counts for this long.
 inline constexpr Millis ForecastLife{1'000};
 
+/// True while a leader plans: this front, or one that was heard lately.
+bool hasLeader(const FrontState &State, TimePoint Now);
+
 /// Limit of the organisation in force, none when it has none.
 QuotaLimit limitOf(const FrontState &State,
                    const OrganisationSpec &Organisation, TimePoint Now);
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -29,6 +29,9 @@
 constexpr Millis FreshSpan{800};
 /// A load that is late by more than this is waited for as if it began now.
 constexpr Millis LateLoad{500};
+/// A load from the store that should be over goes on for about this long: a
+/// part of its time for each other one.
+constexpr Millis OverdueStoreLoad{3'000};
 /// Orders of one term.
 constexpr unsigned OrderTermShift = 24;
 /// Models in one log line.
@@ -175,6 +178,13 @@
   return At > Now ? std::chrono::duration_cast<Millis>(At - Now) : Millis(0);
 }
 
+/// Until an engine under this order takes another one, as far as is known.
+Millis busyFor(const OpenOrder &Order, TimePoint Now) {
+  Millis left = timeLeft(Order.ReadyAt, Now);
+  // The store serves loads that this leader does not know of.
+  return Order.IsFromStore ? std::max(left, OverdueStoreLoad) : left;
+}
+
 /// Engines of \p Service as the plan sees them, with their addresses.
 struct EngineField {
   std::vector<PlanEngine> Engines;
@@ -228,7 +238,7 @@
                        loadTime(plan, spec->second));
         for (const std::string &it : order->second.Evict)
           plan.Models.erase(it);
-        plan.BusyFor = timeLeft(order->second.ReadyAt, Now);
+        plan.BusyFor = busyFor(order->second, Now);
         ++out.LoadsUnderWay;
         out.StoreLoadsUnderWay += order->second.IsFromStore;
       }
@@ -276,6 +286,7 @@
   wire.set_engine_address(target.Address);
   wire.set_endpoint(target.Id);
   wire.set_load(Load.Model);
+  wire.set_may_use_store(Load.IsFromStore);
   for (const std::string &it : Load.Evict)
     wire.add_evict(it);
   *wire.mutable_sizes() = sizesFor(Spec);
@@ -444,12 +455,10 @@
 
 namespace {
 
-/// Time until a model that waits for its order is there: behind those that
-/// are worth more, a few at a time.
-Millis queuedLoadTime(const LeaderState &Leader, const ModelSpec &Spec,
-                      bool IsNear, size_t StoreAhead) {
-  if (IsNear)
-    return OrderWay + Spec.DiskLoad;
+/// Time until a model that lies on no engine is there: behind those that are
+/// worth more, a few at a time.
+Millis storeQueueTime(const LeaderState &Leader, const ModelSpec &Spec,
+                      size_t StoreAhead) {
   size_t queued = StoreAhead;
   for (const auto &[address, order] : Leader.Orders)
     queued += order.IsFromStore;
@@ -457,14 +466,22 @@
          Spec.StoreLoad * static_cast<int64_t>(queued / Leader.Pace.Places + 1);
 }
 
-bool isNearAnywhere(const FrontState &State, const std::string &Model,
-                    TimePoint Now) {
+/// Time until an engine that has the weights of \p Model may be ordered to load
+/// it; nothing where none has them.
+std::optional<Millis> timeToNear(const LeaderState &Leader,
+                                 const FrontState &State,
+                                 const std::string &Model, TimePoint Now) {
+  std::optional<Millis> best;
   for (const auto &[id, known] : State.Directory.Endpoints) {
     const EngineState *engine = engineOf(State.Directory, known);
-    if (engine && isUsable(known, Now) && isNearAt(*engine, Model))
-      return true;
+    if (!engine || !isUsable(known, Now) || !isNearAt(*engine, Model))
+      continue;
+    auto order = Leader.Orders.find(known.Address);
+    Millis wait =
+        order == Leader.Orders.end() ? Millis(0) : busyFor(order->second, Now);
+    best = best ? std::min(*best, wait) : wait;
   }
-  return false;
+  return best;
 }
 
 const ModelSpec *findSpec(const FrontState &State, const std::string &Model) {
@@ -528,9 +545,13 @@
       out[model] = Millis(toMillis(order->second - Now));
       continue;
     }
-    bool isNear = !isKnown || isNearAnywhere(State, model, Now);
-    out[model] = queuedLoadTime(Leader, *spec, isNear, storeAhead);
-    storeAhead += !isNear;
+    auto near = timeToNear(Leader, State, model, Now);
+    if (!near && !isKnown)
+      near = Millis(0);
+    Millis store = storeQueueTime(Leader, *spec, storeAhead);
+    out[model] =
+        near ? std::min(OrderWay + *near + spec->DiskLoad, store) : store;
+    storeAhead += !near;
   }
   return out;
 }
--- a/front/unled_wish.cpp
+++ b/front/unled_wish.cpp
@@ -18,8 +18,9 @@
 /// was does not answer.
 bool isUnled(const FrontState &State, const FrontRequest &Request,
              const RowUse &Row, TimePoint Now) {
-  if (State.Leader.HeardAt == TimePoint() ||
-      Now - State.Leader.HeardAt >= NodeSilence)
+  if (State.IsLeading)
+    return false;
+  if (!hasLeader(State, Now))
     return true;
   return Now - Request.ArrivedAt > ForecastWait &&
          Now - Row.ForecastAt > ForecastLife;
--- a/tests/engine_agent/test_engine_orders.cpp
+++ b/tests/engine_agent/test_engine_orders.cpp
@@ -122,6 +122,28 @@
   CHECK_FALSE(state.Goal);
 }
 
+// An engine was replaced by one with an empty disk. A load that was to take
+// half a second came from the store, beside those that the leader knew of, and
+// kept the engine for 15.6 s.
+TEST_CASE("load from near is given up where the weights are not near") {
+  for (uint64_t number : {uint64_t(0), uint64_t(4)}) {
+    EngineAgentState state;
+    wire::EngineReport empty = reading(0, {});
+    empty.set_has_available(true);
+    empty.add_on_disk("m2");
+    takeReading(state, empty);
+    REQUIRE(takeOrder(state, order(number, "m1", {}), Start));
+    CHECK_FALSE(decideOrder(state, Start));
+    CHECK(state.OrderDone == number);
+    REQUIRE(takeOrder(state, order(number + 1, "m2", {}), Start));
+    CHECK(decideOrder(state, Start)->Model == "m2");
+    wire::EngineOrder fromStore = order(number + 2, "m1", {});
+    fromStore.set_may_use_store(true);
+    REQUIRE(takeOrder(state, fromStore, Start));
+    CHECK(decideOrder(state, Start)->Model == "m1");
+  }
+}
+
 TEST_CASE("order ends with its time or with the engine's process") {
   EngineAgentState state;
   takeReading(state, reading(0, {}));
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -231,6 +231,12 @@
   state.Rows["m"].ReadyAt = Start + Millis(900);
   CHECK_FALSE(decideDispatch(state, request, Start + Millis(600)).Load);
   state.Leader.HeardAt = TimePoint();
+  // A leader does not hear itself.
+  state.IsLeading = true;
+  CHECK_FALSE(decideDispatch(state, request, Start).Load);
+  state.IsLeading = false;
+  CHECK(decideDispatch(state, request, Start).Load);
+  state.Rows["m"].NextAsk = TimePoint();
   report(state, "10.0.0.1:7", true, {}, Start);
   CHECK_FALSE(decideDispatch(state, request, Start).Load);
   report(state, "10.0.0.1:7", false, {"of unknown size"}, Start);
--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -82,6 +82,8 @@
     report.set_has_available(true);
     report.set_loading(Loading);
     report.set_order_done(OrderDone);
+    for (const std::string &it : OnDisk)
+      report.add_on_disk(it);
     if (!Model.empty())
       report.add_models()->set_name(Model);
     applyReport(State.Directory, report, Now);
@@ -104,6 +106,7 @@
   uint64_t Sequence = 0;
   std::string Loading; ///< By the engine's agent.
   uint64_t OrderDone = 0;
+  std::vector<std::string> OnDisk;
 };
 
 } // namespace
@@ -174,6 +177,30 @@
   CHECK(led.Leader.Orders.size() == 1);
 }
 
+// A model lay on one disk only, at an engine that loaded another one from the
+// store for 11.7 s. Its callers were told half a second, waited for 7.4 s and
+// were refused then.
+TEST_CASE("model near an engine that is under order is forecast after it") {
+  Led led;
+  led.OnDisk = {"new"};
+  led.sight("old", true, Start);
+  OpenOrder &order = led.Leader.Orders[EngineAddress];
+  order.Model = "old";
+  order.HasBegun = true;
+  order.Evict.clear();
+  TimePoint now = Start + Millis(300);
+  order.ReadyAt = now + Millis(4'000);
+  CHECK(led.readyAt(now) >= now + Millis(4'500));
+  CHECK(led.readyAt(now) <= now + Millis(5'000));
+  // Over its time it still is under order, for how long nobody knows.
+  order.ReadyAt = now - Millis(1'000);
+  CHECK(led.readyAt(now) >= now + Millis(2'000));
+  // The store may be sooner.
+  order.IsFromStore = false;
+  order.ReadyAt = now + std::chrono::minutes(1);
+  CHECK(led.readyAt(now) <= now + StoreLoad + Millis(500));
+}
+
 // Two rare models lay on the disk of one engine and were waited for. Each load
 // made the other model give way in the moment in which it was there, before the
 // fronts had sent what waited for it: one load in five of a day served nobody.
