What waits long counts more, so that models of one engine are loaded in turn

The worth of what waits now grows with the time it has waited, to four times at most. Test, red without.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -165,7 +165,9 @@
   Found = std::move(kept);
 }
 
-void noteWaiting(RowUse &Row, const FrontRequest &Request) {
+void noteWaiting(RowUse &Row, const FrontRequest &Request, TimePoint Now) {
+  if (Row.Waiting.empty())
+    Row.WaitingSince = Now;
   if (Row.Waiting.insert(Request.Number).second)
     Row.WaitingWorth += Request.Worth;
 }
@@ -186,8 +188,7 @@
   out.set_model(Model);
   out.set_waiting(
       static_cast<uint32_t>(std::max<size_t>(Row.Waiting.size(), 1)));
-  out.set_waiting_worth(std::max(
-      Row.WaitingWorth, isPast(Row.WantedUntil, Now) ? 0.0 : Row.WantedWorth));
+  out.set_waiting_worth(agedWaitingWorth(Row, Now));
   out.set_busy(Row.Open + static_cast<uint32_t>(Row.Waiting.size()));
   printOpen(Row, out);
   return out;
@@ -237,7 +238,7 @@
     out.Decision = refuse(State, RefusalReason::DeadlineUnreachable, left);
     return out;
   }
-  noteWaiting(row, Request);
+  noteWaiting(row, Request, Now);
   out.Wish = wishForModel(row, Request.Facts.Model, Now);
   out.Load = askWithoutLeader(State, Request, Now);
   out.Decision = WaitUntil{Now + WaitPeriod};
@@ -269,7 +270,7 @@
     out.Decision = refuse(State, RefusalReason::NoCapacity, wait);
     return out;
   }
-  noteWaiting(row, Request);
+  noteWaiting(row, Request, Now);
   if (IsEngine)
     out.Wish = wishForModel(row, Request.Facts.Model, Now);
   out.Decision = WaitUntil{Now + WaitPeriod};
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -84,8 +84,7 @@
     demand.set_worth(it.Worth);
     demand.set_waiting(static_cast<uint32_t>(
         std::max<size_t>(it.Waiting.size(), isWanted ? 1 : 0)));
-    demand.set_waiting_worth(
-        std::max(it.WaitingWorth, isWanted ? it.WantedWorth : 0.0));
+    demand.set_waiting_worth(agedWaitingWorth(it, Now));
     demand.set_busy(it.Open + static_cast<uint32_t>(it.Waiting.size()));
     printOpen(it, demand);
     it.Arrivals = 0;
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -1,7 +1,19 @@
 #include "front/front_state.h"
 
+#include <algorithm>
+
 namespace sassafras {
 
+namespace {
+
+/// Requests that have waited for this long count twice; two loads from disk.
+constexpr Millis AgingSpan{2'500};
+/// They count no more than this much more: what they ask for may be out of
+/// reach.
+constexpr double MostAging = 3;
+
+} // namespace
+
 size_t countFronts(const FrontState &State, TimePoint Now) {
   return countInView(State.Roster, wire::NODE_FRONT, Now) + 1;
 }
@@ -30,6 +42,16 @@
   return &*it->second.Engine;
 }
 
+double agedWaitingWorth(const RowUse &Row, TimePoint Now) {
+  double worth = isPast(Row.WantedUntil, Now) ? 0.0 : Row.WantedWorth;
+  if (Row.Waiting.empty())
+    return worth;
+  double age = std::chrono::duration<double>(Now - Row.WaitingSince) /
+               std::chrono::duration<double>(AgingSpan);
+  return std::max(worth,
+                  Row.WaitingWorth * (1 + std::clamp(age, 0.0, MostAging)));
+}
+
 void printOpen(const RowUse &Row, wire::RowDemand &Out) {
   for (const auto &[endpoint, count] : Row.OpenAt) {
     wire::OpenRequests &open = *Out.add_open();
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -41,6 +41,7 @@
   std::map<std::string, uint32_t> OpenAt; ///< By endpoint.
   std::set<uint64_t> Waiting;             ///< Numbers of requests.
   double WaitingWorth = 0;
+  TimePoint WaitingSince; ///< Somebody has waited from then on.
   TimePoint WantedUntil; ///< A caller was told to come back.
   double WantedWorth = 0;
   TimePoint NextWish;   ///< The leader is told at once, but not too often.
@@ -108,6 +109,10 @@
 /// Engine parameters of \p Service, or null for plain services.
 const EngineSpec *engineSpecOf(const FrontState &State,
                                const std::string &Service);
+/// Worth that the leader is told of the requests that wait for a model. It grows
+/// with the time for which they have waited, so that several models which lie at
+/// one engine only are loaded in turn.
+double agedWaitingWorth(const RowUse &Row, TimePoint Now);
 /// Adds the requests of \p Row under way at each endpoint.
 void printOpen(const RowUse &Row, wire::RowDemand &Out);
 /// Sizes that an agent needs to keep within its engine's memory.
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -346,6 +346,38 @@
   CHECK(row.WantedUntil - now == state.Limits.MostWishMemory);
 }
 
+// Several models lay on the disk of one engine only. Those that were worth a
+// little more were loaded over and over, and callers of the others were refused
+// after 7.4 s.
+TEST_CASE("model whose callers have waited long is worth more to them") {
+  FrontState state = makeState();
+  addEndpoint(state, "e1", "chat", "10.0.0.1:80", {}, {"m"});
+  state.Leader.HeardAt = Start;
+  FrontRequest request = admit(state, "/stream/x");
+  request.PatienceEnd = Start + Millis(20'000);
+  request.Deadline = request.PatienceEnd;
+  auto told = [&](Millis After) {
+    TimePoint now = Start + After;
+    RowUse &row = state.Rows["m"];
+    row.ForecastAt = now;
+    row.ReadyAt = now + Millis(500);
+    row.NextWish = TimePoint();
+    state.Directory.Endpoints["e1"].HeardAt = now;
+    state.Leader.HeardAt = now;
+    auto wish = decideDispatch(state, request, now).Wish;
+    REQUIRE(wish);
+    return wish->waiting_worth();
+  };
+  double first = told(Millis(0));
+  CHECK(first == Approx(request.Worth));
+  CHECK(told(Millis(2'500)) == Approx(2 * first));
+  CHECK(told(Millis(5'000)) > told(Millis(4'000)));
+  CHECK(told(Millis(15'000)) == Approx(4 * first));
+  // Who comes next does not inherit it.
+  forgetRequest(state, request);
+  CHECK(told(Millis(15'100)) == Approx(first));
+}
+
 TEST_CASE("leader's forecast decides on waiting while it is fresh") {
   FrontState state = makeState();
   addEndpoint(state, "e1", "chat", "10.0.0.1:80", {}, {"m"});
