--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -144,8 +144,8 @@
 
 /// Fronts that hear no leader know little of one another: what one of them
 /// asks for must not undo what another one, or the last leader, asked for.
-bool mayTakeUnled(const EngineAgentState &State,
-                  const wire::EngineOrder &Order) {
+bool mayTakeLeaderless(const EngineAgentState &State,
+                       const wire::EngineOrder &Order) {
   return !State.Goal && State.HasReading && !State.Reading.is_busy() &&
          Order.evict().empty();
 }
@@ -154,9 +154,9 @@
 
 bool takeOrder(EngineAgentState &State, const wire::EngineOrder &Order,
                TimePoint Now) {
-  bool isUnled = Order.number() == 0;
-  if (isUnled ? !mayTakeUnled(State, Order)
-              : Order.number() <= State.HighestOrder)
+  bool isLeaderless = Order.number() == 0;
+  if (isLeaderless ? !mayTakeLeaderless(State, Order)
+                   : Order.number() <= State.HighestOrder)
     return false;
   State.HighestOrder = std::max(State.HighestOrder, Order.number());
   if (State.Goal)
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -10,7 +10,7 @@
 #define SASSAFRAS_FRONT_DISPATCH_H
 
 #include "front/admission.h"
-#include "front/unled_wish.h"
+#include "front/leaderless_wish.h"
 
 #include <string>
 #include <variant>
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -42,7 +42,7 @@
   std::set<uint64_t> Waiting;             ///< Numbers of requests.
   double WaitingWorth = 0;
   TimePoint WaitingSince; ///< Somebody has waited from then on.
-  TimePoint WantedUntil; ///< A caller was told to come back.
+  TimePoint WantedUntil;  ///< A caller was told to come back.
   double WantedWorth = 0;
   TimePoint NextWish;   ///< The leader is told at once, but not too often.
   TimePoint NextAsk;    ///< The same for agents, while nobody leads.
@@ -100,7 +100,7 @@
 /// What it said counts for this long.
 inline constexpr Millis ForecastLife{1'000};
 
-/// True while a leader plans: this front, or one that was heard lately.
+/// True while a leader plans: this front, or one that was heard lately. Pure.
 bool hasLeader(const FrontState &State, TimePoint Now);
 
 /// Limit of the organisation in force, none when it has none.
@@ -109,9 +109,9 @@
 /// Engine parameters of \p Service, or null for plain services.
 const EngineSpec *engineSpecOf(const FrontState &State,
                                const std::string &Service);
-/// Worth that the leader is told of the requests that wait for a model. It grows
-/// with the time for which they have waited, so that several models which lie at
-/// one engine only are loaded in turn.
+/// Worth that the leader is told of the requests that wait for a model. It
+/// grows with the time for which they have waited, so that several models which
+/// lie at one engine only are loaded in turn.
 double agedWaitingWorth(const RowUse &Row, TimePoint Now);
 /// Adds the requests of \p Row under way at each endpoint.
 void printOpen(const RowUse &Row, wire::RowDemand &Out);
--- a/front/unled_wish.cpp
+++ b/front/leaderless_wish.cpp
@@ -1,6 +1,6 @@
-#include "front/unled_wish.h"
+#include "front/leaderless_wish.h"
 
-#include "policy/unled_load.h"
+#include "policy/leaderless_load.h"
 
 namespace sassafras {
 
@@ -16,8 +16,8 @@
 
 /// True when no leader plans for \p Request: none is known, or the one that
 /// was does not answer.
-bool isUnled(const FrontState &State, const FrontRequest &Request,
-             const RowUse &Row, TimePoint Now) {
+bool isLeaderless(const FrontState &State, const FrontRequest &Request,
+                  const RowUse &Row, TimePoint Now) {
   if (State.IsLeading)
     return false;
   if (!hasLeader(State, Now))
@@ -48,7 +48,7 @@
   const std::string &name = Request.Facts.Model;
   RowUse &row = State.Rows[name];
   if (!spec || !spec->Models.contains(name) || !isPast(row.NextAsk, Now) ||
-      !isUnled(State, Request, row, Now))
+      !isLeaderless(State, Request, row, Now))
     return std::nullopt;
   const ModelSpec &model = spec->Models.at(name);
   std::vector<FreeEngine> engines;
--- a/policy/unled_load.cpp
+++ b/policy/leaderless_load.cpp
@@ -1,4 +1,4 @@
-#include "policy/unled_load.h"
+#include "policy/leaderless_load.h"
 
 #include "core/hash.h"
 
--- a/policy/unled_load.h
+++ b/policy/leaderless_load.h
@@ -6,8 +6,8 @@
 /// that know the same ask the same engine for the same model, so that it is
 /// hardly ever loaded twice, and only engines with free memory, so that nothing
 /// gives way that others use.
-#ifndef SASSAFRAS_POLICY_UNLED_LOAD_H
-#define SASSAFRAS_POLICY_UNLED_LOAD_H
+#ifndef SASSAFRAS_POLICY_LEADERLESS_LOAD_H
+#define SASSAFRAS_POLICY_LEADERLESS_LOAD_H
 
 #include <cstdint>
 #include <optional>
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -256,9 +256,9 @@
                                const std::set<size_t> &Taken,
                                bool IsStoreAllowed) {
   std::optional<Choice> best;
-  const PlanInput &Input = View.Input;
-  for (size_t i = 0; i < Input.Engines.size(); ++i) {
-    const PlanEngine &engine = Input.Engines[i];
+  const std::vector<PlanEngine> &engines = View.Input.Engines;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    const PlanEngine &engine = engines[i];
     if (!engine.CanOrder || engine.IsLeaving || Taken.contains(i) ||
         engine.Models.contains(Name))
       continue;
