A learner whose leader is lost says what it waits for

Learners stand for no election, so it held that leader for alive for ever: status named none of what it waits for. It forgets a leader that it has not heard for an election timeout, and says that it waits to be taken in. Unit test, red before. A fourth red run of those 18 counted no run of a charge after it had been answered: not traced; the service's state was asked for once and its answer not looked at. The test now requires that answer.

--- a/replication/group_status.cpp
+++ b/replication/group_status.cpp
@@ -1,5 +1,6 @@
 #include "replication/group_status.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -42,6 +43,14 @@
   return n;
 }
 
+/// True when this member votes in the newest configuration that it knows.
+bool hasVote(const RaftState &State) {
+  return std::any_of(
+      State.Members.begin(), State.Members.end(), [&](const wire::Member &it) {
+        return it.voter() && it.identity() == State.Self.Identity;
+      });
+}
+
 } // namespace
 
 size_t lossesBorne(const RaftState &State, TimePoint Now) {
@@ -58,6 +67,8 @@
     return "a leader to take it in; its data folder was empty";
   if (State.Leader != 0)
     return {};
+  if (!hasVote(State))
+    return "a leader to take it in; it has no vote yet";
   // By name: members keep the order in which they joined, which is any.
   std::set<std::string> names;
   for (const wire::Member &it : State.Members)
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -727,9 +727,12 @@
     return;
   }
   askToRejoin(State, Now, Out);
-  if (isPast(State.ElectionDeadline, Now) &&
-      isVoter(State, State.Self.Identity))
+  if (!isPast(State.ElectionDeadline, Now))
+    return;
+  if (isVoter(State, State.Self.Identity))
     startPreVote(State, Now, Out);
+  else
+    State.Leader = 0; // It stands for no election, but hears nobody either.
 }
 
 void receiveRaft(RaftState &State, const wire::Envelope &Message, TimePoint Now,
--- a/tests/process/test_processes.cpp
+++ b/tests/process/test_processes.cpp
@@ -77,6 +77,8 @@
   int runsOf(const std::string &Body) {
     CallerAnswer state = callHttp(Fleet.httpOf("service-1-endpoint"),
                                   {"GET", "/admin/state", {}, {}});
+    // No answer is not the same as no run.
+    REQUIRE(state.Status == 200);
     size_t at = state.Body.find("\"" + Body + "\":");
     if (at == std::string::npos)
       return 0;
--- a/tests/replication/test_group_status.cpp
+++ b/tests/replication/test_group_status.cpp
@@ -97,6 +97,23 @@
   CHECK(waitsFor(blank).find("data folder was empty") != std::string::npos);
 }
 
+// A member that came back without its disk was taken in by a leader that was
+// lost before it gave it a vote. It held that leader for alive for ever, and
+// said nothing.
+TEST_CASE("learner whose leader is lost says what it waits for") {
+  RaftState state = makeLeader();
+  state.Role = RaftRole::Follower;
+  state.Leader = state.Members[1].identity();
+  state.Members[0].set_voter(false);
+  state.ElectionDeadline = Start + Millis(500);
+  RaftEffects out;
+  tickRaft(state, Start + Millis(400), out);
+  CHECK(waitsFor(state).empty());
+  tickRaft(state, Start + Millis(600), out);
+  CHECK(waitsFor(state) == "a leader to take it in; it has no vote yet");
+  CHECK(state.Role == RaftRole::Follower);
+}
+
 TEST_CASE(
     "member that began to replace a lost voter waits for the others only") {
   RaftState state = makeLeader();
