Harness: no process is started twice under one name

Cause (one of 54 runs six at once red in the fleet's start: an engine's stand-in ended on a body without a model; one more that counted no run of a charge): the case that kills a service's agent alone started the service's stand-in again while it ran. The second could not listen, its number took the place of the first's, and the first outlived its fleet, announcing itself to the agent's port. Test processes that came later used the same block of ports: what listened there got its announcements. One such process was found 367 s after its test. A fleet that starts a running process now stops with that reason; the service's stand-in is started only where it does not run. All 14 cases of test_processes passed once, with no process left behind.

--- a/tests/harness/process_fleet.cpp
+++ b/tests/harness/process_fleet.cpp
@@ -158,6 +158,10 @@
 
 void ProcessFleet::spawn(const std::string &Process,
                          std::vector<std::string> Words) {
+  // One that is forgotten outlives its fleet, and speaks to whoever has its
+  // fleet's ports next.
+  if (isRunning(Process))
+    throw std::logic_error(Process + " is running already");
   std::vector<char *> arguments;
   for (std::string &it : Words)
     arguments.push_back(it.data());
@@ -285,7 +289,8 @@
   std::string fake = name + "-endpoint";
   if (!Http.contains(fake))
     Http[fake] = claimAddress();
-  spawn(fake, {ENDPOINT_PROGRAM, "-p", "-l", Http[fake], "-a", Http[name]});
+  if (!isRunning(fake))
+    spawn(fake, {ENDPOINT_PROGRAM, "-p", "-l", Http[fake], "-a", Http[name]});
 }
 
 void ProcessFleet::startAll(int Engines, EngineOptions Options) {
