Exchange views between zones through relays

Bytes between zones are dear.

Now heartbeats stay in the zone, two relays of a zone send summaries over paths that share no host, agents' changes enter another zone twice and are passed on there, unchanged rosters are answered with ages only, and orders name the sizes of the models concerned. Fleets of up to ten fronts work as before.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -4,6 +4,7 @@
 #include "core/logging.h"
 #include "core/metrics.h"
 #include "engine_agent/engine_orders.h"
+#include "engine_agent/report_targets.h"
 #include "fleet/roster.h"
 #include "http/address.h"
 #include "http/client.h"
@@ -30,9 +31,9 @@
 /// only.
 constexpr Millis FullReportInterval{3'000};
 constexpr Millis LoadReportInterval{400};
-/// With more fronts than this, both intervals grow in proportion to the number
-/// of fronts, up to the maximum below.
-constexpr int64_t MaxFrontsAtFullRate = 10;
+/// With more receivers than this, both intervals grow in proportion to their
+/// number, up to the maximum below.
+constexpr int64_t MaxReceiversAtFullRate = 10;
 constexpr Millis MaxFullReportInterval{9'000};
 constexpr Millis MaxLoadReportInterval{1'200};
 /// Interval of heartbeats, each of which asks one front for the roster.
@@ -75,8 +76,8 @@
   void publishReport(TimePoint Now);
   Millis scaleInterval(Millis Interval, Millis Max) const;
   wire::EngineReport makeReport(bool IncludeModels);
-  void sendReport(const wire::EngineReport &Outgoing, bool IsFull,
-                  TimePoint Now);
+  void sendReport(const wire::EngineReport &Outgoing, ReportScope Scope,
+                  bool IncludeWeights, TimePoint Now);
   void sendHeartbeat();
 
   boost::asio::io_context &Io;
@@ -92,6 +93,7 @@
   std::vector<std::string> Seeds;
   EngineAgentState State;
   std::string LastUrgentFields; ///< Serialised, as of the last report.
+  bool WasBusy = false;         ///< As of the last report.
   std::string LastOrderSender;  ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
   uint64_t NextReportNumber = 1;
@@ -143,6 +145,7 @@
 void EngineAgentShell::handleMessage(const wire::Envelope &Message) {
   TimePoint now = Clock::now();
   if (Message.has_roster_update()) {
+    refreshNodes(Fronts, Message.roster_update(), now);
     for (const wire::NodeEntry &it : Message.roster_update().nodes())
       // A new front has no report of this engine yet.
       if (it.kind() == wire::NODE_FRONT &&
@@ -330,9 +333,12 @@
 }
 
 Millis EngineAgentShell::scaleInterval(Millis Interval, Millis Max) const {
-  auto fronts = static_cast<int64_t>(Fronts.Nodes.size());
+  auto receivers =
+      static_cast<int64_t>(chooseReportTargets(Fronts, Self, LastOrderSender,
+                                               ReportScope::Fleet, Clock::now())
+                               .size());
   return std::max(Interval,
-                  std::min(Interval * fronts / MaxFrontsAtFullRate, Max));
+                  std::min(Interval * receivers / MaxReceiversAtFullRate, Max));
 }
 
 void EngineAgentShell::publishReport(TimePoint Now) {
@@ -342,44 +348,51 @@
   *urgentFields.mutable_models() = fullReport.models();
   urgentFields.set_is_silent(fullReport.is_silent());
   urgentFields.set_order_done(fullReport.order_done());
-  urgentFields.set_is_busy(fullReport.is_busy());
   urgentFields.set_loading(fullReport.loading());
   urgentFields.set_born_ms(fullReport.born_ms());
   std::string serialized = urgentFields.SerializeAsString();
   bool isDue = isPast(NextFullReport, Now);
-  if (serialized != LastUrgentFields || isDue) {
+  bool isChanged = serialized != LastUrgentFields;
+  if (isChanged || isDue || fullReport.is_busy() != WasBusy) {
     LastUrgentFields = serialized;
+    WasBusy = fullReport.is_busy();
     if (isDue)
       NextFullReport =
           Now + scaleInterval(FullReportInterval, MaxFullReportInterval);
     NextLoadReport =
         Now + scaleInterval(LoadReportInterval, MaxLoadReportInterval);
-    sendReport(fullReport, isDue, Now);
+    sendReport(fullReport,
+               isChanged || isDue ? ReportScope::Fleet : ReportScope::Zone,
+               isDue, Now);
   } else if (isPast(NextLoadReport, Now)) {
     NextLoadReport =
         Now + scaleInterval(LoadReportInterval, MaxLoadReportInterval);
     uint32_t load = fullReport.active() + fullReport.queued();
     if (load != LastReportedLoad)
-      sendReport(makeReport(false), true, Now);
+      sendReport(makeReport(false), ReportScope::Zone, false, Now);
     LastReportedLoad = load;
   }
 }
 
 /// The lists of weights in the engine's memory and on its disk matter only to
 /// the front that places models, the sender of the latest order; the other
-/// fronts get them in full reports only.
+/// fronts get them when \p IncludeWeights is set.
 void EngineAgentShell::sendReport(const wire::EngineReport &Outgoing,
-                                  bool IsFull, TimePoint Now) {
-  wire::Envelope full;
-  *full.mutable_engine_report() = Outgoing;
-  wire::Envelope brief = full;
-  brief.mutable_engine_report()->clear_in_memory();
-  brief.mutable_engine_report()->clear_on_disk();
-  brief.mutable_engine_report()->set_has_available(false);
-  for (const auto &[name, it] : Fronts.Nodes)
-    if (isInView(it, Now))
-      Peers->send(it.Entry.address(),
-                  IsFull || name == LastOrderSender ? full : brief);
+                                  ReportScope Scope, bool IncludeWeights,
+                                  TimePoint Now) {
+  for (const ReportTarget &it :
+       chooseReportTargets(Fronts, Self, LastOrderSender, Scope, Now)) {
+    wire::Envelope message;
+    wire::EngineReport &report = *message.mutable_engine_report();
+    report = Outgoing;
+    report.set_pass_on(it.PassesOn);
+    if (!IncludeWeights && !it.PlacesModels) {
+      report.clear_in_memory();
+      report.clear_on_disk();
+      report.set_has_available(false);
+    }
+    Peers->send(it.Address, std::move(message));
+  }
 }
 
 /// Sends a heartbeat to one front, which replies with the roster of all fronts.
@@ -397,6 +410,8 @@
     targets = Seeds;
   wire::Envelope message;
   *message.mutable_node_heartbeat()->mutable_self() = Self;
+  message.mutable_node_heartbeat()->set_roster_digest(
+      digestRoster(Fronts, now));
   if (!targets.empty())
     Peers->send(targets[NextFront++ % targets.size()], message);
   expireNodes(Fronts, now);
--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -145,6 +145,24 @@
 
 namespace {
 
+/// A sender names only the sizes of models that it knows to be loaded or wants
+/// loaded, so those named earlier are kept.
+void mergeSizes(wire::EngineSizes &Known, const wire::EngineSizes &Sizes) {
+  Known.set_weights_mb(Sizes.weights_mb());
+  Known.set_adapter_slots(Sizes.adapter_slots());
+  for (const wire::ModelSize &size : Sizes.models()) {
+    auto it = std::find_if(Known.mutable_models()->begin(),
+                           Known.mutable_models()->end(),
+                           [&](const wire::ModelSize &known) {
+                             return known.name() == size.name();
+                           });
+    if (it == Known.mutable_models()->end())
+      *Known.add_models() = size;
+    else
+      *it = size;
+  }
+}
+
 /// Fronts without a leader do not know each other's orders: an order of one
 /// must not undo an order of another front or of the last leader.
 bool isLeaderlessOrderAllowed(const EngineAgentState &State,
@@ -164,7 +182,7 @@
   State.HighestOrder = std::max(State.HighestOrder, Order.number());
   if (State.Goal)
     endGoal(State);
-  State.Sizes = Order.sizes();
+  mergeSizes(State.Sizes, Order.sizes());
   State.Goal = ModelGoal{
       Order.number(),        Order.endpoint(),
       Order.load(),          {Order.evict().begin(), Order.evict().end()},
@@ -174,7 +192,7 @@
 
 void acceptAdapterRequest(EngineAgentState &State,
                           const wire::AdapterRequest &Request, TimePoint Now) {
-  State.Sizes = Request.sizes();
+  mergeSizes(State.Sizes, Request.sizes());
   State.AdapterLastUse[Request.model() + '/' + Request.adapter()] = Now;
   for (AdapterGoal &it : State.Adapters)
     if (it.Model == Request.model() && it.Adapter == Request.adapter()) {
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -168,6 +168,22 @@
   return true;
 }
 
+bool applyLoad(EndpointDirectory &Directory, const wire::EngineLoad &Load,
+               TimePoint Now) {
+  auto known = Directory.AgentReports.find(Load.address());
+  if (known == Directory.AgentReports.end() ||
+      known->second.Incarnation != Load.agent_incarnation())
+    return false;
+  EngineState &state = known->second.State;
+  TimePoint readAt = Now - Millis(Load.heard_ago_ms());
+  if (readAt <= state.ReadAt)
+    return false;
+  state.ReadAt = readAt;
+  state.Active = Load.active();
+  state.Queued = Load.queued();
+  return true;
+}
+
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now) {
   for (auto it = Directory.Endpoints.begin();
        it != Directory.Endpoints.end();) {
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -91,6 +91,11 @@
 /// first report of an agent process has load figures only.
 bool applyReport(EndpointDirectory &Directory, const wire::EngineReport &Report,
                  TimePoint Now);
+/// Applies the load figures of an agent's report that another front received.
+/// False when a newer report of the engine, or of another agent process, is
+/// known.
+bool applyLoad(EndpointDirectory &Directory, const wire::EngineLoad &Load,
+               TimePoint Now);
 /// Removes endpoints that have not been heard from for EndpointRetention.
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now);
 
--- a/fleet/roster.cpp
+++ b/fleet/roster.cpp
@@ -65,15 +65,19 @@
   return n;
 }
 
-uint64_t digestRoster(const Roster &Roster, const wire::NodeEntry &Self,
-                      TimePoint Now) {
-  uint64_t digest = digestEntry(Self);
+uint64_t digestRoster(const Roster &Roster, TimePoint Now) {
+  uint64_t digest = 0;
   for (const auto &[name, it] : Roster.Nodes)
     if (isInView(it, Now))
       digest += digestEntry(it.Entry);
   return digest;
 }
 
+uint64_t digestRoster(const Roster &Roster, const wire::NodeEntry &Self,
+                      TimePoint Now) {
+  return digestEntry(Self) + digestRoster(Roster, Now);
+}
+
 wire::RosterUpdate makeRosterUpdate(const Roster &Roster,
                                     const wire::NodeEntry &Self,
                                     TimePoint Now) {
@@ -89,4 +93,31 @@
   return out;
 }
 
+wire::RosterUpdate makeRosterRefresh(const Roster &Roster,
+                                     const wire::NodeEntry &Self,
+                                     TimePoint Now) {
+  std::map<std::string, uint32_t> heardAgo{{Self.name(), 0}};
+  for (const auto &[name, it] : Roster.Nodes)
+    if (isInView(it, Now))
+      heardAgo[name] = static_cast<uint32_t>(toMillis(Now - it.HeardAt));
+  wire::RosterUpdate out;
+  for (const auto &[name, ms] : heardAgo)
+    out.add_heard_ago_ms(ms);
+  return out;
+}
+
+void refreshNodes(Roster &Roster, const wire::RosterUpdate &Refresh,
+                  TimePoint Now) {
+  std::vector<KnownNode *> nodes;
+  for (auto &[name, it] : Roster.Nodes)
+    if (isInView(it, Now))
+      nodes.push_back(&it);
+  if (nodes.size() != static_cast<size_t>(Refresh.heard_ago_ms_size()))
+    return;
+  for (size_t i = 0; i < nodes.size(); ++i)
+    nodes[i]->HeardAt =
+        std::max(nodes[i]->HeardAt,
+                 Now - Millis(Refresh.heard_ago_ms(static_cast<int>(i))));
+}
+
 } // namespace sassafras
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -50,6 +50,17 @@
 /// All nodes in view and this one, to pass on to another node.
 wire::RosterUpdate makeRosterUpdate(const Roster &Roster,
                                     const wire::NodeEntry &Self, TimePoint Now);
+/// The same for a node whose digest is equal: only the times at which the nodes
+/// were heard from.
+wire::RosterUpdate makeRosterRefresh(const Roster &Roster,
+                                     const wire::NodeEntry &Self,
+                                     TimePoint Now);
+/// Digest of the nodes in view at a node that is not one of them.
+uint64_t digestRoster(const Roster &Roster, TimePoint Now);
+/// Applies the times of a refresh to the nodes in view. Does nothing when it is
+/// not about as many nodes.
+void refreshNodes(Roster &Roster, const wire::RosterUpdate &Refresh,
+                  TimePoint Now);
 
 } // namespace sassafras
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -157,7 +157,8 @@
   out.Payload.set_endpoint(target.Id);
   out.Payload.set_model(Request.Attributes.Model);
   out.Payload.set_adapter(Request.Attributes.Adapter);
-  *out.Payload.mutable_sizes() = makeEngineSizes(*spec);
+  *out.Payload.mutable_sizes() =
+      makeEngineSizes(*spec, *Found.Engines[*best], Request.Attributes.Model);
   return out;
 }
 
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "front/fleet_view.h"
 
 #include "core/hash.h"
+#include "fleet/zone_relays.h"
 
 #include <algorithm>
 
@@ -35,6 +36,43 @@
   return out;
 }
 
+/// Other fronts of the own zone that were heard from recently.
+std::vector<std::string> listZoneAddresses(const FrontState &State,
+                                           TimePoint Now) {
+  std::vector<std::string> out;
+  for (const auto &[name, it] : State.Roster.Nodes)
+    if (it.Entry.kind() == wire::NODE_FRONT &&
+        it.Entry.zone() == State.Self.zone() &&
+        Now - it.HeardAt < 2 * NodeTimeout)
+      out.push_back(it.Entry.address());
+  return out;
+}
+
+/// Fronts that a heartbeat goes to.
+std::vector<std::string> listHeartbeatAddresses(const FrontState &State,
+                                                bool IsLeader, TimePoint Now) {
+  return IsLeader || !usesZoneRelays(countFronts(State, Now))
+             ? listFrontAddresses(State, Now)
+             : listZoneAddresses(State, Now);
+}
+
+/// Seeds that heartbeats also go to. With relays, those in view are left out:
+/// their zone learns of this front from a summary.
+std::vector<std::string> listSeedAddresses(const FrontState &State,
+                                           const GossipState &Gossip,
+                                           TimePoint Now) {
+  std::set<std::string> inView{State.Self.address()};
+  if (usesZoneRelays(countFronts(State, Now)))
+    for (const auto &[name, it] : State.Roster.Nodes)
+      if (isInView(it, Now))
+        inView.insert(it.Entry.address());
+  std::vector<std::string> out;
+  for (const std::string &it : Gossip.Seeds)
+    if (!inView.contains(it))
+      out.push_back(it);
+  return out;
+}
+
 uint64_t digestModels(const wire::EndpointObservation &Observation) {
   uint64_t digest = 1;
   for (const wire::LoadedModel &it : Observation.models())
@@ -139,6 +177,23 @@
 
 } // namespace
 
+namespace {
+
+/// Keeps an observation for the next summary. One that lists the models is not
+/// replaced by one that does not.
+void recordZoneObservation(GossipState &Gossip,
+                           const wire::EndpointObservation &Observation) {
+  wire::EndpointObservation &kept = Gossip.ZoneObservations[Observation.id()];
+  if (kept.has_models() && !Observation.has_models())
+    return;
+  kept = Observation;
+  // The agents report them.
+  kept.clear_in_memory();
+  kept.clear_on_disk();
+}
+
+} // namespace
+
 void sendHeartbeats(FrontState &State, GossipState &Gossip, bool IsLeader,
                     uint64_t Term, TimePoint Now, NodeMessages &Out) {
   wire::Envelope message = makeHeartbeat(State, IsLeader, Term, Now);
@@ -146,12 +201,10 @@
   if (isBroadcast) {
     for (wire::EndpointObservation &it : Gossip.PendingObservations) {
       dropUnchangedModels(Gossip, it);
+      recordZoneObservation(Gossip, it);
       *message.mutable_node_heartbeat()->add_alive() = it;
     }
     Gossip.PendingObservations.clear();
-    Gossip.NextBroadcast =
-        Now + broadcastPeriod(HeartbeatPeriod, countFronts(State, Now)) -
-        HeartbeatPeriod / 2;
   }
   std::set<std::string> recipients;
   bool hasLeader = !IsLeader && Now - State.Leader.HeardAt < NodeTimeout;
@@ -163,12 +216,16 @@
   }
   if (!isBroadcast)
     return;
-  for (const std::string &it : listFrontAddresses(State, Now))
+  std::vector<std::string> fronts =
+      listHeartbeatAddresses(State, IsLeader, Now);
+  Gossip.NextBroadcast = Now +
+                         broadcastPeriod(HeartbeatPeriod, fronts.size() + 1) -
+                         HeartbeatPeriod / 2;
+  for (const std::string &it : fronts)
     if (recipients.insert(it).second)
       send(Out, it, message);
-  // Also contacts seeds that have never been heard from or went out of view.
-  for (const std::string &it : Gossip.Seeds)
-    if (it != State.Self.address() && recipients.insert(it).second)
+  for (const std::string &it : listSeedAddresses(State, Gossip, Now))
+    if (recipients.insert(it).second)
       send(Out, it, message);
 }
 
@@ -206,8 +263,11 @@
   if (self.kind() != wire::NODE_FRONT) {
     // An agent learns the fronts in view only from this reply.
     wire::Envelope message;
+    bool isSame = Heartbeat.roster_digest() ==
+                  digestRoster(State.Roster, State.Self, Now);
     *message.mutable_roster_update() =
-        makeRosterUpdate(State.Roster, State.Self, Now);
+        isSame ? makeRosterRefresh(State.Roster, State.Self, Now)
+               : makeRosterUpdate(State.Roster, State.Self, Now);
     send(Out, self.address(), std::move(message));
     return;
   }
@@ -216,8 +276,11 @@
   if (Heartbeat.is_leader() && isNewerLeader(State, Heartbeat, Now))
     setLeader(State, Heartbeat, Now, Out);
   recordFrontDemand(Demand, self.name(), Heartbeat, Now);
-  for (const wire::EndpointObservation &it : Heartbeat.alive())
+  for (const wire::EndpointObservation &it : Heartbeat.alive()) {
     applyObservation(State.Directory, it, Now);
+    if (self.zone() == State.Self.zone())
+      recordZoneObservation(Gossip, it);
+  }
   uint64_t version = State.Table ? State.Table->Version : 0;
   State.Roster.Nodes[Heartbeat.self().name()].TableVersion =
       Heartbeat.table_version();
@@ -249,6 +312,144 @@
   }
 }
 
+namespace {
+
+/// Moves the observations that are due into \p Summary and drops the others.
+void takeZoneObservations(GossipState &Gossip, TimePoint Now,
+                          wire::ZoneSummary &Summary) {
+  for (auto &[id, it] : Gossip.ZoneObservations) {
+    TimePoint &next = Gossip.NextInSummary[id];
+    if (!it.has_models() && !it.has_left() && !isPast(next, Now))
+      continue;
+    next = Now + SummaryRefreshPeriod;
+    *Summary.add_alive() = std::move(it);
+  }
+  Gossip.ZoneObservations.clear();
+  std::erase_if(Gossip.NextInSummary, [&](const auto &it) {
+    return Now - it.second > EndpointRetention;
+  });
+}
+
+/// Adds the load of each engine in the zone whose agent reports here.
+void addZoneLoads(const FrontState &State, TimePoint Now,
+                  wire::ZoneSummary &Summary) {
+  for (const auto &[address, it] : State.Directory.AgentReports) {
+    auto id = State.Directory.IdByAddress.find(address);
+    if (id == State.Directory.IdByAddress.end() ||
+        Now - it.State.ReadAt > EndpointTimeout)
+      continue;
+    auto known = State.Directory.Endpoints.find(id->second);
+    if (known == State.Directory.Endpoints.end() ||
+        known->second.Zone != State.Self.zone())
+      continue;
+    wire::EngineLoad &load = *Summary.add_loads();
+    load.set_address(address);
+    load.set_agent_incarnation(it.Incarnation);
+    load.set_active(it.State.Active);
+    load.set_queued(it.State.Queued);
+    load.set_heard_ago_ms(
+        static_cast<uint32_t>(toMillis(Now - it.State.ReadAt)));
+  }
+}
+
+} // namespace
+
+void sendZoneSummaries(FrontState &State, GossipState &Gossip, TimePoint Now,
+                       NodeMessages &Out) {
+  if (!isPast(Gossip.NextSummary, Now))
+    return;
+  Gossip.NextSummary = Now + SummaryPeriod;
+  FrontsByZone fronts = listFrontsByZone(State.Roster, Now);
+  std::vector<ZoneFront> own = fronts[State.Self.zone()];
+  own.push_back({State.Self.name(), State.Self.address()});
+  std::vector<ZoneFront> relays = chooseRelays(own, "");
+  auto self =
+      std::find_if(relays.begin(), relays.end(), [&](const ZoneFront &it) {
+        return it.Name == State.Self.name();
+      });
+  if (!usesZoneRelays(countFronts(State, Now)) || self == relays.end() ||
+      State.IsStopping) {
+    Gossip.ZoneObservations.clear();
+    return;
+  }
+  wire::Envelope message;
+  wire::ZoneSummary &summary = *message.mutable_zone_summary();
+  *summary.mutable_heartbeat() =
+      makeHeartbeat(State, false, 0, Now).node_heartbeat();
+  for (const auto &[name, it] : State.Roster.Nodes) {
+    if (it.Entry.kind() != wire::NODE_FRONT || !isInView(it, Now) ||
+        it.Entry.zone() != State.Self.zone())
+      continue;
+    wire::NodeEntry &entry = *summary.add_nodes();
+    entry = it.Entry;
+    entry.set_heard_ago_ms(toMillis(Now - it.HeardAt));
+  }
+  takeZoneObservations(Gossip, Now, summary);
+  addZoneLoads(State, Now, summary);
+  // Each relay of this zone sends to another relay of the other zones, so that
+  // the two paths share no host.
+  auto path = static_cast<size_t>(self - relays.begin());
+  for (const auto &[zone, it] : fronts) {
+    std::vector<ZoneFront> targets = chooseRelays(it, "");
+    if (zone != State.Self.zone() && !targets.empty())
+      send(Out, targets[std::min(path, targets.size() - 1)].Address, message);
+  }
+}
+
+namespace {
+
+void recordEngineLoad(FrontState &State, const std::string &Address,
+                      uint32_t Load, TimePoint Now) {
+  auto id = State.Directory.IdByAddress.find(Address);
+  if (id != State.Directory.IdByAddress.end())
+    recordLoadReport(State.Records[id->second], Load, EngineReportLifetime,
+                     Now);
+}
+
+} // namespace
+
+void handleZoneSummary(FrontState &State, GossipState &Gossip,
+                       FleetDemand &Demand, wire::ZoneSummary Summary,
+                       TimePoint Now, NodeMessages &Out) {
+  const wire::NodeEntry &sender = Summary.heartbeat().self();
+  if (sender.zone() == State.Self.zone())
+    return;
+  if (Summary.is_passed_on())
+    mergeNode(State.Roster, sender, State.Self.name(), Now);
+  else
+    handleNodeHeartbeat(State, Gossip, Demand, Summary.heartbeat(), Now, Out);
+  for (const wire::NodeEntry &it : Summary.nodes())
+    mergeNode(State.Roster, it, State.Self.name(), Now);
+  for (const wire::EndpointObservation &it : Summary.alive())
+    applyObservation(State.Directory, it, Now);
+  for (const wire::EngineLoad &it : Summary.loads())
+    if (applyLoad(State.Directory, it, Now))
+      recordEngineLoad(State, it.address(), it.active() + it.queued(), Now);
+  if (Summary.is_passed_on())
+    return;
+  wire::Envelope message;
+  *message.mutable_zone_summary() = std::move(Summary);
+  message.mutable_zone_summary()->set_is_passed_on(true);
+  for (const std::string &it : listZoneAddresses(State, Now))
+    send(Out, it, message);
+}
+
+bool handleEngineReport(FrontState &State, const wire::EngineReport &Report,
+                        TimePoint Now, NodeMessages &Out) {
+  if (Report.pass_on()) {
+    wire::Envelope message;
+    *message.mutable_engine_report() = Report;
+    message.mutable_engine_report()->set_pass_on(false);
+    for (const std::string &it : listZoneAddresses(State, Now))
+      send(Out, it, message);
+  }
+  if (!applyReport(State.Directory, Report, Now))
+    return false;
+  recordEngineLoad(State, Report.address(), Report.active() + Report.queued(),
+                   Now);
+  return true;
+}
+
 void applyRosterUpdate(FrontState &State, const wire::RosterUpdate &Update,
                        TimePoint Now) {
   for (const wire::NodeEntry &it : Update.nodes())
@@ -293,7 +494,7 @@
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out) {
   for (const auto &[name, it] : State.Roster.Nodes)
     if (it.Entry.kind() == wire::NODE_FRONT && !it.Entry.is_voter() &&
-        isInView(it, Now))
+        Now - it.HeardAt < 2 * NodeTimeout)
       sendTable(State, it.Entry.address(), Out);
 }
 
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -2,6 +2,11 @@
 /// Gossip by which fronts synchronise their views of the fleet: nodes,
 /// endpoints, the table version and demand. Any message may be lost; later
 /// ones bring the receiver up to date.
+///
+/// Load pattern: 70 fronts in six zones, most of them small, with 120 engines.
+/// Heartbeats go to the fronts of the own zone; the relays of a zone
+/// (fleet/zone_relays.h) exchange summaries. Only the leader sends heartbeats
+/// to all, and only changes of endpoints are sent to all at once.
 #ifndef SASSAFRAS_FRONT_FLEET_VIEW_H
 #define SASSAFRAS_FRONT_FLEET_VIEW_H
 
@@ -28,6 +33,13 @@
 /// to, or requested from, the same node.
 inline constexpr Millis ResyncPeriod{700};
 
+/// Interval of the summaries that each relay of a zone sends to the other
+/// zones.
+inline constexpr Millis SummaryPeriod{500};
+/// A running endpoint is included in a summary once in this time. It is a
+/// fraction of EndpointTimeout, so that two summaries may be lost.
+inline constexpr Millis SummaryRefreshPeriod{2'000};
+
 struct NodeMessage {
   std::string Address;
   wire::Envelope Message;
@@ -43,6 +55,11 @@
   /// Digest of the models last sent for each endpoint.
   std::map<std::string, uint64_t> SentModelDigests;
   TimePoint NextBroadcast;
+  /// Latest observations made in the own zone, for the next summary, by id.
+  std::map<std::string, wire::EndpointObservation> ZoneObservations;
+  /// When each endpoint is due in a summary again.
+  std::map<std::string, TimePoint> NextInSummary;
+  TimePoint NextSummary;
 };
 
 /// Demand of all fronts as known to the leader.
@@ -61,7 +78,8 @@
 /// quadratically; bounded by MaxBroadcastPeriod.
 Millis broadcastPeriod(Millis Period, size_t Fronts);
 /// Appends a heartbeat with demand to the leader and, when a broadcast is due,
-/// heartbeats to all other fronts and to the seeds.
+/// heartbeats to all other fronts, or to those of the own zone when the fleet
+/// uses relays and this front does not lead. Seeds out of view are included.
 void sendHeartbeats(FrontState &State, GossipState &Gossip, bool IsLeader,
                     uint64_t Term, TimePoint Now, NodeMessages &Out);
 /// Handles a heartbeat of another front or of an agent. Records the demand in
@@ -71,6 +89,20 @@
                          FleetDemand &Demand,
                          const wire::NodeHeartbeat &Heartbeat, TimePoint Now,
                          NodeMessages &Out);
+/// Appends summaries of the own zone to the relays of the other zones when they
+/// are due and this front is a relay.
+void sendZoneSummaries(FrontState &State, GossipState &Gossip, TimePoint Now,
+                       NodeMessages &Out);
+/// Applies the summary of another zone. A relay that received it from that zone
+/// appends copies to the fronts of its own zone.
+void handleZoneSummary(FrontState &State, GossipState &Gossip,
+                       FleetDemand &Demand, wire::ZoneSummary Summary,
+                       TimePoint Now, NodeMessages &Out);
+/// Applies the report of an engine's agent. A report to be passed on is
+/// appended to \p Out for the fronts of the own zone. Returns false when a
+/// newer report is known.
+bool handleEngineReport(FrontState &State, const wire::EngineReport &Report,
+                        TimePoint Now, NodeMessages &Out);
 /// Adds the nodes that another front passed on.
 void applyRosterUpdate(FrontState &State, const wire::RosterUpdate &Update,
                        TimePoint Now);
@@ -86,8 +118,8 @@
 /// Sends the table in force, if there is one, to \p Address.
 void sendTable(const FrontState &State, const std::string &Address,
                NodeMessages &Out);
-/// Sends a new table to the fronts in view that are not voters: they do not
-/// receive it through the replicated log.
+/// Sends a new table to the fronts that are not voters and were heard from
+/// recently: they do not receive it through the replicated log.
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Replaces the recorded demand of a front, this one included, by that in
 /// \p Heartbeat and adds its arrivals to the averages.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -87,7 +87,6 @@
   void handleLoss(const HttpExchange *Exchange, HttpLoss Loss);
   void handleMessage(wire::Envelope Message);
   void handleHello(const wire::Envelope &Message);
-  void handleEngineReport(const wire::EngineReport &Report);
   void answerStatus(const wire::Envelope &Message);
   void applyTable(uint64_t Version, const std::string &Content);
   void applyView(const StoreView &View);
@@ -366,7 +365,13 @@
     IsDispatchDue = true;
     break;
   case wire::Envelope::kEngineReport:
-    handleEngineReport(Message.engine_report());
+    if (handleEngineReport(state, Message.engine_report(), now, out))
+      IsDispatchDue = true;
+    break;
+  case wire::Envelope::kZoneSummary:
+    handleZoneSummary(state, Gossip, Leader.Demand,
+                      std::move(*Message.mutable_zone_summary()), now, out);
+    IsDispatchDue = true;
     break;
   case wire::Envelope::kTableRequest:
     sendTable(state, Message.reply_address(), out);
@@ -441,18 +446,6 @@
   send(std::move(out));
 }
 
-void FrontShell::handleEngineReport(const wire::EngineReport &Report) {
-  TimePoint now = Clock::now();
-  if (!applyReport(Core.State.Directory, Report, now))
-    return;
-  auto id = Core.State.Directory.IdByAddress.find(Report.address());
-  if (id != Core.State.Directory.IdByAddress.end())
-    recordLoadReport(Core.State.Records[id->second],
-                     Report.active() + Report.queued(), EngineReportLifetime,
-                     now);
-  IsDispatchDue = true;
-}
-
 void FrontShell::answerStatus(const wire::Envelope &Message) {
   wire::Envelope answer;
   wire::StatusReply &reply = *answer.mutable_status_reply();
@@ -636,6 +629,7 @@
     recordFrontDemand(Leader.Demand, Options.Node, own, Now);
   }
   sendHeartbeats(Core.State, Gossip, View.IsLeader, View.Term, Now, out);
+  sendZoneSummaries(Core.State, Gossip, Now, out);
   send(std::move(out));
   Counts.set("requests_open", "", static_cast<double>(Core.Relays.size()));
   Counts.set("requests_waiting", "", static_cast<double>(Core.Waiting.size()));
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -62,15 +62,23 @@
   }
 }
 
-wire::EngineSizes makeEngineSizes(const EngineSpec &Spec) {
+wire::EngineSizes makeEngineSizes(const EngineSpec &Spec,
+                                  const EngineState &Engine,
+                                  const std::string &Wanted) {
   wire::EngineSizes out;
   out.set_weights_mb(Spec.WeightsMb);
   out.set_adapter_slots(Spec.AdapterSlots);
-  for (const auto &[name, it] : Spec.Models) {
+  std::set<std::string> models{Wanted};
+  for (const auto &[name, adapters] : Engine.Models)
+    models.insert(name);
+  for (const std::string &it : models) {
+    auto spec = Spec.Models.find(it);
+    if (spec == Spec.Models.end())
+      continue;
     wire::ModelSize &size = *out.add_models();
-    size.set_name(name);
-    size.set_weights_mb(it.WeightsMb);
-    size.set_adapter_mb(it.AdapterMb);
+    size.set_name(it);
+    size.set_weights_mb(spec->second.WeightsMb);
+    size.set_adapter_mb(spec->second.AdapterMb);
   }
   return out;
 }
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -118,8 +118,11 @@
 double agedWaitingWorth(const ModelUsage &Usage, TimePoint Now);
 /// Adds the number of requests of \p Usage in progress at each endpoint.
 void addOpenRequests(const ModelUsage &Usage, wire::RowDemand &Out);
-/// Sizes that an agent needs to stay within its engine's memory.
-wire::EngineSizes makeEngineSizes(const EngineSpec &Spec);
+/// Sizes that an agent needs to stay within its engine's memory: those of the
+/// models that the engine has loaded and of \p Wanted.
+wire::EngineSizes makeEngineSizes(const EngineSpec &Spec,
+                                  const EngineState &Engine,
+                                  const std::string &Wanted);
 
 } // namespace sassafras
 
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -309,7 +309,8 @@
   wireOrder.set_may_use_store(Load.IsFromStore);
   for (const std::string &it : Load.Evict)
     wireOrder.add_evict(it);
-  *wireOrder.mutable_sizes() = makeEngineSizes(Spec);
+  *wireOrder.mutable_sizes() =
+      makeEngineSizes(Spec, *Survey.States[Load.Engine], Load.Model);
   wireOrder.set_expires_in_ms(static_cast<uint64_t>(lifetime.count()));
   std::string evicted;
   for (const std::string &it : Load.Evict)
--- a/front/leaderless_wish.cpp
+++ b/front/leaderless_wish.cpp
@@ -78,7 +78,7 @@
   out.Agent = states[*chosen]->AgentAddress;
   out.Order.set_engine_address(engines[*chosen].Address);
   out.Order.set_load(name);
-  *out.Order.mutable_sizes() = makeEngineSizes(*spec);
+  *out.Order.mutable_sizes() = makeEngineSizes(*spec, *states[*chosen], name);
   out.Order.set_expires_in_ms(
       static_cast<uint64_t>((model.DiskLoad + OrderSlack).count()));
   return out;
