Send changes of endpoints through relays; close idle links after 10 s

Cause: one change of an endpoint opened a connection from its front to all 69 others, which was kept for 120 s at the cost of its heartbeats.

--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -456,12 +456,43 @@
     mergeNode(State.Roster, it, State.Self.name(), Now);
 }
 
-void applyEndpointUpdate(FrontState &State,
-                         const wire::EndpointUpdate &Observed, TimePoint Now) {
-  for (const wire::EndpointObservation &it : Observed.endpoints())
+void handleEndpointUpdate(FrontState &State, const wire::EndpointUpdate &Update,
+                          TimePoint Now, NodeMessages &Out) {
+  for (const wire::EndpointObservation &it : Update.endpoints())
     applyObservation(State.Directory, it, Now);
+  if (!Update.pass_on())
+    return;
+  wire::Envelope message;
+  *message.mutable_endpoint_news() = Update;
+  message.mutable_endpoint_news()->set_pass_on(false);
+  for (const std::string &it : listZoneAddresses(State, Now))
+    send(Out, it, message);
 }
 
+namespace {
+
+/// Sends \p Observation to all fronts: directly, or with relays directly
+/// within the own zone and through the relays of the others.
+void broadcastObservation(const FrontState &State,
+                          const wire::EndpointObservation &Observation,
+                          TimePoint Now, NodeMessages &Out) {
+  wire::Envelope message;
+  *message.mutable_endpoint_news()->add_endpoints() = Observation;
+  bool isRelayed = usesZoneRelays(countFronts(State, Now));
+  for (const std::string &it : isRelayed ? listZoneAddresses(State, Now)
+                                         : listFrontAddresses(State, Now))
+    send(Out, it, message);
+  if (!isRelayed)
+    return;
+  message.mutable_endpoint_news()->set_pass_on(true);
+  for (const auto &[zone, fronts] : listFrontsByZone(State.Roster, Now))
+    if (zone != State.Self.zone())
+      for (const ZoneFront &it : chooseRelays(fronts, Observation.id()))
+        send(Out, it.Address, message);
+}
+
+} // namespace
+
 ObservationResult
 handleAnnouncement(FrontState &State, GossipState &Gossip,
                    const wire::EndpointObservation &Observation, TimePoint Now,
@@ -472,10 +503,7 @@
     Gossip.PendingObservations.push_back(Observation);
   if (result != ObservationResult::Changed)
     return result;
-  wire::Envelope message;
-  *message.mutable_endpoint_news()->add_endpoints() = Observation;
-  for (const std::string &it : listFrontAddresses(State, Now))
-    send(Out, it, message);
+  broadcastObservation(State, Observation, Now, Out);
   // Repeated with the next broadcast heartbeat in case a message is lost.
   Gossip.PendingObservations.push_back(Observation);
   return result;
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -5,8 +5,8 @@
 ///
 /// Load pattern: 70 fronts in six zones, most of them small, with 120 engines.
 /// Heartbeats go to the fronts of the own zone; the relays of a zone
-/// (fleet/zone_relays.h) exchange summaries. Only the leader sends heartbeats
-/// to all, and only changes of endpoints are sent to all at once.
+/// (fleet/zone_relays.h) exchange summaries, and changes of endpoints are sent
+/// through relays at once. Only the leader sends heartbeats to all.
 #ifndef SASSAFRAS_FRONT_FLEET_VIEW_H
 #define SASSAFRAS_FRONT_FLEET_VIEW_H
 
@@ -106,9 +106,10 @@
 /// Adds the nodes that another front passed on.
 void applyRosterUpdate(FrontState &State, const wire::RosterUpdate &Update,
                        TimePoint Now);
-/// Applies the observations of endpoints that another front passed on.
-void applyEndpointUpdate(FrontState &State,
-                         const wire::EndpointUpdate &Observed, TimePoint Now);
+/// Applies the observations of endpoints that another front made. An update to
+/// be passed on is appended to \p Out for the fronts of the own zone.
+void handleEndpointUpdate(FrontState &State, const wire::EndpointUpdate &Update,
+                          TimePoint Now, NodeMessages &Out);
 /// Applies an announcement that an endpoint made to this front. A change is
 /// sent to the other fronts at once, a refresh with the next broadcast.
 ObservationResult
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -361,7 +361,7 @@
     applyRosterUpdate(state, Message.roster_update(), now);
     break;
   case wire::Envelope::kEndpointNews:
-    applyEndpointUpdate(state, Message.endpoint_news(), now);
+    handleEndpointUpdate(state, Message.endpoint_news(), now, out);
     IsDispatchDue = true;
     break;
   case wire::Envelope::kEngineReport:
--- a/tests/front/test_dissemination.cpp
+++ b/tests/front/test_dissemination.cpp
@@ -110,7 +110,7 @@
     else if (message.has_roster_update())
       applyRosterUpdate(host.State, message.roster_update(), Now);
     else if (message.has_endpoint_news())
-      applyEndpointUpdate(host.State, message.endpoint_news(), Now);
+      handleEndpointUpdate(host.State, message.endpoint_news(), Now, out);
     else if (message.has_zone_summary())
       handleZoneSummary(host.State, host.Gossip, host.Demand,
                         message.zone_summary(), Now, out);
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -32,8 +32,8 @@
 constexpr int HeartbeatMs = 700;
 constexpr int HeartbeatTimeoutMs = 1400;
 /// A peer's socket is closed if nothing was sent to it for this long, which is
-/// checked at the same interval.
-constexpr std::chrono::seconds PeerIdleTimeout{120};
+/// checked at the same interval. An open socket costs heartbeats.
+constexpr std::chrono::seconds PeerIdleTimeout{10};
 /// Maximum number of messages received before other work of the thread runs.
 constexpr int ReceiveBatch = 256;
 
