Cut off endpoints that send bytes without end; an unframed stream that stops within an event is broken

Found by tests/process/test_endpoints_in_trouble, which looks for what went wrong in similar systems. Red before: an event without end and a refusal without end were held in memory until the caller's deadline (335 MB sent in 3 s), and a stream without framing that ended within an event was passed on as complete. The agent's exchanges with its engine had no limit of size or time: one that sent a byte now and then would have kept it waiting for good. Green before: a late second answer on a kept connection, answers that break off under a length, in chunks or within the head, a head without end, slow and stalled streams.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -27,6 +27,11 @@
 /// Timeout for connecting and for each wait on the engine. It runs on this
 /// host, so it answers quickly or not at all.
 constexpr Millis EngineTimeout{800};
+/// Limit of a whole exchange with the engine, which may send bytes without end.
+constexpr Millis EngineExchangeTimeout{3'000};
+/// Largest state report of an engine, in bytes. One names some dozens of models
+/// and adapters.
+constexpr uint64_t MaxStateBytes = 1024ULL * 1024;
 /// Intervals of full reports and, between them, of reports with load figures
 /// only.
 constexpr Millis FullReportInterval{3'000};
@@ -50,6 +55,13 @@
 constexpr uint64_t ConstantFencingToken = 1;
 constexpr unsigned StatusOk = 200;
 
+HttpCallOptions makeEngineCallOptions() {
+  HttpCallOptions out{EngineTimeout, EngineTimeout, EngineTimeout * 4};
+  out.Deadline = Clock::now() + EngineExchangeTimeout;
+  out.MaxBodyBytes = MaxStateBytes;
+  return out;
+}
+
 class EngineAgentShell : public RoleShell,
                          public std::enable_shared_from_this<EngineAgentShell> {
 public:
@@ -209,8 +221,7 @@
                                              : "no complete response");
   };
   Client.start(Options.EngineAgentRole.Engine, platform::makeStateRequest(),
-               {EngineTimeout, EngineTimeout, EngineTimeout * 4},
-               std::move(callbacks));
+               makeEngineCallOptions(), std::move(callbacks));
 }
 
 void EngineAgentShell::handleStateResponse(const std::string &Text) {
@@ -298,8 +309,7 @@
   callbacks.OnFailure = [finish](HttpFailure) { finish(false); };
   Client.start(Options.EngineAgentRole.Engine,
                platform::makeCommandRequest(engineCommand),
-               {EngineTimeout, EngineTimeout, EngineTimeout * 4},
-               std::move(callbacks));
+               makeEngineCallOptions(), std::move(callbacks));
 }
 
 // ---- Fronts ----
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -24,6 +24,9 @@
 /// Responses of up to this size in bytes are buffered until they are complete,
 /// so that an incomplete one can be replaced by a retry.
 constexpr size_t MaxBufferedResponse = 256ULL * 1024;
+/// Largest event of a stream, in bytes. An endpoint in trouble may send bytes
+/// without an end of an event.
+constexpr size_t MaxEventBytes = 256ULL * 1024;
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusClientClosed = 499; ///< For the log only.
 
@@ -191,6 +194,8 @@
                      now);
   HasHead = true;
   IsNotRun = fields.IsNotRun;
+  IsUnframed =
+      !NewHead.Length && fieldOf(NewHead.Fields, "transfer-encoding").empty();
   bool isStreaming = Request.Route->Kind == RequestKind::Streaming &&
                      isSuccess(NewHead.Status);
   // A resumed stream keeps the head from its first endpoint.
@@ -219,6 +224,8 @@
     std::string events = takeCompleteEvents(EventBuffer, Bytes);
     if (!events.empty())
       writeEvents(std::move(events));
+    if (EventBuffer.Incomplete.size() > MaxEventBytes)
+      cancelOversized(ExchangeFailure::Broken, EventBuffer.Incomplete.size());
     return;
   }
   if (IsResponseStarted) {
@@ -228,8 +235,12 @@
     return;
   }
   Body += Bytes;
-  if (Body.size() <= MaxBufferedResponse || IsNotRun)
+  if (Body.size() <= MaxBufferedResponse)
     return;
+  if (IsNotRun) {
+    cancelOversized(ExchangeFailure::Rejected, Body.size());
+    return;
+  }
   startResponse();
   Exchange->write(std::move(Body));
   Body = " ";
@@ -251,6 +262,12 @@
   TimePoint now = Clock::now();
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
+  // Without framing, the end of the connection is the only sign of the end, and
+  // an endpoint that fails may close it as well.
+  if (IsStream && IsUnframed && !EventBuffer.Incomplete.empty()) {
+    failExchange(ExchangeFailure::Broken);
+    return;
+  }
   if (IsStream) {
     recordSuccess(Core.State.Records[Endpoint]);
     Exchange->write(std::move(EventBuffer.Incomplete));
@@ -312,6 +329,17 @@
                                      : ExchangeFailure::Unreachable);
 }
 
+/// Cancels an exchange whose response is longer than any that an endpoint sends
+/// in order.
+void Relay::cancelOversized(ExchangeFailure Failure, size_t Bytes) {
+  Core.Counts.count("answers_oversized_total");
+  logEvent(LogLevel::Warning, "answer_oversized",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"bytes", std::to_string(Bytes)}});
+  cancelExchange(Failure);
+}
+
 /// Cancels an exchange whose response is not trusted.
 void Relay::cancelExchange(ExchangeFailure Failure) {
   if (Call)
--- a/front/relay.h
+++ b/front/relay.h
@@ -46,6 +46,7 @@
   /// Records the duration of a stage in the histogram of the request's kind.
   void observe(const char *Stage, Clock::duration Span);
   void startResponse();
+  void cancelOversized(ExchangeFailure Failure, size_t Bytes);
   void cancelExchange(ExchangeFailure Failure);
   void failExchange(ExchangeFailure Failure);
   void forwardResponse();
@@ -71,8 +72,9 @@
   TimePoint LastEventAt;
   Clock::duration LongestGap{0}; ///< Between forwarded events.
   bool HasHead = false;
-  bool IsNotRun = false; ///< The endpoint stated that it did not run it.
-  bool IsStream = false; ///< This exchange's response is forwarded in pieces.
+  bool IsNotRun = false;   ///< The endpoint stated that it did not run it.
+  bool IsUnframed = false; ///< The response ends with its connection.
+  bool IsStream = false;   ///< This exchange's response is forwarded in pieces.
   bool IsResponseStarted = false; ///< The head was sent to the caller.
   bool IsWaiting = false;
   bool IsOver = false;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <limits>
@@ -115,7 +116,7 @@
        HttpCallbacks Callbacks)
       : Client(std::move(Client)), Options(Options),
         Callbacks(std::move(Callbacks)) {
-    Parser.body_limit(std::numeric_limits<uint64_t>::max());
+    Parser.body_limit(Options.MaxBodyBytes);
     Parser.header_limit(MaxHeadBytes);
   }
 
@@ -189,12 +190,17 @@
     exchange();
   }
 
+  void expireRead() {
+    Conn->Stream.expires_after(std::clamp<Clock::duration>(
+        Options.Deadline - Clock::now(), Millis(0), Options.ReadTimeout));
+  }
+
   /// Reads and writes at the same time, since a response may arrive before the
   /// whole request has been sent.
   void exchange() {
     if (IsFinished)
       return;
-    Conn->Stream.expires_after(Options.ReadTimeout);
+    expireRead();
     http::async_write(
         Conn->Stream, Message,
         [self = shared_from_this()](beast::error_code ec, size_t) {
@@ -254,7 +260,7 @@
     }
     Parser.get().body().data = BodyBuffer.data();
     Parser.get().body().size = BodyBuffer.size();
-    Conn->Stream.expires_after(Options.ReadTimeout);
+    expireRead();
     http::async_read_some(
         Conn->Stream, Conn->Buffer, Parser,
         [self = shared_from_this()](beast::error_code ec, size_t) {
--- a/http/client.h
+++ b/http/client.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -55,6 +56,10 @@
   Millis ReadTimeout{};
   /// A pooled connection is used only if it was idle for less than this.
   Millis MaxIdle{10'000};
+  /// An exchange that is not complete by then fails, also while bytes arrive.
+  TimePoint Deadline = TimePoint::max();
+  /// A response with a larger body, in bytes, fails the exchange.
+  uint64_t MaxBodyBytes = std::numeric_limits<uint64_t>::max();
 };
 
 /// HTTP client that pools idle connections by address for later exchanges. Call
