One place at the weight store is for overloaded models, also while lost ones wait

With 391 models on 120 engines some lost model is always requested.

Ruled out: too few slots to be had elsewhere (other engines held 0 to 4 requests), slow engines (the same engines were on time with other models), stale load figures (the load known at the send was 8 to 11 of 12).

The bound of one extra load now counts extra loads only.

--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -344,16 +344,39 @@
                                  static_cast<double>(Model.Replicas);
 }
 
-/// Limit on concurrent loads from the store, including one for \p Model.
-/// \p HasLost: requests wait for a model whose weights are on no available
-/// engine.
-size_t storeLoadLimit(const ModelState &Model, const PlanInput &Input,
-                      bool HasLost) {
+/// Loads from the store in progress.
+struct StoreLoads {
+  size_t All = 0;
+  size_t Extra = 0; ///< Of models that are on some engine already.
+};
+
+/// Counts the loads from the store. One whose model is not known counts as
+/// extra.
+StoreLoads countStoreLoads(const PlanInput &Input, const ModelStates &States) {
+  StoreLoads out{Input.StoreLoadsInProgress, Input.StoreLoadsInProgress};
+  for (const PlanEngine &engine : Input.Engines) {
+    auto model = States.find(engine.Loading);
+    bool isFromStore = !engine.InMemory.contains(engine.Loading) &&
+                       !engine.OnDisk.contains(engine.Loading);
+    bool isOnlyReplica = model != States.end() && model->second.Replicas <= 1 &&
+                         model->second.NearbyEngines == 0;
+    if (isFromStore && isOnlyReplica && out.Extra > 0)
+      --out.Extra;
+  }
+  return out;
+}
+
+/// True when one more load from the store may start for \p Model. \p HasLost:
+/// requests wait for a model whose weights are on no available engine.
+bool mayLoadFromStore(const ModelState &Model, const PlanInput &Input,
+                      StoreLoads InProgress, bool HasLost) {
+  if (InProgress.All >= Input.StoreLoadLimit)
+    return false;
   if (Model.NearbyEngines == 0)
-    return Input.StoreLoadLimit;
+    return true;
   if (!isOverloaded(Model, Input.Spec))
-    return HasLost ? 0 : MaxExtraStoreLoads;
-  return HasLost ? MaxExtraStoreLoads : Input.StoreLoadLimit;
+    return !HasLost && InProgress.All < MaxExtraStoreLoads;
+  return !HasLost || InProgress.Extra < MaxExtraStoreLoads;
 }
 
 } // namespace
@@ -376,7 +399,7 @@
   buildMemoryTable(view);
   std::set<size_t> taken;
   size_t loadsInProgress = Input.LoadsInProgress;
-  size_t storeLoadsInProgress = Input.StoreLoadsInProgress;
+  StoreLoads storeLoads = countStoreLoads(Input, view.States);
   uint32_t storeLeft = Input.StoreLoadsAllowed;
   std::vector<LoadCandidate> candidates = listLoadCandidates(view.States);
   bool hasLost = std::any_of(
@@ -387,8 +410,8 @@
     if (!candidate.IsUrgent && loadsInProgress >= MaxProactiveLoads)
       continue;
     ModelState &state = view.States[candidate.Name];
-    size_t storeLimit = storeLoadLimit(state, Input, hasLost);
-    bool mayUseStore = storeLeft > 0 && storeLoadsInProgress < storeLimit;
+    bool mayUseStore =
+        storeLeft > 0 && mayLoadFromStore(state, Input, storeLoads, hasLost);
     auto option = cheapestLoad(candidate.Name, state, view, taken, mayUseStore);
     if (!option)
       continue;
@@ -402,7 +425,8 @@
     option->Load.IsUrgent = candidate.IsUrgent;
     if (option->Load.IsFromStore) {
       --storeLeft;
-      ++storeLoadsInProgress;
+      ++storeLoads.All;
+      storeLoads.Extra += state.NearbyEngines > 0;
     }
     for (const std::string &it : option->Load.Evict)
       if (view.States[it].Replicas > 0)
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -13,6 +13,9 @@
 ///   of the weight store.
 /// - Weights were lost with an engine while busy models need more replicas.
 ///   Most loads from the store are left to the models that are on no engine.
+/// - A model becomes busy that only one or two engines have, while rare models
+///   that no engine has are requested all the time and keep the store in use.
+///   One place at the store is for models whose replicas are overloaded.
 /// - A busy model is on one engine only, which a load from the store blocks for
 ///   ten seconds. Loads from the store go to engines that hold few other
 ///   weights.
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -136,6 +136,45 @@
   CHECK(countLoads(planModels(input), "m0") == 1);
 }
 
+// 391 models on 120 engines with 12 slots: rare models that no engine has are
+// requested all the time and keep two or three places of the store in use. A
+// model on two engines got 67 requests for their 24 slots and no third replica
+// for 25 s; half of its streams paused.
+TEST_CASE("overloaded model gets a place at the store beside lost models") {
+  EngineSpec spec = smallSpec(12);
+  spec.Slots = 12;
+  std::vector<PlanEngine> engines{engine("a", {"m0"}), engine("b", {"m0"})};
+  for (PlanEngine &it : engines) {
+    it.OnDisk = {"m0"};
+    it.AcceptsOrders = false;
+  }
+  for (int i = 0; i < 2; ++i) {
+    PlanEngine loading = engine("loading-" + std::to_string(i), {});
+    loading.AcceptsOrders = false;
+    loading.Loading = "m" + std::to_string(5 + i);
+    loading.TimeUntilFree = Millis(4'000);
+    engines.push_back(loading);
+  }
+  engines.push_back(engine("c", {"m1"}));
+  engines.push_back(engine("d", {"m2"}));
+  std::map<std::string, ModelDemand> demand;
+  demand["m0"] = {20, 67, 30, 75};
+  for (int i = 5; i < 10; ++i)
+    demand["m" + std::to_string(i)] = {1, 1, 1, 12};
+  PlanInput input{spec, demand, engines, 2, 2, 10};
+  auto loads = planModels(input);
+  CHECK(countLoads(loads, "m0") == 1);
+  CHECK(loads.size() == 1); // The store serves three at full speed.
+  // It has one place only: the others are for the lost models.
+  engines[2].Loading = "m0";
+  CHECK(countLoads(planModels(input), "m0") == 0);
+  engines[2].Loading = "m5";
+  // With little load it leaves the place to them.
+  demand["m0"] = {20, 14, 0, 0};
+  CHECK(countLoads(planModels(input), "m0") == 0);
+  CHECK(planModels(input).size() == 1);
+}
+
 // On 18 engines, up to five loads from the store for busy models whose weights
 // were also on engines blocked their engines for 6 s each. Callers of rare
 // models whose weights were only on those engines waited 3 to 8 s.
