--- a/engine_agent/engine_orders.cpp
+++ b/engine_agent/engine_orders.cpp
@@ -151,11 +151,9 @@
   Known.set_weights_mb(Sizes.weights_mb());
   Known.set_adapter_slots(Sizes.adapter_slots());
   for (const wire::ModelSize &size : Sizes.models()) {
-    auto it = std::find_if(Known.mutable_models()->begin(),
-                           Known.mutable_models()->end(),
-                           [&](const wire::ModelSize &known) {
-                             return known.name() == size.name();
-                           });
+    auto it = std::find_if(
+        Known.mutable_models()->begin(), Known.mutable_models()->end(),
+        [&](const wire::ModelSize &It) { return It.name() == size.name(); });
     if (it == Known.mutable_models()->end())
       *Known.add_models() = size;
     else
--- a/engine_agent/report_targets.cpp
+++ b/engine_agent/report_targets.cpp
@@ -24,7 +24,7 @@
     for (const ZoneFront &front : it) {
       bool passesOn = std::any_of(
           relays.begin(), relays.end(),
-          [&](const ZoneFront &relay) { return relay.Name == front.Name; });
+          [&](const ZoneFront &Relay) { return Relay.Name == front.Name; });
       bool placesModels = front.Name == Placer;
       if (isDirect || passesOn || placesModels)
         out.push_back({front.Address, passesOn, placesModels});
--- a/tests/front/test_dissemination.cpp
+++ b/tests/front/test_dissemination.cpp
@@ -59,7 +59,7 @@
 
 private:
   void deliver(const std::string &From, const std::string &FromZone,
-               NodeMessages Messages);
+               const NodeMessages &Messages);
   std::map<std::string, Host *> ByAddress;
   std::set<std::string> IsCutOff;
   std::vector<uint64_t> Sequences = std::vector<uint64_t>(Engines);
@@ -92,8 +92,8 @@
 }
 
 void Fleet::deliver(const std::string &From, const std::string &FromZone,
-                    NodeMessages Messages) {
-  for (NodeMessage &it : Messages) {
+                    const NodeMessages &Messages) {
+  for (const NodeMessage &it : Messages) {
     auto target = ByAddress.find(it.Address);
     if (target == ByAddress.end())
       continue;
@@ -103,7 +103,7 @@
     if (IsCutOff.contains(From) || IsCutOff.contains(host.State.Self.name()))
       continue;
     NodeMessages out;
-    wire::Envelope &message = it.Message;
+    const wire::Envelope &message = it.Message;
     if (message.has_node_heartbeat())
       handleNodeHeartbeat(host.State, host.Gossip, host.Demand,
                           message.node_heartbeat(), Now, out);
@@ -116,7 +116,7 @@
                         message.zone_summary(), Now, out);
     else if (message.has_engine_report())
       handleEngineReport(host.State, message.engine_report(), Now, out);
-    deliver(host.State.Self.name(), host.State.Self.zone(), std::move(out));
+    deliver(host.State.Self.name(), host.State.Self.zone(), out);
   }
 }
 
@@ -133,7 +133,7 @@
   observation.set_is_draining(IsDraining);
   NodeMessages out;
   handleAnnouncement(host.State, host.Gossip, observation, Now, out);
-  deliver(host.State.Self.name(), host.State.Self.zone(), std::move(out));
+  deliver(host.State.Self.name(), host.State.Self.zone(), out);
 }
 
 void Fleet::report(size_t Engine, const std::string &Model, uint32_t Active) {
@@ -164,7 +164,7 @@
     message.mutable_engine_report()->set_pass_on(it.PassesOn);
     out.push_back({it.Address, std::move(message)});
   }
-  deliver(agent.Self.name(), agent.Self.zone(), std::move(out));
+  deliver(agent.Self.name(), agent.Self.zone(), out);
 }
 
 void Fleet::run(Millis Time) {
@@ -176,7 +176,7 @@
       NodeMessages out;
       sendHeartbeats(it->State, it->Gossip, false, 0, Now, out);
       sendZoneSummaries(it->State, it->Gossip, Now, out);
-      deliver(it->State.Self.name(), it->State.Self.zone(), std::move(out));
+      deliver(it->State.Self.name(), it->State.Self.zone(), out);
     }
     for (size_t i = 0; i < Engines; ++i) {
       if (tick % 12 == i % 12)
