Do not send a request whose caller has already left

Cause: a front acts on the close of a caller only when the event loop comes to it. A request that was read late, because the front was busy or stopped, and a request that waited for an endpoint were sent first; the event of the close came after. The class: a decision rests on what the event queue has reported so far instead of on the state at the time of the decision.

Fix: before each send, first or repeated, the relay asks the operating system whether the caller's connection is closed, and ends the request if it is. One system call for each send. callers_gone_total says at which stage a caller left.

Tests (tests/process/test_callers_that_left): "request that is read after its caller left reaches no endpoint" failed before in 6 of 6 cases, "waiting request is not sent when its caller left first" failed before as well. "failed request is not retried when its caller left first" passed before and stays as a guard.

Not shown by this commit: that this is what the users saw.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -121,7 +121,11 @@
     Core.RequestTokens(*Result.PoolQuotaRequest);
   if (auto *target = std::get_if<SendTo>(&Result.Decision)) {
     setWaiting(false);
-    send(*target);
+    // The event of the caller's close may still be queued behind others.
+    if (Exchange->hasCallerLeft())
+      abandon();
+    else
+      send(*target);
   } else if (auto *refusal = std::get_if<FrontRefusal>(&Result.Decision)) {
     setWaiting(false);
     refuse(*refusal);
@@ -433,16 +437,28 @@
           StoppingRetryAfter});
 }
 
+/// Ends a request that was about to be sent to an endpoint: its caller left.
+void Relay::abandon() {
+  Core.Counts.count("callers_gone_total", "stage=\"before_send\"");
+  Exchange->abort();
+  finish("caller_gone", StatusClientClosed);
+}
+
 void Relay::handleCallerLoss(HttpLoss Loss) {
   if (IsOver)
     return;
+  const char *stage = "stage=\"waiting\"";
   if (Call) {
+    stage = IsResponseStarted ? "stage=\"response\"" : "stage=\"sent\"";
     Call->cancel();
     Call.reset();
     recordExchangeEnd(Core.State, Request, Endpoint);
   }
   bool isGone = Loss == HttpLoss::CallerGone;
-  Core.Counts.count(isGone ? "callers_gone_total" : "slow_readers_total");
+  if (isGone)
+    Core.Counts.count("callers_gone_total", stage);
+  else
+    Core.Counts.count("slow_readers_total");
   finish(isGone ? "caller_gone" : "slow_reader", StatusClientClosed);
 }
 
--- a/front/relay.h
+++ b/front/relay.h
@@ -52,6 +52,7 @@
   void forwardResponse();
   void refuse(const FrontRefusal &Refusal);
   void abortResponse(const char *Outcome);
+  void abandon();
   void finish(const std::string &Outcome, unsigned Status);
 
   FrontCore &Core;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -111,6 +111,7 @@
     return KeepAlive && !Server->IsStopping && !Server->IsDraining;
   }
   void closeAfterResponse() { KeepAlive = false; }
+  bool hasCallerLeft(uint64_t Number);
   HttpLimits limits() const { return Server->Limits; }
 
 private:
@@ -191,6 +192,8 @@
     Owner->closeAfterResponse();
   }
 
+  bool hasCallerLeft() override { return Owner->hasCallerLeft(RequestNumber); }
+
   void abort() override {
     asio::post(Owner->context(), [owner = Owner, number = RequestNumber] {
       owner->abort(number);
@@ -393,6 +396,11 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+bool Session::hasCallerLeft(uint64_t Number) {
+  return Server->Limits.CancelsOnDisconnect && Number == RequestNumber &&
+         IsResponding && isDisconnected();
+}
+
 void Session::rejectRequest(http::status Status, const char *Reason) {
   Server->Counts.count("refusals_total",
                        "reason=\"" + std::string(Reason) + "\"");
--- a/http/server.h
+++ b/http/server.h
@@ -51,6 +51,11 @@
   /// Closes the connection once this response is complete. Call before the
   /// response starts.
   virtual void closeAfterResponse() = 0;
+  /// Asks the operating system whether the caller has disconnected. OnLoss
+  /// reports the same as soon as the I/O context handles the event, which may
+  /// be later when the process is behind. False while HttpLimits do not cancel
+  /// on disconnect. Call on the thread that runs the I/O context.
+  virtual bool hasCallerLeft() = 0;
 };
 
 /// Why an exchange ended before its response was complete.
--- /dev/null
+++ b/tests/harness/scripted_endpoint.cpp
@@ -0,0 +1,84 @@
+#include "tests/harness/scripted_endpoint.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cctype>
+#include <sstream>
+
+namespace sassafras {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+void sendText(Tcp::socket &Socket, const std::string &Text) {
+  boost::system::error_code ec;
+  asio::write(Socket, asio::buffer(Text), ec);
+}
+
+std::string headOf(const std::string &Id, const std::string &Framing,
+                   const std::string &Status) {
+  return "HTTP/1.1 " + Status + "\r\nSassafrasseam-Attempt-Id: " + Id +
+         "\r\nSassafrasseam-Response-Seal: seal\r\n" + Framing + "\r\n\r\n";
+}
+
+std::string chunkOf(const std::string &Text) {
+  std::ostringstream size;
+  size << std::hex << Text.size();
+  return size.str() + "\r\n" + Text + "\r\n";
+}
+
+ScriptedEndpoint::ScriptedEndpoint(Script Reply)
+    : Reply(std::move(Reply)),
+      Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
+      Runner([this] { run(); }) {}
+
+ScriptedEndpoint::~ScriptedEndpoint() {
+  IsStopping = true;
+  boost::system::error_code ec;
+  Tcp::socket wake(Io);
+  wake.connect(Acceptor.local_endpoint(), ec);
+  Runner.join();
+  for (std::thread &it : Connections)
+    it.join();
+}
+
+std::string ScriptedEndpoint::address() const {
+  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+void ScriptedEndpoint::run() {
+  for (;;) {
+    Tcp::socket socket(Io);
+    boost::system::error_code ec;
+    Acceptor.accept(socket, ec);
+    if (IsStopping || ec)
+      return;
+    Connections.emplace_back(
+        [this, it = std::move(socket)]() mutable { serve(it); });
+  }
+}
+
+void ScriptedEndpoint::serve(Tcp::socket &Socket) {
+  std::string buf;
+  boost::system::error_code ec;
+  while (!IsStopping && Socket.is_open()) {
+    size_t n =
+        asio::read_until(Socket, asio::dynamic_buffer(buf), "\r\n\r\n", ec);
+    if (ec)
+      return;
+    const std::string key = "attempt-id: ";
+    std::string head = buf.substr(0, n);
+    buf.erase(0, n);
+    for (char &it : head)
+      it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
+    size_t at = head.find(key);
+    ++Requests;
+    Reply(Socket, at == std::string::npos
+                      ? ""
+                      : head.substr(at + key.size(),
+                                    head.find('\r', at) - at - key.size()));
+  }
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/tests/harness/scripted_endpoint.h
@@ -0,0 +1,59 @@
+/// \file
+/// Endpoint whose behaviour on the connection is a script of raw bytes.
+#ifndef SASSAFRAS_TESTS_HARNESS_SCRIPTED_ENDPOINT_H
+#define SASSAFRAS_TESTS_HARNESS_SCRIPTED_ENDPOINT_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sassafras {
+
+/// Writes \p Text; errors are ignored, as the peer may have closed.
+void sendText(boost::asio::ip::tcp::socket &Socket, const std::string &Text);
+/// Head of a sealed response to the request \p Id.
+std::string headOf(const std::string &Id, const std::string &Framing,
+                   const std::string &Status = "200 OK");
+/// \p Text as one chunk of a chunked body.
+std::string chunkOf(const std::string &Text);
+
+/// Accepts connections and runs its script for every request, with one thread
+/// for each connection.
+class ScriptedEndpoint {
+public:
+  /// What the endpoint does on a connection after each request on it.
+  using Script = std::function<void(boost::asio::ip::tcp::socket &,
+                                    const std::string &Id)>;
+
+  explicit ScriptedEndpoint(Script Reply);
+  /// Waits for the scripts that are running.
+  ~ScriptedEndpoint();
+  ScriptedEndpoint(const ScriptedEndpoint &) = delete;
+  ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
+
+  /// Address and port on loopback. Thread safe.
+  std::string address() const;
+  /// Number of requests received. Thread safe.
+  size_t countRequests() const { return Requests; }
+
+private:
+  void run();
+  void serve(boost::asio::ip::tcp::socket &Socket);
+
+  boost::asio::io_context Io;
+  Script Reply;
+  std::atomic<size_t> Requests{0};
+  std::atomic<bool> IsStopping{false};
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::thread> Connections;
+  std::thread Runner;
+};
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/tests/harness/tested_front.cpp
@@ -0,0 +1,182 @@
+#include "tests/harness/tested_front.h"
+
+#include "front/relay.h"
+#include "http/address.h"
+#include "platform/caller_codec.h"
+#include "tests/harness/scripted_endpoint.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+
+#include <future>
+#include <stdexcept>
+
+namespace sassafras {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Waiting requests are dispatched again at this interval.
+constexpr Millis DispatchPeriod{20};
+
+ServingTablePtr makeTable() {
+  auto table = std::make_shared<ServingTable>();
+  table->Version = 1;
+  table->Services["desk"].Name = "desk";
+  auto add = [&](const char *Name, RequestKind Kind, uint32_t MaxAttempts) {
+    ServingRoute route;
+    route.Name = Name;
+    route.Host = "h";
+    route.PathPrefix = std::string("/") + Name + "/";
+    route.Kind = Kind;
+    route.Timeout = CallerDeadline;
+    route.Objective = Millis(300);
+    route.MaxAttempts = MaxAttempts;
+    route.Services = {{"desk", 1}};
+    table->Routes.push_back(route);
+  };
+  add("stream", RequestKind::Streaming, 1);
+  add("once", RequestKind::NonIdempotent, 1);
+  add("many", RequestKind::Idempotent, 3);
+  indexServingTable(*table);
+  return table;
+}
+
+} // namespace
+
+TestedFront::TestedFront(const std::string &Endpoint)
+    : Core(
+          Io, Counts, [](const NodeMessages &) {},
+          [](const wire::RowDemand &) {}, [](const wire::QuotaRequest &) {}) {
+  Core.State.Self.set_name("front");
+  Core.State.Self.set_zone("a");
+  Core.State.Table = makeTable();
+  Core.State.EndpointDiscoveryEnd = Clock::now() + Millis(1'000);
+  if (!Endpoint.empty())
+    addEndpoint(Endpoint);
+  HttpServer::Handlers handlers;
+  handlers.OnRequest = [this](HttpRequest Request,
+                              const std::shared_ptr<HttpExchange> &Exchange) {
+    handleRequest(std::move(Request), Exchange);
+  };
+  handlers.OnLoss = [this](const HttpExchange *Exchange, HttpLoss Loss) {
+    auto number = Core.ByExchange.find(Exchange);
+    if (number != Core.ByExchange.end())
+      std::shared_ptr<Relay>(Core.Relays.at(number->second))
+          ->handleCallerLoss(Loss);
+  };
+  HttpLimits limits;
+  limits.CancelsOnDisconnect = true;
+  Server = std::make_unique<HttpServer>(Io, "127.0.0.1:0", limits, Counts,
+                                        std::move(handlers));
+  std::string problem;
+  if (!Server->start(problem))
+    throw std::runtime_error("no server: " + problem);
+  scheduleDispatch();
+  Runner = std::thread([this] { Io.run(); });
+}
+
+TestedFront::~TestedFront() {
+  Io.stop();
+  Runner.join();
+}
+
+Tcp::socket TestedFront::connect() {
+  auto address = parseAddress(Server->address());
+  Tcp::socket socket(CallerIo);
+  socket.connect({asio::ip::make_address(address->Ip), address->Port});
+  return socket;
+}
+
+std::string TestedFront::requestText(const std::string &Route,
+                                     const std::string &Id) {
+  return "GET /" + Route + "/x HTTP/1.1\r\nHost: h\r\n" +
+         "Sassafrasseam-Attempt-Id: " + Id + "\r\n\r\n";
+}
+
+std::string TestedFront::call(const std::string &Route, const std::string &Id) {
+  Tcp::socket socket = connect();
+  std::string text = requestText(Route, Id);
+  text.insert(text.size() - 2, "Connection: close\r\n");
+  sendText(socket, text);
+  std::string response;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(response), ec);
+  return response;
+}
+
+void TestedFront::occupy(const std::function<void()> &Act) {
+  std::promise<void> done;
+  asio::post(Io, [&] {
+    Act();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void TestedFront::addEndpoint(const std::string &Endpoint) {
+  wire::EndpointObservation endpoint;
+  endpoint.set_id("i-1");
+  endpoint.set_service("desk");
+  endpoint.set_address(Endpoint);
+  endpoint.set_zone("a");
+  endpoint.set_born_ms(1);
+  endpoint.set_sequence(1);
+  endpoint.set_slots(8);
+  applyObservation(Core.State.Directory, endpoint, Clock::now());
+  dispatchWaiting();
+}
+
+void TestedFront::removeEndpoint() { Core.State.Directory = {}; }
+
+void TestedFront::handleRequest(HttpRequest Request,
+                                const std::shared_ptr<HttpExchange> &Exchange) {
+  platform::CallerFields fields = platform::extractCallerFields(Request);
+  RequestAttributes attributes;
+  attributes.Id = fields.RequestId;
+  attributes.Method = Request.Method;
+  attributes.Host = fields.Host;
+  attributes.Path = Request.Target;
+  auto admitted = admitRequest(Core.State, attributes, Clock::now());
+  auto &request = std::get<FrontRequest>(admitted);
+  request.Number = Core.NextNumber++;
+  std::make_shared<Relay>(Core, std::move(request), std::move(Request),
+                          Exchange)
+      ->start();
+}
+
+void TestedFront::dispatchWaiting() {
+  auto relays = Core.Relays;
+  for (const auto &[number, it] : relays)
+    it->dispatch();
+}
+
+void TestedFront::scheduleDispatch() {
+  dispatchWaiting();
+  Timer.expires_after(DispatchPeriod);
+  Timer.async_wait([this](auto ec) {
+    if (!ec)
+      scheduleDispatch();
+  });
+}
+
+bool has(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+bool isCompleteSuccess(const std::string &Response) {
+  if (!Response.starts_with("HTTP/1.1 200"))
+    return false;
+  // A chunked response is complete only with its last chunk.
+  if (has(Response, "chunked"))
+    return Response.ends_with("0\r\n\r\n");
+  size_t at = Response.find("Content-Length: ");
+  size_t body = Response.find("\r\n\r\n");
+  return at != std::string::npos &&
+         Response.size() - body - 4 == std::stoul(Response.substr(at + 16));
+}
+
+} // namespace sassafras
--- /dev/null
+++ b/tests/process/test_callers_that_left.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// Callers that close their connection before they have their response: no
+/// endpoint receives their request afterwards, and none goes on working on it.
+#include "tests/harness/scripted_endpoint.h"
+#include "tests/harness/tested_front.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace sassafras;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Time in which the front notices anything that is already at its host.
+constexpr Millis NoticeTime{300};
+
+void answer(Tcp::socket &Socket, const std::string &Id) {
+  sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
+}
+
+void waitUntil(const std::function<bool()> &IsDone) {
+  for (int i = 0; i < 2'000 && !IsDone(); ++i)
+    std::this_thread::sleep_for(Millis(1));
+  REQUIRE(IsDone());
+}
+
+enum class Leave { Close, Reset };
+
+void leave(Tcp::socket &Socket, Leave How) {
+  boost::system::error_code ec;
+  if (How == Leave::Reset)
+    Socket.set_option(asio::socket_base::linger(true, 0), ec);
+  Socket.close(ec);
+}
+
+} // namespace
+
+TEST_CASE("request that is read after its caller left reaches no endpoint") {
+  ScriptedEndpoint endpoint(answer);
+  TestedFront front(endpoint.address());
+  REQUIRE(isCompleteSuccess(front.call("many", "1")));
+  size_t before = endpoint.countRequests();
+  for (const char *route : {"once", "many", "stream"})
+    for (Leave how : {Leave::Close, Leave::Reset}) {
+      INFO(route);
+      front.occupy([&] {
+        Tcp::socket caller = front.connect();
+        sendText(caller, TestedFront::requestText(route, "2"));
+        leave(caller, how);
+      });
+      std::this_thread::sleep_for(NoticeTime);
+      CHECK(endpoint.countRequests() == before);
+    }
+  CHECK(isCompleteSuccess(front.call("once", "3")));
+}
+
+TEST_CASE("waiting request is not sent when its caller left first") {
+  ScriptedEndpoint endpoint(answer);
+  TestedFront front(endpoint.address());
+  // Leaves a connection to the endpoint on which a request is sent at once.
+  REQUIRE(isCompleteSuccess(front.call("many", "1")));
+  front.occupy([&] { front.removeEndpoint(); });
+  Tcp::socket caller = front.connect();
+  sendText(caller, TestedFront::requestText("many", "2"));
+  std::this_thread::sleep_for(NoticeTime);
+  front.occupy([&] {
+    leave(caller, Leave::Close);
+    front.addEndpoint(endpoint.address());
+  });
+  std::this_thread::sleep_for(NoticeTime);
+  CHECK(endpoint.countRequests() == 1);
+  CHECK(isCompleteSuccess(front.call("many", "3")));
+}
+
+TEST_CASE("failed request is not retried when its caller left first") {
+  std::atomic<size_t> warm{0};
+  std::atomic<bool> mayFail{false};
+  std::atomic<bool> hasFailed{false};
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    if (Id != "failing") {
+      ++warm;
+      waitUntil([&] { return warm == 2; });
+      answer(Socket, Id);
+      return;
+    }
+    waitUntil([&] { return mayFail.load(); });
+    Socket.close();
+    hasFailed = true;
+  });
+  TestedFront front(endpoint.address());
+  // Leaves two connections to the endpoint, so that the retry is sent at once.
+  std::thread other([&] { front.call("many", "1"); });
+  front.call("many", "2");
+  other.join();
+  Tcp::socket caller = front.connect();
+  sendText(caller, TestedFront::requestText("many", "failing"));
+  waitUntil([&] { return endpoint.countRequests() == 3; });
+  front.occupy([&] {
+    mayFail = true;
+    waitUntil([&] { return hasFailed.load(); });
+    leave(caller, Leave::Close);
+  });
+  std::this_thread::sleep_for(NoticeTime);
+  CHECK(endpoint.countRequests() == 3);
+}
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -1,19 +1,11 @@
 /// \file
 /// What callers get when an endpoint misbehaves on the connection: late second
 /// answers, answers that break off, bytes without end, slow and stalled
-/// streams. A front serves real connections in this process; the endpoint is a
-/// script of raw bytes.
-#include "core/metrics.h"
-#include "front/front_core.h"
-#include "front/relay.h"
-#include "http/address.h"
-#include "platform/caller_codec.h"
+/// streams.
+#include "http/client.h"
+#include "tests/harness/scripted_endpoint.h"
+#include "tests/harness/tested_front.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -27,235 +19,9 @@
 
 namespace {
 
-constexpr Millis CallerDeadline{3'000};
 /// An endpoint that sends bytes without end is cut off after this many. Most of
 /// them are in the kernel's buffers of both sides.
 constexpr size_t EndlessBytesLimit = 16'000'000;
-/// Waiting requests are dispatched again at this interval.
-constexpr Millis DispatchPeriod{20};
-
-/// What the endpoint does on one connection, after each request on it.
-using Script = std::function<void(Tcp::socket &, const std::string &Id)>;
-
-void sendText(Tcp::socket &Socket, const std::string &Text) {
-  boost::system::error_code ec;
-  asio::write(Socket, asio::buffer(Text), ec);
-}
-
-std::string headOf(const std::string &Id, const std::string &Framing,
-                   const std::string &Status = "200 OK") {
-  return "HTTP/1.1 " + Status + "\r\nSassafrasseam-Attempt-Id: " + Id +
-         "\r\nSassafrasseam-Response-Seal: seal\r\n" + Framing + "\r\n\r\n";
-}
-
-std::string chunkOf(const std::string &Text) {
-  std::ostringstream size;
-  size << std::hex << Text.size();
-  return size.str() + "\r\n" + Text + "\r\n";
-}
-
-/// Endpoint that accepts connections one after the other and runs its script
-/// for every request.
-class ScriptedEndpoint {
-public:
-  explicit ScriptedEndpoint(Script Reply)
-      : Reply(std::move(Reply)),
-        Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
-        Runner([this] { run(); }) {}
-  ~ScriptedEndpoint() {
-    IsStopping = true;
-    boost::system::error_code ec;
-    Tcp::socket wake(Io);
-    wake.connect(Acceptor.local_endpoint(), ec);
-    Runner.join();
-    for (std::thread &it : Connections)
-      it.join();
-  }
-  ScriptedEndpoint(const ScriptedEndpoint &) = delete;
-  ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
-  }
-  std::atomic<size_t> Requests{0};
-  std::atomic<bool> IsStopping{false};
-
-private:
-  void run() {
-    for (;;) {
-      Tcp::socket socket(Io);
-      boost::system::error_code ec;
-      Acceptor.accept(socket, ec);
-      if (IsStopping || ec)
-        return;
-      Connections.emplace_back(
-          [this, it = std::move(socket)]() mutable { serve(it); });
-    }
-  }
-
-  void serve(Tcp::socket &Socket) {
-    std::string buf;
-    boost::system::error_code ec;
-    while (!IsStopping && Socket.is_open()) {
-      size_t n =
-          asio::read_until(Socket, asio::dynamic_buffer(buf), "\r\n\r\n", ec);
-      if (ec)
-        return;
-      const std::string key = "attempt-id: ";
-      std::string head = buf.substr(0, n);
-      buf.erase(0, n);
-      for (char &it : head)
-        it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
-      size_t at = head.find(key);
-      ++Requests;
-      Reply(Socket, at == std::string::npos
-                        ? ""
-                        : head.substr(at + key.size(),
-                                      head.find('\r', at) - at - key.size()));
-    }
-  }
-
-  asio::io_context Io;
-  Script Reply;
-  Tcp::acceptor Acceptor;
-  std::vector<std::thread> Connections;
-  std::thread Runner;
-};
-
-ServingTablePtr makeTable() {
-  auto table = std::make_shared<ServingTable>();
-  table->Version = 1;
-  table->Services["desk"].Name = "desk";
-  auto add = [&](const char *Name, RequestKind Kind, uint32_t MaxAttempts) {
-    ServingRoute route;
-    route.Name = Name;
-    route.Host = "h";
-    route.PathPrefix = std::string("/") + Name + "/";
-    route.Kind = Kind;
-    route.Timeout = CallerDeadline;
-    route.Objective = Millis(300);
-    route.MaxAttempts = MaxAttempts;
-    route.Services = {{"desk", 1}};
-    table->Routes.push_back(route);
-  };
-  add("stream", RequestKind::Streaming, 1);
-  add("once", RequestKind::NonIdempotent, 1);
-  indexServingTable(*table);
-  return table;
-}
-
-/// A front that knows one endpoint.
-class TestedFront {
-public:
-  explicit TestedFront(const std::string &Endpoint)
-      : Core(
-            Io, Counts, [](const NodeMessages &) {},
-            [](const wire::RowDemand &) {}, [](const wire::QuotaRequest &) {}) {
-    Core.State.Self.set_name("front");
-    Core.State.Self.set_zone("a");
-    Core.State.Table = makeTable();
-    wire::EndpointObservation endpoint;
-    endpoint.set_id("i-1");
-    endpoint.set_service("desk");
-    endpoint.set_address(Endpoint);
-    endpoint.set_zone("a");
-    endpoint.set_born_ms(1);
-    endpoint.set_sequence(1);
-    endpoint.set_slots(8);
-    applyObservation(Core.State.Directory, endpoint, Clock::now());
-    HttpServer::Handlers handlers;
-    handlers.OnRequest = [this](HttpRequest Request,
-                                const std::shared_ptr<HttpExchange> &Exchange) {
-      handleRequest(std::move(Request), Exchange);
-    };
-    handlers.OnLoss = [this](const HttpExchange *Exchange, HttpLoss Loss) {
-      auto number = Core.ByExchange.find(Exchange);
-      if (number != Core.ByExchange.end())
-        std::shared_ptr<Relay>(Core.Relays.at(number->second))
-            ->handleCallerLoss(Loss);
-    };
-    HttpLimits limits;
-    limits.CancelsOnDisconnect = true;
-    Server = std::make_unique<HttpServer>(Io, "127.0.0.1:0", limits, Counts,
-                                          std::move(handlers));
-    std::string problem;
-    REQUIRE(Server->start(problem));
-    dispatchWaiting();
-    Runner = std::thread([this] { Io.run(); });
-  }
-  ~TestedFront() {
-    Io.stop();
-    Runner.join();
-  }
-  TestedFront(const TestedFront &) = delete;
-  TestedFront &operator=(const TestedFront &) = delete;
-
-  /// Sends a request and returns all bytes until the connection ends.
-  std::string call(const std::string &Route, const std::string &Id) {
-    auto address = parseAddress(Server->address());
-    asio::io_context io;
-    Tcp::socket socket(io);
-    socket.connect({asio::ip::make_address(address->Ip), address->Port});
-    sendText(socket, "GET /" + Route + "/x HTTP/1.1\r\nHost: h\r\n" +
-                         "Connection: close\r\nSassafrasseam-Attempt-Id: " +
-                         Id + "\r\n\r\n");
-    std::string response;
-    boost::system::error_code ec;
-    asio::read(socket, asio::dynamic_buffer(response), ec);
-    return response;
-  }
-
-private:
-  void handleRequest(HttpRequest Request,
-                     const std::shared_ptr<HttpExchange> &Exchange) {
-    platform::CallerFields fields = platform::extractCallerFields(Request);
-    RequestAttributes attributes;
-    attributes.Id = fields.RequestId;
-    attributes.Method = Request.Method;
-    attributes.Host = fields.Host;
-    attributes.Path = Request.Target;
-    auto admitted = admitRequest(Core.State, attributes, Clock::now());
-    auto &request = std::get<FrontRequest>(admitted);
-    request.Number = Core.NextNumber++;
-    std::make_shared<Relay>(Core, std::move(request), std::move(Request),
-                            Exchange)
-        ->start();
-  }
-
-  void dispatchWaiting() {
-    auto relays = Core.Relays;
-    for (const auto &[number, it] : relays)
-      it->dispatch();
-    Timer.expires_after(DispatchPeriod);
-    Timer.async_wait([this](auto ec) {
-      if (!ec)
-        dispatchWaiting();
-    });
-  }
-
-  asio::io_context Io;
-  Metrics Counts;
-  asio::steady_timer Timer{Io};
-  FrontCore Core;
-  std::unique_ptr<HttpServer> Server;
-  std::thread Runner;
-};
-
-bool has(const std::string &Text, const std::string &Part) {
-  return Text.find(Part) != std::string::npos;
-}
-
-/// A caller takes a chunked response for complete only with its last chunk.
-bool isCompleteSuccess(const std::string &Response) {
-  if (!Response.starts_with("HTTP/1.1 200"))
-    return false;
-  if (has(Response, "chunked"))
-    return Response.ends_with("0\r\n\r\n");
-  size_t at = Response.find("Content-Length: ");
-  size_t body = Response.find("\r\n\r\n");
-  return at != std::string::npos &&
-         Response.size() - body - 4 == std::stoul(Response.substr(at + 16));
-}
 
 } // namespace
 
@@ -364,8 +130,9 @@
     CHECK(Clock::now() - start < CallerDeadline);
     CHECK_FALSE(isCompleteSuccess(response));
     std::this_thread::sleep_for(Millis(100));
-    CHECK(cutOff == endpoint.Requests);
-    CHECK(sent / std::max<size_t>(endpoint.Requests, 1) < EndlessBytesLimit);
+    CHECK(cutOff == endpoint.countRequests());
+    CHECK(sent / std::max<size_t>(endpoint.countRequests(), 1) <
+          EndlessBytesLimit);
     isOver = true;
   }
 }
