Watch callers from the first request of a front on

Cause: a disconnect ends an exchange only if the limits of the server say so, and the front set that with its first table. Requests that are held until then (front/early_requests) were never watched, also not after they had been sent on. The function that drops an early request of a lost caller was never called.

Fix: the limits of the callers' server come from one function, with and without a table (front/caller_limits). callers_gone_total has the stage "early".

--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -5,6 +5,7 @@
 #include "core/hash.h"
 #include "core/logging.h"
 #include "core/metrics.h"
+#include "front/caller_limits.h"
 #include "front/early_requests.h"
 #include "front/fleet_api.h"
 #include "front/front_core.h"
@@ -213,7 +214,7 @@
   fleetHandlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpLimits fleetLimits;
   fleetLimits.BodyBytes = MaxFleetBodyBytes;
-  return startServer(CallerServer, Options.Http, HttpLimits(),
+  return startServer(CallerServer, Options.Http, makeCallerLimits(nullptr),
                      std::move(callerHandlers), Problem) &&
          startServer(ReadyServer, Options.FrontRole.Ready, HttpLimits(),
                      fleetHandlers, Problem) &&
@@ -332,8 +333,10 @@
 }
 
 void FrontShell::handleLoss(const HttpExchange *Exchange, HttpLoss Loss) {
-  if (dropEarlyRequest(HeldRequests, Exchange))
+  if (dropEarlyRequest(HeldRequests, Exchange)) {
+    Counts.count("callers_gone_total", "stage=\"early\"");
     return;
+  }
   auto number = Core.ByExchange.find(Exchange);
   if (number == Core.ByExchange.end())
     return;
@@ -475,13 +478,7 @@
   uint64_t before = state.Table ? state.Table->Version : 0;
   state.Table = table;
   state.TableContent = Content;
-  HttpLimits limits;
-  limits.HeadBytes = table->Limits.HeadBytes;
-  limits.BodyBytes = table->Limits.BodyBytes;
-  limits.HeadTimeout = table->Limits.HeadTime;
-  limits.IdleTimeout = table->Limits.IdleTime;
-  limits.CancelsOnDisconnect = true;
-  CallerServer->setLimits(limits);
+  CallerServer->setLimits(makeCallerLimits(table.get()));
   logEvent(LogLevel::Info, "table_in_force",
            {{"version", std::to_string(Version)},
             {"before", std::to_string(before)},
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -1,5 +1,6 @@
 #include "tests/harness/tested_front.h"
 
+#include "front/caller_limits.h"
 #include "front/relay.h"
 #include "http/address.h"
 #include "platform/caller_codec.h"
@@ -68,10 +69,9 @@
       std::shared_ptr<Relay>(Core.Relays.at(number->second))
           ->handleCallerLoss(Loss);
   };
-  HttpLimits limits;
-  limits.CancelsOnDisconnect = true;
-  Server = std::make_unique<HttpServer>(Io, "127.0.0.1:0", limits, Counts,
-                                        std::move(handlers));
+  Server =
+      std::make_unique<HttpServer>(Io, "127.0.0.1:0", makeCallerLimits(nullptr),
+                                   Counts, std::move(handlers));
   std::string problem;
   if (!Server->start(problem))
     throw std::runtime_error("no server: " + problem);
--- a/tests/process/test_callers_that_left.cpp
+++ b/tests/process/test_callers_that_left.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Callers that close their connection before they have their response: no
 /// endpoint receives their request afterwards, and none goes on working on it.
+#include "front/caller_limits.h"
 #include "tests/harness/scripted_endpoint.h"
 #include "tests/harness/tested_front.h"
 
@@ -192,3 +193,11 @@
     responses.erase(0, n);
   }
 }
+
+TEST_CASE("caller that leaves before the front has a table is seen to leave") {
+  CHECK(makeCallerLimits(nullptr).CancelsOnDisconnect);
+  ServingTable table;
+  table.Limits.BodyBytes = 1'234;
+  CHECK(makeCallerLimits(&table).CancelsOnDisconnect);
+  CHECK(makeCallerLimits(&table).BodyBytes == 1'234);
+}
