Refuse requests with a part that crashes endpoints

Cause: a crash was held against the endpoint only; no front remembered which requests had begun there, and no two of them are alike, so a rule by whole request can not see it.

Fix: each crash accuses the parts, and the request itself, of what had just begun there. Accusations go to all fronts, through relays; three separate crashes without a request that ran well in between quarantine a part (four if one ran well within a minute). Crashes that are explained do not count against parts known to be sound. The quarantine ends after 30 s, 60 s and so on, or once a request runs well. Fronts that missed the notices learn it from heartbeats. Reason crashes_endpoints, 503 with its end as Retry-After, 502 if the request ran.

Tests: "requests with a part that crashes endpoints stop reaching them" (replays of eight loads, 20 seeds each) and "only requests with a part that crashes endpoints are refused" (real connections) fail with the quarantine not asked for: 159 and 4 checks. "crashes with other causes refuse no sound requests" guards the other side.

Ruled out: a front that decides alone (the first five crashes were seen at different fronts); a record by whole request.

--- a/core/reason.cpp
+++ b/core/reason.cpp
@@ -34,6 +34,7 @@
     {RefusalReason::TimeoutWaiting, "timeout_waiting", 503, true},
     {RefusalReason::TimeoutRunning, "timeout_running", 504, true},
     {RefusalReason::RetriesExhausted, "retries_exhausted", 503, true},
+    {RefusalReason::CrashesEndpoints, "crashes_endpoints", 503, true},
 };
 
 const RefusalTraits &traitsOf(RefusalReason Reason) {
--- a/core/reason.h
+++ b/core/reason.h
@@ -32,6 +32,7 @@
   TimeoutWaiting,
   TimeoutRunning,
   RetriesExhausted,
+  CrashesEndpoints,
 };
 
 /// All reasons, in declaration order.
@@ -47,6 +48,7 @@
     RefusalReason::AnswerIncomplete, RefusalReason::SlowReader,
     RefusalReason::TableUnknown,     RefusalReason::TimeoutWaiting,
     RefusalReason::TimeoutRunning,   RefusalReason::RetriesExhausted,
+    RefusalReason::CrashesEndpoints,
 };
 
 /// Stable name of \p Reason, as used in response bodies, metrics and docs.
--- a/front/admission.cpp
+++ b/front/admission.cpp
@@ -1,5 +1,7 @@
 #include "front/admission.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -58,6 +60,18 @@
   return static_cast<double>(Attributes.PromptTokens + Attributes.OutputTokens);
 }
 
+RequestFeatures featuresOf(const RequestAttributes &Attributes) {
+  RequestFeatures out;
+  for (const std::string &it : Attributes.SharedParts)
+    out.Parts.push_back("part/" + it);
+  out.Digest = "request/" +
+               std::to_string(
+                   checksumOf(Attributes.Method + ' ' + Attributes.Host + ' ' +
+                              Attributes.Path + ' ' + Attributes.Key + ' ' +
+                              Attributes.Model + ' ' + Attributes.BodyDigest));
+  return out;
+}
+
 void setDeadlines(FrontRequest &Request, TimePoint Now) {
   const ServingRoute &route = *Request.Route;
   Millis left = Request.Attributes.TimeLeft
@@ -113,6 +127,7 @@
       (route->Kind == RequestKind::Streaming && route->IsResumable);
   out.Worth = worthOf(*route, Attributes);
   out.LastEvent = Attributes.LastEvent;
+  out.Features = featuresOf(Attributes);
   out.Attributes = std::move(Attributes);
   setDeadlines(out, Now);
   return out;
--- a/front/admission.h
+++ b/front/admission.h
@@ -27,6 +27,8 @@
   uint64_t PromptTokens = 0;
   uint64_t OutputTokens = 0;
   std::string PromptHead;
+  std::vector<std::string> SharedParts; ///< Of the prompt.
+  std::string BodyDigest;
   std::optional<uint64_t> LastEvent;
 };
 
@@ -38,8 +40,9 @@
   const ServingRoute *Route = nullptr;
   std::string Service;
   std::string Organisation; ///< Empty on open routes without a key.
-  uint32_t Urgency = 5;     ///< 0 is the most urgent, 9 the least.
-  double Cost = 0;          ///< Charged to the organisation's quota.
+  RequestFeatures Features;
+  uint32_t Urgency = 5; ///< 0 is the most urgent, 9 the least.
+  double Cost = 0;      ///< Charged to the organisation's quota.
   double Worth = 1; ///< Weight against other requests for limited resources.
   bool IsRepeatable = false;
   bool IsCharged = false;
--- /dev/null
+++ b/front/crash_notices.cpp
@@ -0,0 +1,161 @@
+#include "front/crash_notices.h"
+
+#include "core/logging.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+/// More accusations in one notice are left out: an event that breaks so many
+/// requests has another cause.
+constexpr size_t MaxPendingAccusations = 256;
+
+void logQuarantine(const std::string &Feature, const char *Source,
+                   const std::string &Endpoint) {
+  logEvent(LogLevel::Warning, "feature_quarantined",
+           {{"feature", Feature}, {"source", Source}, {"endpoint", Endpoint}});
+}
+
+void accuse(FrontState &State,
+            const PendingCrashNotices::Accusation &Accusation, TimePoint Now) {
+  AccusationEffect effect = recordAccusation(
+      State.Quarantine, Accusation.Features, Accusation.Crash, Now);
+  for (const std::string &it : effect.Quarantined)
+    logQuarantine(it, "crashes", Accusation.Crash.Endpoint);
+  State.CrashNotices.Cleared.merge(effect.Disputed);
+}
+
+uint64_t ageOf(TimePoint At, TimePoint Now) {
+  return static_cast<uint64_t>(toMillis(Now - At));
+}
+
+/// A time span from another front; longer ones have no meaning.
+Millis limited(uint64_t Milliseconds) {
+  return std::min(Millis(static_cast<uint32_t>(
+                      std::min<uint64_t>(Milliseconds, UINT32_MAX))),
+                  LongestQuarantine);
+}
+
+TimePoint agoOf(uint64_t Milliseconds, TimePoint Now) {
+  return Now - limited(Milliseconds);
+}
+
+std::string join(const std::vector<std::string> &Names) {
+  std::string out;
+  for (const std::string &it : Names)
+    out += (out.empty() ? "" : ",") + it;
+  return out;
+}
+
+} // namespace
+
+void recordBrokenRun(FrontState &State, const FrontRequest &Request,
+                     const EndpointRun &Run, TimePoint Now) {
+  if (Run.AnsweredAt != TimePoint() && Now - Run.AnsweredAt >= ProvenRunTime)
+    return;
+  std::vector<std::string> accused =
+      selectAccused(State.Quarantine, Request.Service, Request.Features, Now);
+  if (accused.empty())
+    return;
+  logEvent(LogLevel::Info, "crash_suspected",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Run.Endpoint},
+            {"features", join(accused)}});
+  PendingCrashNotices::Accusation accusation{
+      std::move(accused), {Run.Endpoint, Now, Run.AnsweredAt}};
+  accuse(State, accusation, Now);
+  if (State.CrashNotices.Accusations.size() < MaxPendingAccusations)
+    State.CrashNotices.Accusations.push_back(std::move(accusation));
+}
+
+void recordProvenRun(FrontState &State, const FrontRequest &Request,
+                     const EndpointRun &Run, TimePoint Now) {
+  for (const std::string &it :
+       recordProof(State.Quarantine, Request.Service, Request.Features,
+                   Run.AnsweredAt, Now))
+    State.CrashNotices.Cleared[it] = Run.AnsweredAt;
+}
+
+std::optional<FrontRefusal> checkQuarantine(const FrontState &State,
+                                            const FrontRequest &Request,
+                                            TimePoint Now) {
+  auto found = findQuarantined(State.Quarantine, Request.Features, Now);
+  if (!found)
+    return std::nullopt;
+  return FrontRefusal{RefusalReason::CrashesEndpoints,
+                      std::chrono::ceil<Millis>(found->second - Now)};
+}
+
+void flushCrashNotices(FrontState &State, TimePoint Now, NodeMessages &Out) {
+  PendingCrashNotices &pending = State.CrashNotices;
+  if (pending.Accusations.empty() && pending.Cleared.empty())
+    return;
+  wire::Envelope message;
+  wire::CrashNotice &notice = *message.mutable_crash_notice();
+  for (const auto &it : pending.Accusations) {
+    wire::CrashAccusation &accusation = *notice.add_accusations();
+    accusation.mutable_features()->Add(it.Features.begin(), it.Features.end());
+    accusation.set_endpoint(it.Crash.Endpoint);
+    accusation.set_crash_age_ms(ageOf(it.Crash.At, Now));
+    if (it.Crash.AnsweredAt != TimePoint())
+      accusation.set_answered_age_ms(ageOf(it.Crash.AnsweredAt, Now));
+  }
+  for (const auto &[feature, begunAt] : pending.Cleared) {
+    wire::ProvenFeature &cleared = *notice.add_cleared();
+    cleared.set_feature(feature);
+    cleared.set_age_ms(ageOf(begunAt, Now));
+  }
+  pending = {};
+  wire::Envelope relayed = message;
+  relayed.mutable_crash_notice()->set_pass_on(true);
+  broadcast(State, message, relayed, State.Self.name(), Now, Out);
+}
+
+void handleCrashNotice(FrontState &State, const wire::CrashNotice &Notice,
+                       TimePoint Now, NodeMessages &Out) {
+  for (const wire::CrashAccusation &it : Notice.accusations()) {
+    CrashAccusation crash{it.endpoint(), agoOf(it.crash_age_ms(), Now),
+                          TimePoint()};
+    if (it.answered_age_ms() > 0)
+      crash.AnsweredAt = agoOf(it.answered_age_ms(), Now);
+    accuse(State,
+           {{it.features().begin(), it.features().end()}, std::move(crash)},
+           Now);
+  }
+  for (const wire::ProvenFeature &it : Notice.cleared())
+    clearFeature(State.Quarantine, it.feature(), agoOf(it.age_ms(), Now), Now);
+  for (const wire::QuarantinedFeature &it : Notice.quarantined()) {
+    QuarantineAdoption adoption =
+        adoptQuarantine(State.Quarantine,
+                        {it.feature(), agoOf(it.age_ms(), Now),
+                         Now + limited(it.left_ms()), it.quarantines()},
+                        Now);
+    if (adoption == QuarantineAdoption::Adopted)
+      logQuarantine(it.feature(), "front", "");
+    else if (adoption == QuarantineAdoption::Disproved)
+      State.CrashNotices.Cleared[it.feature()] =
+          State.Quarantine.Features.at(it.feature()).ProvenAt;
+  }
+  if (!Notice.pass_on())
+    return;
+  wire::Envelope message;
+  *message.mutable_crash_notice() = Notice;
+  message.mutable_crash_notice()->set_pass_on(false);
+  sendWithinZone(State, message, Now, Out);
+}
+
+wire::CrashNotice makeQuarantineNotice(const FrontState &State, TimePoint Now) {
+  wire::CrashNotice out;
+  for (const KnownQuarantine &it : listQuarantined(State.Quarantine, Now)) {
+    wire::QuarantinedFeature &feature = *out.add_quarantined();
+    feature.set_feature(it.Feature);
+    feature.set_age_ms(ageOf(it.QuarantinedAt, Now));
+    feature.set_left_ms(ageOf(Now, it.Until));
+    feature.set_quarantines(it.Quarantines);
+  }
+  return out;
+}
+
+} // namespace sassafras
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "core/logging.h"
+#include "front/crash_notices.h"
 
 #include <algorithm>
 
@@ -456,6 +457,10 @@
                      {}};
     return out;
   }
+  if (auto refusal = checkQuarantine(State, Request, Now)) {
+    out.Decision = *refusal;
+    return out;
+  }
   if (auto decision = chargeQuota(State, Request, Now, out.PoolQuotaRequest)) {
     out.Decision = *decision;
     return out;
@@ -616,7 +621,8 @@
   bool hasAttempts =
       Request.Runs < std::max<uint32_t>(Request.Route->MaxAttempts, 1);
   if (!mayRetry || !hasAttempts || Request.Sends >= MaxSends ||
-      isPast(Request.Deadline, Now) || (State.IsStopping && HasResponse))
+      isPast(Request.Deadline, Now) || (State.IsStopping && HasResponse) ||
+      checkQuarantine(State, Request, Now))
     return out;
   // A send that did not reach an endpoint is not charged to the retry budget,
   // as it puts no load on the fleet.
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -7,6 +7,8 @@
 ///   arrival, with the time after which capacity is expected.
 /// - A cold start. Requests for a model that is not loaded wait only while its
 ///   load can complete in time.
+/// - Requests that crash each endpoint that answers them. They are refused once
+///   that is known (policy/crash_quarantine.h).
 /// - An organisation that exceeds its rate. Its requests are refused before
 ///   they are queued.
 #ifndef SASSAFRAS_FRONT_DISPATCH_H
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "fleet/zone_relays.h"
+#include "front/crash_notices.h"
 
 #include <algorithm>
 
@@ -153,6 +154,27 @@
   }
 }
 
+void sendWithinZone(const FrontState &State, const wire::Envelope &Message,
+                    TimePoint Now, NodeMessages &Out) {
+  for (const std::string &it : listZoneAddresses(State, Now))
+    send(Out, it, Message);
+}
+
+void broadcast(const FrontState &State, const wire::Envelope &Message,
+               const wire::Envelope &Relayed, const std::string &Key,
+               TimePoint Now, NodeMessages &Out) {
+  if (!usesZoneRelays(countFronts(State, Now))) {
+    for (const std::string &it : listFrontAddresses(State, Now))
+      send(Out, it, Message);
+    return;
+  }
+  sendWithinZone(State, Message, Now, Out);
+  for (const auto &[zone, fronts] : listFrontsByZone(State.Roster, Now))
+    if (zone != State.Self.zone())
+      for (const ZoneFront &it : chooseRelays(fronts, Key))
+        send(Out, it.Address, Relayed);
+}
+
 Millis broadcastPeriod(Millis Period, size_t Fronts) {
   auto scaled = Period * static_cast<int64_t>(Fronts) /
                 static_cast<int64_t>(MaxFrontsAtFullRate);
@@ -169,6 +191,7 @@
   heartbeat.set_table_version(State.Table ? State.Table->Version : 0);
   heartbeat.set_roster_digest(digestRoster(State.Roster, State.Self, Now));
   heartbeat.set_endpoint_digest(digestEndpoints(State.Directory));
+  heartbeat.set_quarantine_digest(digestQuarantine(State.Quarantine, Now));
   heartbeat.set_is_leader(IsLeader);
   heartbeat.set_term(IsLeader ? Term : 0);
   heartbeat.set_is_leaving(State.IsStopping);
@@ -310,6 +333,13 @@
       *update.add_endpoints() = std::move(it);
     send(Out, self.address(), std::move(message));
   }
+  uint64_t quarantine = digestQuarantine(State.Quarantine, Now);
+  if (quarantine != 0 && Heartbeat.quarantine_digest() != quarantine &&
+      mayResync(Gossip, self.address(), "/quarantine", Now)) {
+    wire::Envelope message;
+    *message.mutable_crash_notice() = makeQuarantineNotice(State, Now);
+    send(Out, self.address(), std::move(message));
+  }
 }
 
 namespace {
@@ -433,8 +463,7 @@
   wire::Envelope message;
   *message.mutable_zone_summary() = std::move(Summary);
   message.mutable_zone_summary()->set_is_passed_on(true);
-  for (const std::string &it : listZoneAddresses(State, Now))
-    send(Out, it, message);
+  sendWithinZone(State, message, Now, Out);
 }
 
 bool handleEngineReport(FrontState &State, const wire::EngineReport &Report,
@@ -443,8 +472,7 @@
     wire::Envelope message;
     *message.mutable_engine_report() = Report;
     message.mutable_engine_report()->set_pass_on(false);
-    for (const std::string &it : listZoneAddresses(State, Now))
-      send(Out, it, message);
+    sendWithinZone(State, message, Now, Out);
   }
   if (!applyReport(State.Directory, Report, Now))
     return false;
@@ -468,34 +496,9 @@
   wire::Envelope message;
   *message.mutable_endpoint_news() = Update;
   message.mutable_endpoint_news()->set_pass_on(false);
-  for (const std::string &it : listZoneAddresses(State, Now))
-    send(Out, it, message);
+  sendWithinZone(State, message, Now, Out);
 }
 
-namespace {
-
-/// Sends \p Observation to all fronts: directly, or with relays directly
-/// within the own zone and through the relays of the others.
-void broadcastObservation(const FrontState &State,
-                          const wire::EndpointObservation &Observation,
-                          TimePoint Now, NodeMessages &Out) {
-  wire::Envelope message;
-  *message.mutable_endpoint_news()->add_endpoints() = Observation;
-  bool isRelayed = usesZoneRelays(countFronts(State, Now));
-  for (const std::string &it : isRelayed ? listZoneAddresses(State, Now)
-                                         : listFrontAddresses(State, Now))
-    send(Out, it, message);
-  if (!isRelayed)
-    return;
-  message.mutable_endpoint_news()->set_pass_on(true);
-  for (const auto &[zone, fronts] : listFrontsByZone(State.Roster, Now))
-    if (zone != State.Self.zone())
-      for (const ZoneFront &it : chooseRelays(fronts, Observation.id()))
-        send(Out, it.Address, message);
-}
-
-} // namespace
-
 ObservationResult
 handleAnnouncement(FrontState &State, GossipState &Gossip,
                    const wire::EndpointObservation &Observation, TimePoint Now,
@@ -506,7 +509,11 @@
     Gossip.PendingObservations.push_back(Observation);
   if (result != ObservationResult::Changed)
     return result;
-  broadcastObservation(State, Observation, Now, Out);
+  wire::Envelope message;
+  *message.mutable_endpoint_news()->add_endpoints() = Observation;
+  wire::Envelope relayed = message;
+  relayed.mutable_endpoint_news()->set_pass_on(true);
+  broadcast(State, message, relayed, Observation.id(), Now, Out);
   // Repeated with the next broadcast heartbeat in case a message is lost.
   Gossip.PendingObservations.push_back(Observation);
   return result;
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -73,6 +73,15 @@
   std::map<std::string, ArrivalRates> Rates; ///< By model.
 };
 
+/// Appends \p Message for all other fronts: directly, or with relays directly
+/// within the own zone, and as \p Relayed to the relays of the other zones that
+/// pass on messages on \p Key.
+void broadcast(const FrontState &State, const wire::Envelope &Message,
+               const wire::Envelope &Relayed, const std::string &Key,
+               TimePoint Now, NodeMessages &Out);
+/// Appends \p Message for the other fronts of the own zone.
+void sendWithinZone(const FrontState &State, const wire::Envelope &Message,
+                    TimePoint Now, NodeMessages &Out);
 /// Interval of messages to all of \p Fronts. It is stretched with the number of
 /// fronts, so that the total number of messages grows linearly with it and not
 /// quadratically; bounded by MaxBroadcastPeriod.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -5,7 +5,9 @@
 #include "core/hash.h"
 #include "core/logging.h"
 #include "core/metrics.h"
+#include "front/caller_attributes.h"
 #include "front/caller_limits.h"
+#include "front/crash_notices.h"
 #include "front/early_requests.h"
 #include "front/fleet_api.h"
 #include "front/front_core.h"
@@ -97,6 +99,7 @@
   bool isReady() const;
   std::string leaderControlAddress() const;
   void tick();
+  void sendCrashNotices(TimePoint Now);
   void dispatchWaiting();
   void dispatchWaitingForTokens(const std::string &Organisation);
   void runLeaderTasks(TimePoint Now);
@@ -157,6 +160,8 @@
   state.EndpointDiscoveryEnd = StartedAt + MaxAnnouncementInterval;
   HeldRequests.HoldEnd = StartedAt + TableLearnTimeout;
   state.Self.set_name(Options.Node);
+  state.Quarantine.ReleaseDelay = Millis(
+      checksumOf(Options.Node) % static_cast<uint64_t>(ReleaseTime.count()));
   state.Self.set_address(Peers->address());
   state.Self.set_incarnation(incarnation);
   state.Self.set_kind(wire::NODE_FRONT);
@@ -273,21 +278,7 @@
                                const std::shared_ptr<HttpExchange> &Exchange,
                                TimePoint ArrivedAt) {
   TimePoint now = Clock::now();
-  platform::CallerFields fields = platform::extractCallerFields(Request);
-  RequestAttributes attributes;
-  attributes.Id = fields.RequestId;
-  attributes.Method = Request.Method;
-  attributes.Host = fields.Host;
-  attributes.Path = Request.Target;
-  attributes.Key = fields.Key;
-  attributes.TimeLeft = fields.TimeLeft;
-  attributes.Model = fields.Model;
-  attributes.Adapter = fields.Adapter;
-  attributes.HasTokenCounts = fields.HasTokenCounts;
-  attributes.PromptTokens = fields.PromptTokens;
-  attributes.OutputTokens = fields.OutputTokens;
-  attributes.PromptHead = fields.PromptHead;
-  attributes.LastEvent = fields.LastEvent;
+  RequestAttributes attributes = extractAttributes(Request);
   auto admitted = admitRequest(Core.State, attributes, ArrivedAt);
   if (auto *refusal = std::get_if<FrontRefusal>(&admitted)) {
     refuseRequest(attributes, *refusal, *Exchange);
@@ -376,6 +367,9 @@
                       now, out);
     IsDispatchDue = true;
     break;
+  case wire::Envelope::kCrashNotice:
+    handleCrashNotice(state, Message.crash_notice(), now, out);
+    break;
   case wire::Envelope::kTableRequest:
     sendTable(state, Message.reply_address(), out);
     break;
@@ -560,6 +554,7 @@
     dispatchWaiting();
   }
   handleHeldRequests(now);
+  sendCrashNotices(now);
   if (isPast(NextHeartbeat, now))
     runHeartbeat(now);
   if (View.IsLeader)
@@ -570,6 +565,7 @@
     logNodeChanges(now);
     expireNodes(Core.State.Roster, now);
     expireEndpoints(Core.State.Directory, now);
+    expireFeatures(Core.State.Quarantine, now);
     std::erase_if(Core.State.NextAdapterRequests,
                   [&](const auto &it) { return isPast(it.second, now); });
   }
@@ -584,6 +580,12 @@
   });
 }
 
+void FrontShell::sendCrashNotices(TimePoint Now) {
+  NodeMessages out;
+  flushCrashNotices(Core.State, Now, out);
+  send(std::move(out));
+}
+
 /// Dispatches all waiting requests again, the most urgent first.
 void FrontShell::dispatchWaiting() {
   std::set<WaitingKey> waiting = Core.Waiting;
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -8,6 +8,7 @@
 #include "fleet/endpoint_directory.h"
 #include "fleet/roster.h"
 #include "fleet/serving_table.h"
+#include "policy/crash_quarantine.h"
 #include "policy/endpoint_choice.h"
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
@@ -51,6 +52,17 @@
   TimePoint ForecastAt; ///< When that forecast was received.
 };
 
+/// What the other fronts are to be told of crashes with the next notice.
+struct PendingCrashNotices {
+  struct Accusation {
+    std::vector<std::string> Features; ///< Of one request.
+    CrashAccusation Crash;
+  };
+  std::vector<Accusation> Accusations;
+  /// Features, with the start of a request with them that ran well.
+  std::map<std::string, TimePoint> Cleared;
+};
+
 struct KnownLeader {
   std::string Node;
   std::string Address;        ///< Link address.
@@ -69,6 +81,8 @@
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
   std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
+  CrashQuarantine Quarantine;
+  PendingCrashNotices CrashNotices;
   /// By model, or "service NAME" for plain services.
   std::map<std::string, ModelUsage> ModelUsages;
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logging.h"
 #include "core/metrics.h"
+#include "front/crash_notices.h"
 #include "platform/caller_codec.h"
 
 #include <algorithm>
@@ -139,7 +140,9 @@
   Target = Chosen;
   Endpoint = Chosen.Endpoint;
   SentAt = now;
+  AnsweredAt = TimePoint();
   HasHead = false;
+  IsProven = false;
   IsNotRun = false;
   IsStream = false;
   Body.clear();
@@ -196,6 +199,7 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
+  AnsweredAt = now;
   HasHead = true;
   IsNotRun = fields.IsNotRun;
   IsUnframed =
@@ -257,9 +261,24 @@
     LongestGap = std::max(LongestGap, now - LastEventAt);
   }
   LastEventAt = now;
+  if (now - AnsweredAt >= ProvenRunTime)
+    recordProof();
   Exchange->write(std::move(Events));
 }
 
+/// Records, once for each exchange, that an endpoint can run the request.
+void Relay::recordProof() {
+  if (IsProven)
+    return;
+  IsProven = true;
+  recordProvenRun(Core.State, Request, {Endpoint, AnsweredAt}, Clock::now());
+}
+
+/// Records that the endpoint broke off this exchange.
+void Relay::recordBreak() {
+  recordBrokenRun(Core.State, Request, {Endpoint, AnsweredAt}, Clock::now());
+}
+
 void Relay::handleEnd() {
   if (IsOver)
     return;
@@ -269,9 +288,13 @@
   // Without framing, the end of the connection is the only sign of the end, and
   // an endpoint that fails may close it as well.
   if (IsStream && IsUnframed && !EventBuffer.Incomplete.empty()) {
+    recordBreak();
     failExchange(ExchangeFailure::Broken);
     return;
   }
+  bool isCertainlyComplete = !IsUnframed;
+  if (isCertainlyComplete && isSuccess(Head.Status))
+    recordProof();
   if (IsStream) {
     recordSuccess(Core.State.Records[Endpoint]);
     Exchange->write(std::move(EventBuffer.Incomplete));
@@ -326,6 +349,9 @@
     return;
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
+  bool isBroken = CallFailure.WasSent && !CallFailure.IsTimeout && !IsNotRun;
+  if (isBroken)
+    recordBreak();
   if (IsNotRun)
     failExchange(ExchangeFailure::Rejected);
   else
--- a/front/relay.h
+++ b/front/relay.h
@@ -45,6 +45,8 @@
   void writeEvents(std::string Events);
   /// Records the duration of a stage in the histogram of the request's kind.
   void observe(const char *Stage, Clock::duration Span);
+  void recordProof();
+  void recordBreak();
   void startResponse();
   void cancelOversized(ExchangeFailure Failure, size_t Bytes);
   void cancelExchange(ExchangeFailure Failure);
@@ -69,10 +71,12 @@
   std::string Body; ///< Buffered until the response is complete.
   SseBuffer EventBuffer;
   TimePoint SentAt;
+  TimePoint AnsweredAt; ///< Head of this exchange's response; or zero.
   TimePoint FirstByteAt;
   TimePoint LastEventAt;
   Clock::duration LongestGap{0}; ///< Between forwarded events.
   bool HasHead = false;
+  bool IsProven = false;   ///< This exchange has shown that it can be run.
   bool IsNotRun = false;   ///< The endpoint stated that it did not run it.
   bool IsUnframed = false; ///< The response ends with its connection.
   bool IsStream = false;   ///< This exchange's response is forwarded in pieces.
--- /dev/null
+++ b/tests/front/test_crash_notices.cpp
@@ -0,0 +1,390 @@
+/// \file
+/// Replays of requests that crash the endpoints that answer them: a fleet of
+/// fronts in four zones, beside sound requests that share their parts. Messages
+/// between fronts take MessageTime.
+#include "front/crash_notices.h"
+#include "front/dispatch.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+using namespace sassafras;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+constexpr Millis Step{10};
+constexpr Millis MessageTime{100};
+/// All fronts know of the part this long after its fifth crash.
+constexpr Millis ContactTime{3'000};
+constexpr size_t CrashesToKnow = 5;
+constexpr size_t MaxLateSends = 3;
+/// From its first event to the crash.
+constexpr Millis CrashDelay{40};
+/// From the send to the head of the response.
+constexpr Millis AnswerDelay{10};
+constexpr Millis RestartTime{4'000};
+constexpr size_t Zones = 4;
+constexpr const char *DeadlyPart = "deadly";
+
+/// One replay.
+struct Day {
+  const char *What;
+  size_t Fronts = 9;
+  double SoundPerSecond = 60;
+  double DeadlyPerSecond = 1.8;
+  Millis DeadlyFrom{4'000};
+  /// Sound requests had the deadly part before DeadlyFrom.
+  bool WasSound = false;
+  /// Endpoints that crash for other causes; each is drawn at random.
+  double OtherCrashesPerSecond = 0;
+  /// Of all endpoints at once, at DeadlyFrom.
+  size_t PercentCrashedAtOnce = 0;
+  /// Of the sound requests, at most.
+  size_t PercentRefused = 1;
+  Millis End{26'000};
+};
+
+struct Result {
+  size_t Crashes = 0;   ///< By the deadly part.
+  size_t LateSends = 0; ///< Later than ContactTime after the fifth crash.
+  size_t SoundRefused = 0;
+  size_t Sound = 0;
+};
+
+ServingTablePtr makeTable() {
+  auto table = std::make_shared<ServingTable>();
+  table->Version = 1;
+  table->Services["chat"].Name = "chat";
+  ServingRoute route;
+  route.Name = "draft";
+  route.Host = "h";
+  route.PathPrefix = "/draft/";
+  route.Kind = RequestKind::Streaming;
+  route.Timeout = Millis(12'000);
+  route.MaxAttempts = 2;
+  route.IsResumable = true;
+  route.Services = {{"chat", 1}};
+  table->Routes.push_back(route);
+  indexServingTable(*table);
+  return table;
+}
+
+struct Run {
+  size_t Front = 0;
+  FrontRequest Request;
+  TimePoint AnsweredAt;
+  TimePoint End;
+  bool IsDeadly = false;
+  bool IsProven = false;
+};
+
+struct Engine {
+  std::string Name;
+  TimePoint UpAt = Start;
+  TimePoint CrashAt; ///< Zero when none is due.
+  std::vector<Run> Runs;
+};
+
+struct Sending {
+  TimePoint At;
+  NodeMessage Message;
+};
+
+class Replay {
+public:
+  Replay(const Day &Day, uint64_t Seed);
+  Result run();
+
+private:
+  bool happens(double PerSecond);
+  size_t below(size_t Limit) { return Random() % Limit; }
+  Engine *chooseEngine(const std::string &Failed);
+  void arrive(bool IsDeadly);
+  void begin(size_t Front, FrontRequest Request, bool IsDeadly,
+             const std::string &Failed);
+  void crash(Engine &Failed);
+  void advance(Engine &Engine);
+  void deliver();
+  void queue(NodeMessages Messages);
+
+  Day Plan;
+  std::mt19937_64 Random;
+  TimePoint Now = Start;
+  std::vector<std::unique_ptr<FrontState>> Fronts;
+  std::map<std::string, size_t> ByAddress;
+  std::vector<Engine> Engines;
+  std::deque<Sending> OnTheWay;
+  std::vector<TimePoint> CrashTimes;
+  uint64_t NextNumber = 1;
+  Result Out;
+};
+
+Replay::Replay(const Day &Day, uint64_t Seed) : Plan(Day), Random(Seed) {
+  for (size_t i = 0; i < Plan.Fronts; ++i) {
+    auto state = std::make_unique<FrontState>();
+    state->Table = makeTable();
+    state->Self.set_name("front-" + std::to_string(i));
+    state->Self.set_address("10.0.0." + std::to_string(i) + ":7600");
+    state->Self.set_zone("zone-" + std::to_string(i % Zones));
+    state->Self.set_kind(wire::NODE_FRONT);
+    state->Self.set_incarnation(1);
+    state->Quarantine.ReleaseDelay = ReleaseTime * i / Plan.Fronts;
+    ByAddress[state->Self.address()] = i;
+    Fronts.push_back(std::move(state));
+  }
+  for (size_t i = 0; i < 18; ++i) {
+    Engine engine;
+    engine.Name = "i-" + std::to_string(i);
+    Engines.push_back(std::move(engine));
+  }
+}
+
+bool Replay::happens(double PerSecond) {
+  return std::bernoulli_distribution(PerSecond * Step.count() / 1000.0)(Random);
+}
+
+Engine *Replay::chooseEngine(const std::string &Failed) {
+  std::vector<Engine *> up;
+  for (Engine &it : Engines)
+    if (isPast(it.UpAt, Now) && it.Name != Failed)
+      up.push_back(&it);
+  return up.empty() ? nullptr : up[below(up.size())];
+}
+
+void Replay::arrive(bool IsDeadly) {
+  size_t front = below(Fronts.size());
+  RequestAttributes attributes;
+  attributes.Host = "h";
+  attributes.Path = "/draft/x";
+  attributes.Id = std::to_string(NextNumber);
+  attributes.BodyDigest = attributes.Id;
+  attributes.SharedParts = {"head", "style-" + std::to_string(below(12)),
+                            "subject-" + std::to_string(below(300))};
+  bool hasPart = IsDeadly || (Plan.WasSound && Now < Start + Plan.DeadlyFrom &&
+                              below(20) == 0);
+  if (hasPart)
+    attributes.SharedParts[1] = DeadlyPart;
+  auto admitted = admitRequest(*Fronts[front], attributes, Now);
+  auto &request = std::get<FrontRequest>(admitted);
+  request.Number = NextNumber++;
+  if (!IsDeadly)
+    ++Out.Sound;
+  begin(front, std::move(request), IsDeadly, "");
+}
+
+void Replay::begin(size_t Front, FrontRequest Request, bool IsDeadly,
+                   const std::string &Failed) {
+  if (checkQuarantine(*Fronts[Front], Request, Now)) {
+    Out.SoundRefused += IsDeadly ? 0 : 1;
+    return;
+  }
+  Engine *engine = chooseEngine(Failed);
+  if (!engine)
+    return;
+  bool isLate = CrashTimes.size() >= CrashesToKnow &&
+                Now > CrashTimes[CrashesToKnow - 1] + ContactTime;
+  Out.LateSends += IsDeadly && isLate ? 1 : 0;
+  if (IsDeadly && engine->CrashAt == TimePoint())
+    engine->CrashAt = Now + AnswerDelay + CrashDelay;
+  Millis length{200 + static_cast<int64_t>(below(1'400))};
+  engine->Runs.push_back({Front, std::move(Request), Now + AnswerDelay,
+                          Now + length, IsDeadly, false});
+}
+
+void Replay::crash(Engine &Failed) {
+  std::vector<Run> runs = std::move(Failed.Runs);
+  Failed.Runs.clear();
+  Failed.CrashAt = TimePoint();
+  Failed.UpAt = Now + RestartTime;
+  for (Run &it : runs) {
+    FrontState &front = *Fronts[it.Front];
+    TimePoint answeredAt = Now < it.AnsweredAt ? TimePoint() : it.AnsweredAt;
+    recordBrokenRun(front, it.Request, {Failed.Name, answeredAt}, Now);
+    if (++it.Request.Runs < it.Request.Route->MaxAttempts)
+      begin(it.Front, std::move(it.Request), it.IsDeadly, Failed.Name);
+  }
+}
+
+void Replay::advance(Engine &Engine) {
+  if (Engine.CrashAt != TimePoint() && isPast(Engine.CrashAt, Now)) {
+    CrashTimes.push_back(Now);
+    crash(Engine);
+    return;
+  }
+  for (Run &it : Engine.Runs)
+    if (!it.IsProven &&
+        (isPast(it.End, Now) || Now - it.AnsweredAt >= ProvenRunTime)) {
+      it.IsProven = true;
+      recordProvenRun(*Fronts[it.Front], it.Request,
+                      {Engine.Name, it.AnsweredAt}, Now);
+    }
+  std::erase_if(Engine.Runs,
+                [&](const Run &it) { return isPast(it.End, Now); });
+}
+
+void Replay::queue(NodeMessages Messages) {
+  for (NodeMessage &it : Messages)
+    OnTheWay.push_back({Now + MessageTime, std::move(it)});
+}
+
+void Replay::deliver() {
+  while (!OnTheWay.empty() && isPast(OnTheWay.front().At, Now)) {
+    NodeMessage message = std::move(OnTheWay.front().Message);
+    OnTheWay.pop_front();
+    NodeMessages out;
+    handleCrashNotice(*Fronts[ByAddress.at(message.Address)],
+                      message.Message.crash_notice(), Now, out);
+    queue(std::move(out));
+  }
+}
+
+Result Replay::run() {
+  for (; Now < Start + Plan.End; Now += Step) {
+    for (const auto &front : Fronts)
+      for (const auto &other : Fronts)
+        if (front != other)
+          recordNodeHeartbeat(front->Roster, other->Self, Now);
+    deliver();
+    if (happens(Plan.SoundPerSecond))
+      arrive(false);
+    bool isDeadlyTime = Now >= Start + Plan.DeadlyFrom;
+    if (isDeadlyTime && happens(Plan.DeadlyPerSecond))
+      arrive(true);
+    for (Engine &it : Engines)
+      advance(it);
+    if (isDeadlyTime && happens(Plan.OtherCrashesPerSecond))
+      crash(Engines[below(Engines.size())]);
+    if (Now == Start + Plan.DeadlyFrom)
+      for (Engine &it : Engines)
+        if (below(100) < Plan.PercentCrashedAtOnce)
+          crash(it);
+    for (const auto &it : Fronts) {
+      NodeMessages out;
+      flushCrashNotices(*it, Now, out);
+      queue(std::move(out));
+      expireFeatures(it->Quarantine, Now);
+    }
+  }
+  Out.Crashes = CrashTimes.size();
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("requests with a part that crashes endpoints stop reaching them") {
+  const Day days[] = {
+      {.What = "common"},
+      {.What = "rare", .DeadlyPerSecond = 0.5},
+      {.What = "often", .DeadlyPerSecond = 6},
+      {.What = "beside other crashes", .OtherCrashesPerSecond = 0.5},
+      {.What = "through relays", .Fronts = 24},
+      {.What = "the part was sound before", .WasSound = true},
+      {.What = "rare, and was sound before",
+       .DeadlyPerSecond = 0.5,
+       .WasSound = true},
+      // Little shows that the other parts are sound.
+      {.What = "few sound requests", .SoundPerSecond = 5, .PercentRefused = 49},
+  };
+  for (const Day &it : days)
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      INFO(it.What << ", seed " << seed);
+      Result result = Replay(it, seed).run();
+      CHECK(result.Crashes >= 3);
+      CHECK(result.LateSends <= MaxLateSends);
+      CHECK(result.SoundRefused * 100 <= result.Sound * it.PercentRefused);
+    }
+}
+
+TEST_CASE("crashes with other causes refuse no sound requests") {
+  const Day days[] = {
+      {.What = "one by one", .DeadlyPerSecond = 0, .OtherCrashesPerSecond = 1},
+      {.What = "half at once",
+       .DeadlyPerSecond = 0,
+       .PercentCrashedAtOnce = 50},
+      {.What = "all at once",
+       .DeadlyPerSecond = 0,
+       .PercentCrashedAtOnce = 100},
+  };
+  for (const Day &it : days)
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      INFO(it.What << ", seed " << seed);
+      Result result = Replay(it, seed).run();
+      CHECK(result.SoundRefused * 100 <= result.Sound * it.PercentRefused);
+    }
+}
+
+TEST_CASE("front that missed the notices learns the quarantine") {
+  FrontState informed;
+  FrontState late;
+  informed.Self.set_name("informed");
+  informed.Self.set_address("10.0.0.1:7600");
+  late.Self.set_name("late");
+  late.Self.set_address("10.0.0.2:7600");
+  late.Self.set_kind(wire::NODE_FRONT);
+  for (int i = 0; i < 3; ++i)
+    recordAccusation(
+        informed.Quarantine, {DeadlyPart},
+        {"i-" + std::to_string(i), Start + i * CrashSeparation, {}},
+        Start + i * CrashSeparation);
+  TimePoint now = Start + 3 * CrashSeparation;
+  FrontRequest request;
+  request.Features.Parts = {DeadlyPart};
+  REQUIRE(checkQuarantine(informed, request, now));
+  REQUIRE_FALSE(checkQuarantine(late, request, now));
+
+  GossipState gossip;
+  FleetDemand demand;
+  NodeMessages out;
+  wire::NodeHeartbeat heartbeat;
+  *heartbeat.mutable_self() = late.Self;
+  handleNodeHeartbeat(informed, gossip, demand, heartbeat, now, out);
+  NodeMessages ignored;
+  for (const NodeMessage &it : out)
+    if (it.Message.has_crash_notice())
+      handleCrashNotice(late, it.Message.crash_notice(), now, ignored);
+  auto refusal = checkQuarantine(late, request, now);
+  REQUIRE(refusal);
+  CHECK(refusal->Reason == RefusalReason::CrashesEndpoints);
+  CHECK(refusal->RetryAfter <= FirstQuarantine);
+}
+
+TEST_CASE("quarantine ends by itself and begins again after one crash") {
+  CrashQuarantine state;
+  RequestFeatures features{{DeadlyPart}, ""};
+  TimePoint now = Start;
+  auto crash = [&](const std::string &Endpoint) {
+    recordAccusation(state, features.Parts, {Endpoint, now, {}}, now);
+  };
+  for (int i = 0; i < 3; ++i, now += CrashSeparation)
+    crash("i-" + std::to_string(i));
+  REQUIRE(findQuarantined(state, features, now));
+  now += FirstQuarantine;
+  REQUIRE_FALSE(findQuarantined(state, features, now));
+  crash("i-3");
+  REQUIRE(findQuarantined(state, features, now + FirstQuarantine));
+  now += 2 * FirstQuarantine;
+  REQUIRE_FALSE(findQuarantined(state, features, now));
+  // A request that runs well makes it one like any other.
+  recordProof(state, "chat", features, now, now + ProvenRunTime);
+  now += 2 * ProvenRunTime;
+  crash("i-4");
+  CHECK_FALSE(findQuarantined(state, features, now));
+}
+
+TEST_CASE("proof of another front lifts a quarantine that came too early") {
+  CrashQuarantine state;
+  RequestFeatures features{{"rare"}, ""};
+  for (int i = 1; i <= 3; ++i)
+    recordAccusation(
+        state, features.Parts,
+        {"i-" + std::to_string(i), Start + i * CrashSeparation, {}},
+        Start + i * CrashSeparation);
+  TimePoint now = Start + 4 * CrashSeparation;
+  REQUIRE(findQuarantined(state, features, now));
+  clearFeature(state, "rare", Start, now);
+  CHECK_FALSE(findQuarantined(state, features, now));
+}
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -1,9 +1,9 @@
 #include "tests/harness/tested_front.h"
 
+#include "front/caller_attributes.h"
 #include "front/caller_limits.h"
 #include "front/relay.h"
 #include "http/address.h"
-#include "platform/caller_codec.h"
 #include "tests/harness/scripted_endpoint.h"
 
 #include <boost/asio/connect.hpp>
@@ -92,14 +92,16 @@
 }
 
 std::string TestedFront::requestText(const std::string &Route,
-                                     const std::string &Id) {
+                                     const std::string &Id,
+                                     const std::string &Fields) {
   return "GET /" + Route + "/x HTTP/1.1\r\nHost: h\r\n" +
-         "Sassafrasseam-Attempt-Id: " + Id + "\r\n\r\n";
+         "Sassafrasseam-Attempt-Id: " + Id + "\r\n" + Fields + "\r\n";
 }
 
-std::string TestedFront::call(const std::string &Route, const std::string &Id) {
+std::string TestedFront::call(const std::string &Route, const std::string &Id,
+                              const std::string &Fields) {
   Tcp::socket socket = connect();
-  std::string text = requestText(Route, Id);
+  std::string text = requestText(Route, Id, Fields);
   text.insert(text.size() - 2, "Connection: close\r\n");
   sendText(socket, text);
   std::string response;
@@ -119,7 +121,8 @@
 
 void TestedFront::addEndpoint(const std::string &Endpoint) {
   wire::EndpointObservation endpoint;
-  endpoint.set_id("i-1");
+  endpoint.set_id("i-" +
+                  std::to_string(Core.State.Directory.Endpoints.size() + 1));
   endpoint.set_service("desk");
   endpoint.set_address(Endpoint);
   endpoint.set_zone("a");
@@ -130,17 +133,12 @@
   dispatchWaiting();
 }
 
-void TestedFront::removeEndpoint() { Core.State.Directory = {}; }
+void TestedFront::removeEndpoints() { Core.State.Directory = {}; }
 
 void TestedFront::handleRequest(HttpRequest Request,
                                 const std::shared_ptr<HttpExchange> &Exchange) {
-  platform::CallerFields fields = platform::extractCallerFields(Request);
-  RequestAttributes attributes;
-  attributes.Id = fields.RequestId;
-  attributes.Method = Request.Method;
-  attributes.Host = fields.Host;
-  attributes.Path = Request.Target;
-  auto admitted = admitRequest(Core.State, attributes, Clock::now());
+  auto admitted =
+      admitRequest(Core.State, extractAttributes(Request), Clock::now());
   auto &request = std::get<FrontRequest>(admitted);
   request.Number = Core.NextNumber++;
   std::make_shared<Relay>(Core, std::move(request), std::move(Request),
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -1,6 +1,5 @@
 /// \file
-/// A front that serves real connections within the test process and knows at
-/// most one endpoint.
+/// A front that serves real connections within the test process.
 #ifndef SASSAFRAS_TESTS_HARNESS_TESTED_FRONT_H
 #define SASSAFRAS_TESTS_HARNESS_TESTED_FRONT_H
 
@@ -31,22 +30,25 @@
   TestedFront(const TestedFront &) = delete;
   TestedFront &operator=(const TestedFront &) = delete;
 
-  /// Sends a request and returns all bytes until the connection ends.
-  std::string call(const std::string &Route, const std::string &Id);
+  /// Sends a request with the header lines \p Fields and returns all bytes
+  /// until the connection ends.
+  std::string call(const std::string &Route, const std::string &Id,
+                   const std::string &Fields = "");
   /// A new connection to the front.
   boost::asio::ip::tcp::socket connect();
   /// The bytes of a request.
   static std::string requestText(const std::string &Route,
-                                 const std::string &Id);
+                                 const std::string &Id,
+                                 const std::string &Fields = "");
   /// Stops the front from handling anything until \p Act has returned, which
   /// runs on its thread; returns after that.
   void occupy(const std::function<void()> &Act);
-  /// Adds the endpoint and dispatches the waiting requests. Call from the
+  /// Adds an endpoint and dispatches the waiting requests. Call from the
   /// function given to occupy.
   void addEndpoint(const std::string &Endpoint);
-  /// Makes the front forget the endpoint. Call from the function given to
+  /// Makes the front forget all endpoints. Call from the function given to
   /// occupy.
-  void removeEndpoint();
+  void removeEndpoints();
   /// Value of a counter of the front. Thread safe.
   uint64_t read(const std::string &Counter) { return Counts.read(Counter); }
 
--- a/tests/process/test_callers_that_left.cpp
+++ b/tests/process/test_callers_that_left.cpp
@@ -84,7 +84,7 @@
   TestedFront front(endpoint.address());
   // Leaves a connection to the endpoint on which a request is sent at once.
   REQUIRE(isCompleteSuccess(front.call("many", "1")));
-  front.occupy([&] { front.removeEndpoint(); });
+  front.occupy([&] { front.removeEndpoints(); });
   Tcp::socket caller = front.connect();
   sendText(caller, TestedFront::requestText("many", "2"));
   std::this_thread::sleep_for(NoticeTime);
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -197,3 +197,40 @@
     CHECK(Clock::now() - start < Millis(1'000));
   }
 }
+
+TEST_CASE("only requests with a part that crashes endpoints are refused") {
+  const std::string deadly = "Sassafrasseam-Prompt-Prefix: aa:90,dead:30,";
+  const std::string sound = "Sassafrasseam-Prompt-Prefix: aa:90,bb:30,";
+  std::atomic<size_t> crashes{0};
+  auto script = [&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, "Transfer-Encoding: chunked") +
+                         chunkOf("id: 1\ndata: x\n\n"));
+    if (!Id.starts_with("deadly")) {
+      sendText(Socket, "0\r\n\r\n");
+      return;
+    }
+    ++crashes;
+    std::this_thread::sleep_for(Millis(20));
+    Socket.close();
+  };
+  ScriptedEndpoint endpoints[] = {
+      ScriptedEndpoint(script), ScriptedEndpoint(script),
+      ScriptedEndpoint(script), ScriptedEndpoint(script),
+      ScriptedEndpoint(script), ScriptedEndpoint(script)};
+  TestedFront front("");
+  front.occupy([&] {
+    for (const ScriptedEndpoint &it : endpoints)
+      front.addEndpoint(it.address());
+  });
+  std::string last;
+  for (int i = 100; i < 115; ++i) {
+    std::string own = std::to_string(i) + ":5\r\n";
+    std::string id = std::to_string(i);
+    CHECK(isCompleteSuccess(front.call("stream", "sound" + id, sound + own)));
+    last = front.call("stream", "deadly" + id, deadly + own);
+  }
+  CHECK(crashes <= 5);
+  CHECK(last.starts_with("HTTP/1.1 503"));
+  CHECK(has(last, "retry-after: "));
+  CHECK(has(last, R"("ran":"not_run")"));
+}
