Count each crash of an endpoint that keeps its id

A service with one or two endpoints that start again under their ids never reached the three crashes that quarantine a part, so its callers lost one engine after another. Found by reading: accusations were told apart by endpoint alone.

An endpoint that began to answer after its crash has started again, so its next crash counts. "endpoint that crashes again under its id counts again" failed before and holds that reports of one crash by two fronts count once.

--- a/policy/crash_quarantine.cpp
+++ b/policy/crash_quarantine.cpp
@@ -43,18 +43,19 @@
          std::chrono::abs(First.At - Second.At) < CrashReportTime;
 }
 
-/// True when the crash is neither one of an endpoint that is counted already
-/// nor part of one that is. An endpoint that began to answer after a crash was
-/// not part of it.
+/// True when the crash is not part of one that is counted. An endpoint that
+/// began to answer after a crash was not part of it; one with the same id has
+/// started again.
 bool isSeparate(const FeatureRecord &Record,
                 const CrashAccusation &Accusation) {
-  return std::none_of(Record.Accusations.begin(), Record.Accusations.end(),
-                      [&](const CrashAccusation &it) {
-                        return it.Endpoint == Accusation.Endpoint ||
-                               (std::chrono::abs(Accusation.At - it.At) <
-                                    CrashSeparation &&
-                                Accusation.AnsweredAt <= it.At);
-                      });
+  return std::none_of(
+      Record.Accusations.begin(), Record.Accusations.end(),
+      [&](const CrashAccusation &it) {
+        if (it.Endpoint == Accusation.Endpoint)
+          return Accusation.AnsweredAt <= it.At + CrashReportTime;
+        return std::chrono::abs(Accusation.At - it.At) < CrashSeparation &&
+               Accusation.AnsweredAt <= it.At;
+      });
 }
 
 bool isProven(const FeatureRecord &Record, TimePoint Now) {
--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -388,3 +388,20 @@
   clearFeature(state, "rare", Start, now);
   CHECK_FALSE(findQuarantined(state, features, now));
 }
+
+TEST_CASE("endpoint that crashes again under its id counts again") {
+  CrashQuarantine state;
+  RequestFeatures features{{DeadlyPart}, ""};
+  TimePoint now = Start;
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE_FALSE(findQuarantined(state, features, now));
+    TimePoint answeredAt = now - CrashDelay;
+    recordAccusation(state, features.Parts, {"i-1", now, answeredAt}, now);
+    // Another front reports the same crash a little later.
+    recordAccusation(state, features.Parts,
+                     {"i-1", now + MessageTime, answeredAt + MessageTime},
+                     now + MessageTime);
+    now += RestartTime;
+  }
+  CHECK(findQuarantined(state, features, now));
+}
