--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -266,7 +266,6 @@
   Exchange->write(std::move(Events));
 }
 
-/// Records, once for each exchange, that an endpoint can run the request.
 void Relay::recordProof() {
   if (IsProven)
     return;
@@ -274,7 +273,6 @@
   recordProvenRun(Core.State, Request, {Endpoint, AnsweredAt}, Clock::now());
 }
 
-/// Records that the endpoint broke off this exchange.
 void Relay::recordBreak() {
   recordBrokenRun(Core.State, Request, {Endpoint, AnsweredAt}, Clock::now());
 }
@@ -292,8 +290,8 @@
     failExchange(ExchangeFailure::Broken);
     return;
   }
-  bool isCertainlyComplete = !IsUnframed;
-  if (isCertainlyComplete && isSuccess(Head.Status))
+  bool isProof = !IsUnframed && isSuccess(Head.Status);
+  if (isProof)
     recordProof();
   if (IsStream) {
     recordSuccess(Core.State.Records[Endpoint]);
--- a/front/relay.h
+++ b/front/relay.h
@@ -45,7 +45,9 @@
   void writeEvents(std::string Events);
   /// Records the duration of a stage in the histogram of the request's kind.
   void observe(const char *Stage, Clock::duration Span);
+  /// Records, once for each exchange, that an endpoint can run the request.
   void recordProof();
+  /// Records that the endpoint broke off this exchange.
   void recordBreak();
   void startResponse();
   void cancelOversized(ExchangeFailure Failure, size_t Bytes);
