Send whole views as such, also to nodes that have applied nothing

Cause: a reply to a heartbeat of a node that has applied nothing holds all items and leaves out deletions, but was not marked as a whole view.

Ruled out: attempts that were delayed on their way (the attempt was sent 12 ms before it ran) and leaders of two terms (all members were in term 2).

A whole view replaces what the node holds.

--- a/control/dissemination.cpp
+++ b/control/dissemination.cpp
@@ -25,9 +25,10 @@
 }
 
 /// Returns the reply to the node's latest heartbeat with all items changed
-/// since the version that the node has applied. If the deletions since then are
-/// no longer all kept, the reply holds the whole view and its reset flag is
-/// set.
+/// since the version that the node has applied. If it has applied none, or the
+/// deletions since then are no longer all kept, the reply holds the whole view
+/// without deletions and its reset flag is set: the node may hold a view by the
+/// time that the reply arrives.
 wire::HeartbeatReply makeHeartbeatReply(const ControlState &State,
                                         const std::string &Node,
                                         const NodeInfo &Info, TimePoint Now) {
@@ -40,13 +41,13 @@
   reply.set_fleet_time_ms(currentFleetTimeMs(State, Now));
   reply.set_version(State.Fleet.Version);
   uint64_t base = Info.LastHeartbeat.applied_version();
-  if (base < items.oldestDelta()) {
-    reply.set_reset(true);
+  bool isWhole = base == 0 || base < items.oldestDelta();
+  if (isWhole)
     base = 0;
-  }
+  reply.set_reset(isWhole);
   reply.set_base_version(base);
   for (const wire::Item *it : items.since(base))
-    if (isForNode(*it, Node, Info) && !(base == 0 && it->deleted()))
+    if (isForNode(*it, Node, Info) && !(isWhole && it->deleted()))
       *reply.add_items() = *it;
   return reply;
 }
