Reset the connection of an exchange that is given up

The front saw the close and closed its connection to the endpoint, which delivers what it has already handed to the network: to an endpoint that does not read yet, behind a path that fails, or in the queue of new connections.

A reset discards what was not delivered; so does the failure of an exchange, as after a time-out.

What the endpoint's host has already received stays there to be read.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -137,7 +137,7 @@
 
   void cancel() override {
     IsFinished = true;
-    close();
+    reset();
   }
 
 private:
@@ -305,11 +305,23 @@
       Conn->Stream.close();
   }
 
+  /// Discards what the peer has not received yet. A plain close would deliver a
+  /// request after it was given up, once the peer reads or the network
+  /// recovers.
+  void reset() {
+    if (!Conn)
+      return;
+    boost::system::error_code ignored;
+    Conn->Stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                     ignored);
+    close();
+  }
+
   void fail(HttpFailure Failure) {
     if (IsFinished)
       return;
     IsFinished = true;
-    close();
+    reset();
     Callbacks.OnFailure(Failure);
   }
 
--- a/http/client.h
+++ b/http/client.h
@@ -44,7 +44,7 @@
 class HttpCall {
 public:
   virtual ~HttpCall() = default;
-  /// Ends the exchange and closes its connection; no callback is called
+  /// Ends the exchange and resets its connection; no callback is called
   /// afterwards. Call on the I/O context's thread.
   virtual void cancel() = 0;
 };
--- a/tests/process/test_callers_that_left.cpp
+++ b/tests/process/test_callers_that_left.cpp
@@ -97,6 +97,34 @@
   CHECK(isCompleteSuccess(front.call("many", "3")));
 }
 
+TEST_CASE("request on the way to its endpoint is lost when its caller leaves") {
+  // Not read by the endpoint, as behind a failed network path, so that most of
+  // the request stays in the buffers of the front's host.
+  asio::io_context io;
+  Tcp::acceptor acceptor(io, Tcp::v4());
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen();
+  TestedFront front("127.0.0.1:" +
+                    std::to_string(acceptor.local_endpoint().port()));
+  Tcp::socket caller = front.connect();
+  const std::string body(200'000, 'x');
+  sendText(caller,
+           TestedFront::requestText(
+               "many", "1",
+               "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+               body);
+  Tcp::socket atEndpoint = acceptor.accept();
+  std::this_thread::sleep_for(NoticeTime);
+  leave(caller, Leave::Close);
+  std::this_thread::sleep_for(NoticeTime);
+  std::string received;
+  boost::system::error_code ec;
+  asio::read(atEndpoint, asio::dynamic_buffer(received), ec);
+  CHECK(received.size() < body.size());
+  CHECK(ec == asio::error::connection_reset);
+}
+
 TEST_CASE("failed request is not retried when its caller left first") {
   std::atomic<size_t> warm{0};
   std::atomic<bool> mayFail{false};
