Ask for the caller again directly before a request is sent

A front asks whether the caller is there when it has chosen the endpoint. The request is written in a later turn of the event loop, for a new connection after it is established; a front that is behind handles the caller's close after that.

The client asks directly before it writes. "request is not sent when its caller leaves while it is being sent" failed before in both cases, with a pooled and with a new connection.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -122,7 +122,8 @@
     Core.RequestTokens(*Result.PoolQuotaRequest);
   if (auto *target = std::get_if<SendTo>(&Result.Decision)) {
     setWaiting(false);
-    // The event of the caller's close may still be queued behind others.
+    // The event of the caller's close may still be queued behind others. Asked
+    // again before the request is sent; this saves the connection.
     if (Exchange->hasCallerLeft())
       abandon();
     else
@@ -156,6 +157,12 @@
   platform::setEndpointFields(message, fields);
   HttpCallbacks callbacks;
   auto self = shared_from_this();
+  callbacks.MaySend = [self] {
+    if (!self->Exchange->hasCallerLeft())
+      return true;
+    self->abandon();
+    return false;
+  };
   callbacks.OnHead = [self](HttpResponseHead Head) {
     self->handleHead(std::move(Head));
   };
@@ -463,6 +470,11 @@
 
 /// Ends a request that was about to be sent to an endpoint: its caller left.
 void Relay::abandon() {
+  if (Call) {
+    Call->cancel();
+    Call.reset();
+    recordExchangeEnd(Core.State, Request, Endpoint);
+  }
   Core.Counts.count("callers_gone_total", "stage=\"before_send\"");
   Exchange->abort();
   finish("caller_gone", StatusClientClosed);
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -198,7 +198,7 @@
   /// Reads and writes at the same time, since a response may arrive before the
   /// whole request has been sent.
   void exchange() {
-    if (IsFinished)
+    if (IsFinished || (Callbacks.MaySend && !Callbacks.MaySend()))
       return;
     expireRead();
     http::async_write(
--- a/tests/process/test_callers_that_left.cpp
+++ b/tests/process/test_callers_that_left.cpp
@@ -97,6 +97,28 @@
   CHECK(isCompleteSuccess(front.call("many", "3")));
 }
 
+TEST_CASE("request is not sent when its caller leaves while it is being sent") {
+  for (bool hasConnection : {true, false}) {
+    INFO((hasConnection ? "pooled connection" : "new connection"));
+    ScriptedEndpoint endpoint(answer);
+    TestedFront front(endpoint.address());
+    if (hasConnection)
+      REQUIRE(isCompleteSuccess(front.call("many", "1")));
+    size_t before = endpoint.countRequests();
+    front.occupy([&] { front.removeEndpoints(); });
+    Tcp::socket caller = front.connect();
+    sendText(caller, TestedFront::requestText("many", "2"));
+    std::this_thread::sleep_for(NoticeTime);
+    front.occupy([&] {
+      front.addEndpoint(endpoint.address());
+      leave(caller, Leave::Close);
+    });
+    std::this_thread::sleep_for(NoticeTime);
+    CHECK(endpoint.countRequests() == before);
+    CHECK(isCompleteSuccess(front.call("many", "3")));
+  }
+}
+
 TEST_CASE("request on the way to its endpoint is lost when its caller leaves") {
   // Not read by the endpoint, as behind a failed network path, so that most of
   // the request stays in the buffers of the front's host.
