Tell refused callers when their front admits them again

After a quarantine each front goes on refusing for its own part of ReleaseTime, so that one crash shows all fronts that it must begin again. In that time callers got a Retry-After in the past, down to -2 s: it was taken from the end of the quarantine. Found by reading. "refused request is told when its front admits it again" failed before.

--- a/policy/crash_quarantine.cpp
+++ b/policy/crash_quarantine.cpp
@@ -15,10 +15,16 @@
   return out;
 }
 
+/// End of the time in which this front admits no request with the feature.
+TimePoint endOf(const CrashQuarantine &State, const FeatureRecord &Record) {
+  if (Record.QuarantinedUntil == TimePoint())
+    return TimePoint();
+  return Record.QuarantinedUntil + State.ReleaseDelay;
+}
+
 bool isInForce(const CrashQuarantine &State, const FeatureRecord &Record,
                TimePoint Now) {
-  return Record.QuarantinedUntil != TimePoint() &&
-         !isPast(Record.QuarantinedUntil + State.ReleaseDelay, Now);
+  return !isPast(endOf(State, Record), Now);
 }
 
 bool isWithin(TimePoint At, Millis Span, TimePoint Now) {
@@ -146,7 +152,7 @@
   for (const std::string &it : listFeatures(Features)) {
     auto found = State.Features.find(it);
     if (found != State.Features.end() && isInForce(State, found->second, Now))
-      return std::pair(it, found->second.QuarantinedUntil);
+      return std::pair(it, endOf(State, found->second));
   }
   return std::nullopt;
 }
--- a/policy/crash_quarantine.h
+++ b/policy/crash_quarantine.h
@@ -92,7 +92,7 @@
 };
 
 /// The first of \p Features that is quarantined, with the end of its
-/// quarantine. Pure and thread safe.
+/// quarantine at this front, which is later than \p Now. Pure and thread safe.
 std::optional<std::pair<std::string, TimePoint>>
 findQuarantined(const CrashQuarantine &State, const RequestFeatures &Features,
                 TimePoint Now);
--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -375,6 +375,21 @@
   CHECK_FALSE(findQuarantined(state, features, now));
 }
 
+TEST_CASE("refused request is told when its front admits it again") {
+  CrashQuarantine state;
+  state.ReleaseDelay = ReleaseTime / 2;
+  RequestFeatures features{{DeadlyPart}, ""};
+  TimePoint now = Start;
+  for (int i = 0; i < 3; ++i, now += CrashSeparation)
+    recordAccusation(state, features.Parts, {"i-" + std::to_string(i), now, {}},
+                     now);
+  now += FirstQuarantine;
+  auto found = findQuarantined(state, features, now);
+  REQUIRE(found);
+  CHECK(found->second > now);
+  CHECK_FALSE(findQuarantined(state, features, found->second));
+}
+
 TEST_CASE("proof of another front lifts a quarantine that came too early") {
   CrashQuarantine state;
   RequestFeatures features{{"rare"}, ""};
