Adopt the next quarantine of a feature before this front releases it

Accusations reach it as well, but do not count while its own quarantine lasts, which may end a second later than the others'.

Quarantines of a feature are told apart by their number and not by whether one is in force; the later estimate of the end of the same one does not prolong it.

--- a/policy/crash_quarantine.cpp
+++ b/policy/crash_quarantine.cpp
@@ -239,7 +239,7 @@
                                    const KnownQuarantine &Known,
                                    TimePoint Now) {
   FeatureRecord &record = findOrAdd(State, Known.Feature, Now);
-  if (isInForce(State, record, Now) || isPast(Known.Until, Now))
+  if (Known.Quarantines <= record.Quarantines || isPast(Known.Until, Now))
     return QuarantineAdoption::Unchanged;
   if (record.ProvenAt > Known.QuarantinedAt)
     return QuarantineAdoption::Disproved;
--- a/policy/crash_quarantine.h
+++ b/policy/crash_quarantine.h
@@ -132,7 +132,7 @@
 /// Effect of a quarantine that another front decided.
 enum class QuarantineAdoption {
   Adopted,
-  Unchanged, ///< In force already, or over.
+  Unchanged, ///< Known already, or over.
   Disproved, ///< A request with the feature ran well after the decision.
 };
 /// A quarantine as it is told to other fronts.
--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -390,6 +390,21 @@
   CHECK_FALSE(findQuarantined(state, features, found->second));
 }
 
+TEST_CASE("front whose quarantine has ended adopts the next one") {
+  CrashQuarantine state;
+  state.ReleaseDelay = ReleaseTime;
+  RequestFeatures features{{DeadlyPart}, ""};
+  KnownQuarantine first{DeadlyPart, Start, Start + FirstQuarantine, 1};
+  REQUIRE(adoptQuarantine(state, first, Start) == QuarantineAdoption::Adopted);
+  TimePoint now = first.Until;
+  KnownQuarantine next{DeadlyPart, now, now + 2 * FirstQuarantine, 2};
+  CHECK(adoptQuarantine(state, next, now) == QuarantineAdoption::Adopted);
+  CHECK(findQuarantined(state, features, now + FirstQuarantine));
+  // Another front's estimate of the same one does not prolong it.
+  next.Until += MessageTime;
+  CHECK(adoptQuarantine(state, next, now) == QuarantineAdoption::Unchanged);
+}
+
 TEST_CASE("proof of another front lifts a quarantine that came too early") {
   CrashQuarantine state;
   RequestFeatures features{{"rare"}, ""};
