Send one request at a time after a quarantine

After a quarantine a front sends one request with the feature, and the next once it ran well or TrialTime has passed without an outcome. Fronts release over 20 s in place of 2 s; the first proof releases the feature at all of them. The price: requests with a part that was quarantined by mistake and is rare wait up to 18 s longer.

"after a quarantine one request with the part is sent at a time" holds the decision. The replays have two loads of 130 s, in which two quarantines end, and heartbeats.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -542,13 +542,14 @@
 } // namespace
 
 void recordDispatch(FrontState &State, FrontRequest &Request,
-                    const std::string &Endpoint) {
+                    const std::string &Endpoint, TimePoint Now) {
   ModelUsage &usage = modelUsageOf(State, Request);
   removeWaiting(usage, Request);
   ++usage.Open;
   ++usage.OpenByEndpoint[Endpoint];
   ++Request.Sends;
   recordSend(State.Records[Endpoint]);
+  beginTrial(State.Quarantine, Request.Features, Now);
 }
 
 void recordExchangeEnd(FrontState &State, const FrontRequest &Request,
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -61,7 +61,7 @@
 
 /// Records that the request was sent to \p Endpoint.
 void recordDispatch(FrontState &State, FrontRequest &Request,
-                    const std::string &Endpoint);
+                    const std::string &Endpoint, TimePoint Now);
 /// Records that the exchange with \p Endpoint has ended.
 void recordExchangeEnd(FrontState &State, const FrontRequest &Request,
                        const std::string &Endpoint);
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -147,7 +147,7 @@
   IsNotRun = false;
   IsStream = false;
   Body.clear();
-  recordDispatch(Core.State, Request, Endpoint);
+  recordDispatch(Core.State, Request, Endpoint, now);
   if (Request.Sends == 1)
     observe("queue_seconds", now - Request.ArrivedAt);
   Millis left = std::chrono::duration_cast<Millis>(Request.Deadline - now);
--- a/policy/crash_quarantine.cpp
+++ b/policy/crash_quarantine.cpp
@@ -19,7 +19,8 @@
 TimePoint endOf(const CrashQuarantine &State, const FeatureRecord &Record) {
   if (Record.QuarantinedUntil == TimePoint())
     return TimePoint();
-  return Record.QuarantinedUntil + State.ReleaseDelay;
+  return std::max(Record.QuarantinedUntil + State.ReleaseDelay,
+                  Record.TrialUntil);
 }
 
 bool isInForce(const CrashQuarantine &State, const FeatureRecord &Record,
@@ -157,6 +158,15 @@
   return std::nullopt;
 }
 
+void beginTrial(CrashQuarantine &State, const RequestFeatures &Features,
+                TimePoint Now) {
+  for (const std::string &it : listFeatures(Features)) {
+    auto found = State.Features.find(it);
+    if (found != State.Features.end() && found->second.Quarantines > 0)
+      found->second.TrialUntil = Now + TrialTime;
+  }
+}
+
 std::vector<std::string> selectAccused(const CrashQuarantine &State,
                                        const std::string &Service,
                                        const RequestFeatures &Features,
--- a/policy/crash_quarantine.h
+++ b/policy/crash_quarantine.h
@@ -50,9 +50,12 @@
 /// they are sound. It is doubled each time until a request runs well.
 inline constexpr Millis FirstQuarantine{30'000};
 inline constexpr Millis LongestQuarantine{600'000};
-/// After a quarantine the fronts admit such requests one after another within
+/// After a quarantine the fronts release the feature one after another within
 /// this time, so that one crash shows all of them that it must begin again.
-inline constexpr Millis ReleaseTime{2'000};
+inline constexpr Millis ReleaseTime{20'000};
+/// A front then admits one request with the feature and waits this long for its
+/// outcome before it admits the next.
+inline constexpr Millis TrialTime{3'000};
 /// Limit of features that are remembered at once.
 inline constexpr size_t MaxTrackedFeatures = 4'096;
 
@@ -78,7 +81,9 @@
   TimePoint ProvenAt;
   TimePoint QuarantinedAt;
   TimePoint QuarantinedUntil; ///< Zero when it never was or was disproved.
-  uint32_t Quarantines = 0;   ///< Since a request with it last ran well.
+  /// End of the trial by a request that was sent after a quarantine.
+  TimePoint TrialUntil;
+  uint32_t Quarantines = 0; ///< Since a request with it last ran well.
   TimePoint UsedAt;
 };
 
@@ -91,12 +96,17 @@
   Millis ReleaseDelay{0};
 };
 
-/// The first of \p Features that is quarantined, with the end of its
-/// quarantine at this front, which is later than \p Now. Pure and thread safe.
+/// The first of \p Features that is quarantined or on trial, with the end of
+/// that, which is later than \p Now. Pure and thread safe.
 std::optional<std::pair<std::string, TimePoint>>
 findQuarantined(const CrashQuarantine &State, const RequestFeatures &Features,
                 TimePoint Now);
 
+/// Records that a request with \p Features is sent to an endpoint. Not thread
+/// safe.
+void beginTrial(CrashQuarantine &State, const RequestFeatures &Features,
+                TimePoint Now);
+
 /// Selects those of \p Features that the crash of an endpoint of \p Service
 /// accuses, by what this front knows. Call for a request that ran there for
 /// less than ProvenRunTime. Pure and thread safe.
--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -110,6 +110,7 @@
   void advance(Engine &Engine);
   void deliver();
   void queue(NodeMessages Messages);
+  void exchangeHeartbeats();
 
   Day Plan;
   std::mt19937_64 Random;
@@ -190,6 +191,7 @@
   Out.LateSends += IsDeadly && isLate ? 1 : 0;
   if (IsDeadly && engine->CrashAt == TimePoint())
     engine->CrashAt = Now + AnswerDelay + CrashDelay;
+  recordDispatch(*Fronts[Front], Request, engine->Name, Now);
   Millis length{200 + static_cast<int64_t>(below(1'400))};
   engine->Runs.push_back({Front, std::move(Request), Now + AnswerDelay,
                           Now + length, IsDeadly, false});
@@ -242,12 +244,26 @@
   }
 }
 
+void Replay::exchangeHeartbeats() {
+  for (const auto &from : Fronts)
+    for (const auto &to : Fronts) {
+      if (from == to)
+        continue;
+      recordNodeHeartbeat(to->Roster, from->Self, Now);
+      if (digestQuarantine(from->Quarantine, Now) ==
+          digestQuarantine(to->Quarantine, Now))
+        continue;
+      NodeMessage message{to->Self.address(), {}};
+      *message.Message.mutable_crash_notice() =
+          makeQuarantineNotice(*from, Now);
+      queue({message});
+    }
+}
+
 Result Replay::run() {
   for (; Now < Start + Plan.End; Now += Step) {
-    for (const auto &front : Fronts)
-      for (const auto &other : Fronts)
-        if (front != other)
-          recordNodeHeartbeat(front->Roster, other->Self, Now);
+    if ((Now - Start) % HeartbeatPeriod == Millis(0))
+      exchangeHeartbeats();
     deliver();
     if (happens(Plan.SoundPerSecond))
       arrive(false);
@@ -288,6 +304,12 @@
        .WasSound = true},
       // Little shows that the other parts are sound.
       {.What = "few sound requests", .SoundPerSecond = 5, .PercentRefused = 49},
+      // Two quarantines end meanwhile.
+      {.What = "for minutes", .End = Millis(130'000)},
+      {.What = "for minutes, often and at many fronts",
+       .Fronts = 24,
+       .DeadlyPerSecond = 6,
+       .End = Millis(130'000)},
   };
   for (const Day &it : days)
     for (uint64_t seed = 1; seed <= 20; ++seed) {
@@ -390,6 +412,35 @@
   CHECK_FALSE(findQuarantined(state, features, found->second));
 }
 
+TEST_CASE("after a quarantine one request with the part is sent at a time") {
+  CrashQuarantine state;
+  state.ReleaseDelay = ReleaseTime / 2;
+  RequestFeatures features{{DeadlyPart}, ""};
+  RequestFeatures others{{"other"}, ""};
+  TimePoint now = Start;
+  for (int i = 0; i < 3; ++i, now += CrashSeparation)
+    recordAccusation(state, features.Parts, {"i-" + std::to_string(i), now, {}},
+                     now);
+  now += FirstQuarantine;
+  now += state.ReleaseDelay;
+  REQUIRE_FALSE(findQuarantined(state, features, now));
+  beginTrial(state, features, now);
+  beginTrial(state, others, now);
+  CHECK_FALSE(findQuarantined(state, others, now));
+  auto found = findQuarantined(state, features, now);
+  REQUIRE(found);
+  CHECK(found->second == now + TrialTime);
+  // The outcome did not come.
+  now += TrialTime;
+  REQUIRE_FALSE(findQuarantined(state, features, now));
+  beginTrial(state, features, now);
+  recordProof(state, "chat", features, now, now + ProvenRunTime);
+  now += ProvenRunTime;
+  CHECK_FALSE(findQuarantined(state, features, now));
+  beginTrial(state, features, now);
+  CHECK_FALSE(findQuarantined(state, features, now));
+}
+
 TEST_CASE("front whose quarantine has ended adopts the next one") {
   CrashQuarantine state;
   state.ReleaseDelay = ReleaseTime;
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -410,7 +410,7 @@
     FrontRequest request = admit(state, "/stream/x");
     auto result = decideDispatch(state, request, Start);
     if (auto *target = std::get_if<SendTo>(&result.Decision)) {
-      recordDispatch(state, request, target->Endpoint);
+      recordDispatch(state, request, target->Endpoint, Start);
       ++sent;
     } else if (refusalOf(result)) {
       CHECK(statusOf(refusalOf(result)->Reason) == 503);
@@ -476,7 +476,7 @@
     addEndpoint(state, "e1", "chat", "10.0.0.1:80", {"m"});
     FrontRequest request = admit(state, it.Path);
     const char *endpoint = request.Service == "desk" ? "d1" : "e1";
-    recordDispatch(state, request, endpoint);
+    recordDispatch(state, request, endpoint, Start);
     RetryDecision after = decideRetry(state, request, endpoint, it.Failure,
                                       it.HasResponse, Start);
     CHECK(after.IsRetry == it.IsRetry);
@@ -496,7 +496,7 @@
   addEndpoint(state, "e1", "chat", "10.0.0.1:80", {"m"});
   state.Limits.Retries = {0.2, 0};
   FrontRequest request = admit(state, "/stream/x");
-  recordDispatch(state, request, "e1");
+  recordDispatch(state, request, "e1", Start);
   recordExchangeEnd(state, request, "e1");
   RetryDecision after = decideRetry(state, request, "e1",
                                     ExchangeFailure::Rejected, false, Start);
@@ -523,7 +523,7 @@
   CHECK(refusalOf(decideDispatch(state, request, now)) != nullptr);
   addEndpoint(state, "d1", "desk", "10.0.0.3:80", {});
   FrontRequest plain = admit(state, "/safe/x");
-  recordDispatch(state, plain, "d1");
+  recordDispatch(state, plain, "d1", Start);
   after = decideRetry(state, plain, "d1", ExchangeFailure::Rejected, false,
                       plain.ObjectiveDeadline + Millis(1));
   CHECK_FALSE(after.IsRetry);
@@ -542,7 +542,7 @@
     auto *target = std::get_if<SendTo>(&result.Decision);
     REQUIRE(target);
     CHECK(reached.insert(target->Endpoint).second);
-    recordDispatch(state, request, target->Endpoint);
+    recordDispatch(state, request, target->Endpoint, Start);
     if (!decideRetry(state, request, target->Endpoint, ExchangeFailure::Broken,
                      false, Start)
              .IsRetry)
