--- a/http/client.h
+++ b/http/client.h
@@ -34,13 +34,13 @@
 };
 
 struct HttpCallbacks {
-  /// Asked directly before the request is sent, when the connection is there.
-  /// To prevent that, cancel the exchange and return false. May be empty.
-  std::function<bool()> MaySend;
   std::function<void(HttpResponseHead)> OnHead;
   std::function<void(std::string_view)> OnBody;
   std::function<void()> OnEnd;
   std::function<void(HttpFailure)> OnFailure;
+  /// Asked directly before the request is sent, when the connection is there.
+  /// To prevent that, cancel the exchange and return false. May be empty.
+  std::function<bool()> MaySend = {};
 };
 
 /// Handle of an exchange in progress.
