Log when a feature is tried and released after a quarantine

Nothing in the log told a front that goes on refusing from one that tries again, nor why requests with a part were admitted again. feature_tried names the request that was sent to find out, feature_released the endpoint at which one ran well.

--- a/front/crash_notices.cpp
+++ b/front/crash_notices.cpp
@@ -18,6 +18,12 @@
            {{"feature", Feature}, {"source", Source}, {"endpoint", Endpoint}});
 }
 
+void logRelease(const std::string &Feature, const char *Source,
+                const std::string &Endpoint) {
+  logEvent(LogLevel::Info, "feature_released",
+           {{"feature", Feature}, {"source", Source}, {"endpoint", Endpoint}});
+}
+
 void accuse(FrontState &State,
             const PendingCrashNotices::Accusation &Accusation, TimePoint Now) {
   AccusationEffect effect = recordAccusation(
@@ -72,10 +78,12 @@
 
 void recordProvenRun(FrontState &State, const FrontRequest &Request,
                      const EndpointRun &Run, TimePoint Now) {
-  for (const std::string &it :
-       recordProof(State.Quarantine, Request.Service, Request.Features,
-                   Run.AnsweredAt, Now))
+  ProofEffect effect = recordProof(State.Quarantine, Request.Service,
+                                   Request.Features, Run.AnsweredAt, Now);
+  for (const std::string &it : effect.Cleared)
     State.CrashNotices.Cleared[it] = Run.AnsweredAt;
+  for (const std::string &it : effect.Released)
+    logRelease(it, "run", Run.Endpoint);
 }
 
 std::optional<FrontRefusal> checkQuarantine(const FrontState &State,
@@ -125,7 +133,9 @@
            Now);
   }
   for (const wire::ProvenFeature &it : Notice.cleared())
-    clearFeature(State.Quarantine, it.feature(), agoOf(it.age_ms(), Now), Now);
+    if (clearFeature(State.Quarantine, it.feature(), agoOf(it.age_ms(), Now),
+                     Now))
+      logRelease(it.feature(), "front", "");
   for (const wire::QuarantinedFeature &it : Notice.quarantined()) {
     QuarantineAdoption adoption =
         adoptQuarantine(State.Quarantine,
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -549,7 +549,12 @@
   ++usage.OpenByEndpoint[Endpoint];
   ++Request.Sends;
   recordSend(State.Records[Endpoint]);
-  beginTrial(State.Quarantine, Request.Features, Now);
+  for (const std::string &it :
+       beginTrial(State.Quarantine, Request.Features, Now))
+    logEvent(LogLevel::Info, "feature_tried",
+             {{"id", Request.Attributes.Id},
+              {"feature", it},
+              {"endpoint", Endpoint}});
 }
 
 void recordExchangeEnd(FrontState &State, const FrontRequest &Request,
--- a/policy/crash_quarantine.cpp
+++ b/policy/crash_quarantine.cpp
@@ -32,17 +32,20 @@
   return At != TimePoint() && Now - At < Span;
 }
 
-void prove(FeatureRecord &Record, TimePoint BegunAt) {
+/// True when the feature is no longer in quarantine or on trial.
+bool prove(FeatureRecord &Record, TimePoint BegunAt) {
   std::erase_if(Record.Accusations,
                 [&](const CrashAccusation &it) { return it.At <= BegunAt; });
   Record.ProvenAt = std::max(Record.ProvenAt, BegunAt);
   // A front that did not know of the proof may have decided too early.
   bool isTooEarly =
       Record.Quarantines == 1 && Record.Accusations.size() < ProvenCrashLimit;
-  if (Record.QuarantinedAt > BegunAt && !isTooEarly)
-    return;
+  if (Record.Quarantines == 0 ||
+      (Record.QuarantinedAt > BegunAt && !isTooEarly))
+    return false;
   Record.QuarantinedUntil = TimePoint();
   Record.Quarantines = 0;
+  return true;
 }
 
 bool isSameCrash(const CrashAccusation &First, const CrashAccusation &Second) {
@@ -158,13 +161,18 @@
   return std::nullopt;
 }
 
-void beginTrial(CrashQuarantine &State, const RequestFeatures &Features,
-                TimePoint Now) {
+std::vector<std::string> beginTrial(CrashQuarantine &State,
+                                    const RequestFeatures &Features,
+                                    TimePoint Now) {
+  std::vector<std::string> out;
   for (const std::string &it : listFeatures(Features)) {
     auto found = State.Features.find(it);
-    if (found != State.Features.end() && found->second.Quarantines > 0)
-      found->second.TrialUntil = Now + TrialTime;
+    if (found == State.Features.end() || found->second.Quarantines == 0)
+      continue;
+    found->second.TrialUntil = Now + TrialTime;
+    out.push_back(it);
   }
+  return out;
 }
 
 std::vector<std::string> selectAccused(const CrashQuarantine &State,
@@ -222,27 +230,27 @@
   return out;
 }
 
-std::vector<std::string> recordProof(CrashQuarantine &State,
-                                     const std::string &Service,
-                                     const RequestFeatures &Features,
-                                     TimePoint BegunAt, TimePoint Now) {
+ProofEffect recordProof(CrashQuarantine &State, const std::string &Service,
+                        const RequestFeatures &Features, TimePoint BegunAt,
+                        TimePoint Now) {
   State.ServiceProvenAt[Service] = Now;
   std::vector<std::string> proven = Features.Parts;
   if (State.Features.contains(Features.Digest))
     proven.push_back(Features.Digest);
-  std::vector<std::string> out;
+  ProofEffect out;
   for (const std::string &it : proven) {
     FeatureRecord &record = findOrAdd(State, it, Now);
     if (!record.Accusations.empty() || isInForce(State, record, Now))
-      out.push_back(it);
-    prove(record, BegunAt);
+      out.Cleared.push_back(it);
+    if (prove(record, BegunAt))
+      out.Released.push_back(it);
   }
   return out;
 }
 
-void clearFeature(CrashQuarantine &State, const std::string &Feature,
+bool clearFeature(CrashQuarantine &State, const std::string &Feature,
                   TimePoint BegunAt, TimePoint Now) {
-  prove(findOrAdd(State, Feature, Now), BegunAt);
+  return prove(findOrAdd(State, Feature, Now), BegunAt);
 }
 
 QuarantineAdoption adoptQuarantine(CrashQuarantine &State,
--- a/policy/crash_quarantine.h
+++ b/policy/crash_quarantine.h
@@ -102,10 +102,11 @@
 findQuarantined(const CrashQuarantine &State, const RequestFeatures &Features,
                 TimePoint Now);
 
-/// Records that a request with \p Features is sent to an endpoint. Not thread
-/// safe.
-void beginTrial(CrashQuarantine &State, const RequestFeatures &Features,
-                TimePoint Now);
+/// Records that a request with \p Features is sent to an endpoint, and returns
+/// those that it is a trial of. Not thread safe.
+std::vector<std::string> beginTrial(CrashQuarantine &State,
+                                    const RequestFeatures &Features,
+                                    TimePoint Now);
 
 /// Selects those of \p Features that the crash of an endpoint of \p Service
 /// accuses, by what this front knows. Call for a request that ran there for
@@ -126,18 +127,21 @@
                                   const std::vector<std::string> &Features,
                                   const CrashAccusation &Accusation,
                                   TimePoint Now);
+struct ProofEffect {
+  /// Features that were accused or quarantined, which the other fronts must be
+  /// told.
+  std::vector<std::string> Cleared;
+  std::vector<std::string> Released; ///< No longer in quarantine or on trial.
+};
 /// Records that a request of this front with \p Features, which an endpoint
 /// began to answer at \p BegunAt, ran well. Crashes after that moment still
-/// count, as a feature may become harmful at any time. Returns the features
-/// that were accused or quarantined, which the other fronts must be told. Not
-/// thread safe.
-std::vector<std::string> recordProof(CrashQuarantine &State,
-                                     const std::string &Service,
-                                     const RequestFeatures &Features,
-                                     TimePoint BegunAt, TimePoint Now);
-/// Records the same of a request with \p Feature at another front. Not thread
-/// safe.
-void clearFeature(CrashQuarantine &State, const std::string &Feature,
+/// count, as a feature may become harmful at any time. Not thread safe.
+ProofEffect recordProof(CrashQuarantine &State, const std::string &Service,
+                        const RequestFeatures &Features, TimePoint BegunAt,
+                        TimePoint Now);
+/// Records the same of a request with \p Feature at another front. True when
+/// that releases it. Not thread safe.
+bool clearFeature(CrashQuarantine &State, const std::string &Feature,
                   TimePoint BegunAt, TimePoint Now);
 /// Effect of a quarantine that another front decided.
 enum class QuarantineAdoption {
--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -424,8 +424,8 @@
   now += FirstQuarantine;
   now += state.ReleaseDelay;
   REQUIRE_FALSE(findQuarantined(state, features, now));
-  beginTrial(state, features, now);
-  beginTrial(state, others, now);
+  CHECK(beginTrial(state, features, now) == features.Parts);
+  CHECK(beginTrial(state, others, now).empty());
   CHECK_FALSE(findQuarantined(state, others, now));
   auto found = findQuarantined(state, features, now);
   REQUIRE(found);
@@ -434,10 +434,12 @@
   now += TrialTime;
   REQUIRE_FALSE(findQuarantined(state, features, now));
   beginTrial(state, features, now);
-  recordProof(state, "chat", features, now, now + ProvenRunTime);
+  CHECK(
+      recordProof(state, "chat", features, now, now + ProvenRunTime).Released ==
+      features.Parts);
   now += ProvenRunTime;
   CHECK_FALSE(findQuarantined(state, features, now));
-  beginTrial(state, features, now);
+  CHECK(beginTrial(state, features, now).empty());
   CHECK_FALSE(findQuarantined(state, features, now));
 }
 
@@ -466,7 +468,7 @@
         Start + i * CrashSeparation);
   TimePoint now = Start + 4 * CrashSeparation;
   REQUIRE(findQuarantined(state, features, now));
-  clearFeature(state, "rare", Start, now);
+  CHECK(clearFeature(state, "rare", Start, now));
   CHECK_FALSE(findQuarantined(state, features, now));
 }
 
