Judge attempts stamped in an earlier term by the clock of that term

An agent of the product's own interface could run a request more than 5 s after its key was withdrawn. Attempts stamped in an earlier term were admitted for 3 s after the agent had learned of the current one, however late that was: an agent that was cut off from control over a change of leader learned of it seconds after entries with the earlier term's lease had to stop, and admitted an attempt that had been delayed on its way.

The agent keeps the clock of the term before, and an attempt is stale once that clock has passed its stamp. Without that clock it is stale as well: the entry sends it again. "attempt of an earlier term is stale once its stamp has passed" failed before: the attempt was started 4.5 s after its stamp.

--- a/agent/attempts.cpp
+++ b/agent/attempts.cpp
@@ -14,8 +14,8 @@
 /// death is reported as running at the death.
 constexpr Millis DeathWindow{3000};
 constexpr unsigned StatusNotFound = 404;
-/// Attempts stamped in an earlier term are admitted for this long after the
-/// agent learned of the current term.
+/// Attempts stamped in an earlier term are admitted for at most this long after
+/// the agent learned of the current term.
 constexpr Millis TermGrace = timing::ViewLease;
 
 void reply(AgentEffects &Out, const std::string &Address, const AttemptKey &Key,
@@ -55,9 +55,13 @@
   // Fleet time of a later term is unknown before its leader has answered.
   if (Attempt.stamp_term() > State.View.Term)
     return true;
-  if (Attempt.stamp_term() < State.View.Term)
-    return Now - State.View.TermSince >= TermGrace;
-  return fleetTimeMs(State.View, Now) > Attempt.stamp_until_ms();
+  if (Attempt.stamp_term() == State.View.Term)
+    return fleetTimeMs(State.View, Now) > Attempt.stamp_until_ms();
+  // The agent may learn of the current term late, so the time since then is not
+  // enough.
+  auto earlier = earlierFleetTimeMs(State.View, Attempt.stamp_term(), Now);
+  return Now - State.View.TermSince >= TermGrace || !earlier ||
+         *earlier > Attempt.stamp_until_ms();
 }
 
 bool hasExclusiveAttempt(const AgentState &State) {
--- a/fleet/node_view.cpp
+++ b/fleet/node_view.cpp
@@ -49,6 +49,7 @@
     return false;
   }
   if (Reply.term() > View.Term) {
+    View.EarlierClock = {View.Term, View.FleetTimeMs, View.FleetTimeAt};
     View.Term = Reply.term();
     View.TermSince = Now;
     View.FleetTimeMs = 0;
@@ -81,4 +82,12 @@
   return View.FleetTimeMs + toMillis(Now - View.FleetTimeAt);
 }
 
+std::optional<uint64_t> earlierFleetTimeMs(const NodeView &View, uint64_t Term,
+                                           TimePoint Now) {
+  const FleetClock &clock = View.EarlierClock;
+  if (clock.Term != Term || clock.TimeMs == 0)
+    return std::nullopt;
+  return clock.TimeMs + toMillis(Now - clock.At);
+}
+
 } // namespace sassafras
--- a/fleet/node_view.h
+++ b/fleet/node_view.h
@@ -8,6 +8,7 @@
 #include "fleet/item_store.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,13 @@
 /// Number of sent heartbeats whose send times are kept to match replies.
 inline constexpr size_t MaxSentHeartbeats = 32;
 
+/// Time stamps of the leader of one term.
+struct FleetClock {
+  uint64_t Term = 0;
+  uint64_t TimeMs = 0; ///< At At; 0 while unknown.
+  TimePoint At;
+};
+
 struct NodeView {
   std::vector<std::string> ControlAddresses;
   std::string LeaderAddress; ///< Empty while unknown.
@@ -31,6 +39,7 @@
   TimePoint LastReply;      ///< From a leader.
   uint64_t FleetTimeMs = 0; ///< At FleetTimeAt, from the leader of Term.
   TimePoint FleetTimeAt;
+  FleetClock EarlierClock; ///< Of the term that was known before Term.
   TimePoint NextHeartbeat;
   uint64_t ViewsSeen = 0;
 };
@@ -47,6 +56,10 @@
 bool isConfirmed(const NodeView &View, TimePoint Now);
 /// Lower bound of the current fleet time; 0 while unknown.
 uint64_t fleetTimeMs(const NodeView &View, TimePoint Now);
+/// The same by the clock of the leader of \p Term, which is earlier than
+/// View.Term; nothing unless it is the term that was known before.
+std::optional<uint64_t> earlierFleetTimeMs(const NodeView &View, uint64_t Term,
+                                           TimePoint Now);
 /// Addresses for proposals: the leader, or every control process while the
 /// leader is unknown.
 std::vector<std::string> proposalTargets(const NodeView &View);
--- a/tests/agent/test_agent_state.cpp
+++ b/tests/agent/test_agent_state.cpp
@@ -19,27 +19,31 @@
   AgentFixture() {
     State.Options = {"engine-1", Self, "address", "zone", 2, ""};
     State.View.ControlAddresses = {"control"};
-    EndpointReport report;
-    report.Incarnation = 3;
-    report.MemoryMb = 1000;
-    report.Loaded = {"m1"};
-    stepAgent(State, EndpointAnnounced{report}, Now);
+    announce();
     Now += Millis(100);
     replyToHeartbeat(1000);
     // Reports are trusted two seconds after the first one.
     for (int i = 0; i < 24; ++i) {
       Now += Millis(100);
-      stepAgent(State, EndpointAnnounced{report}, Now);
+      announce();
     }
     replyToHeartbeat(3500);
   }
 
+  void announce() {
+    EndpointReport report;
+    report.Incarnation = 3;
+    report.MemoryMb = 1000;
+    report.Loaded = {"m1"};
+    stepAgent(State, EndpointAnnounced{report}, Now);
+  }
+
   /// Delivers the leader's reply to the latest heartbeat, with the whole view.
-  void replyToHeartbeat(uint64_t FleetTimeMs) {
+  void replyToHeartbeat(uint64_t FleetTimeMs, uint64_t Term = 4) {
     wire::Envelope message;
     wire::HeartbeatReply &reply = *message.mutable_heartbeat_reply();
     reply.set_number(State.View.NextNumber - 1);
-    reply.set_term(4);
+    reply.set_term(Term);
     reply.set_is_leader(true);
     reply.set_version(++Version);
     reply.set_fleet_time_ms(FleetTimeMs);
@@ -174,6 +178,22 @@
   }
 }
 
+// An agent that was frozen over a change of leader reads what arrived
+// meanwhile.
+TEST_CASE("attempt of an earlier term is stale once its stamp has passed") {
+  AgentFixture fixture;
+  for (int i = 0; i < 70; ++i) {
+    fixture.Now += Millis(100);
+    fixture.announce();
+    stepAgent(fixture.State, AgentTick{}, fixture.Now);
+  }
+  fixture.replyToHeartbeat(9000, 5);
+  wire::AttemptReply reply = fixture.send(fixture.attempt("r"));
+  CHECK(reply.outcome() == wire::ATTEMPT_NOT_RUN);
+  CHECK(reply.reason() == "stale");
+  CHECK(fixture.Started == 0);
+}
+
 TEST_CASE(
     "agent starts no attempt twice and none that it reported as not run") {
   AgentFixture fixture;
