--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -49,6 +50,26 @@
     return response;
   }
 
+  /// The same for bytes that arrive on an idle connection just before the
+  /// server stops, which has not read them by then.
+  std::string exchangeAtStop(const std::string &Bytes) {
+    auto address = parseAddress(Server.address());
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(address->Ip), address->Port});
+    std::this_thread::sleep_for(Millis(100));
+    asio::post(Io, [&] {
+      boost::system::error_code ec;
+      asio::write(socket, asio::buffer(Bytes), ec);
+      Server.stopAccepting();
+    });
+    std::this_thread::sleep_for(Millis(100));
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response;
+  }
+
 private:
   static HttpLimits limits() {
     HttpLimits limits;
@@ -203,3 +224,10 @@
   CHECK(server.exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n").find("200") !=
         std::string::npos);
 }
+
+TEST_CASE("request that has arrived before a stop is answered") {
+  EchoServer server;
+  std::string response =
+      server.exchangeAtStop("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(response.find("200 OK") != std::string::npos);
+}
