--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -206,6 +206,7 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
+  StatedLimit = fields.RequestLimit;
   AnsweredAt = now;
   HasHead = true;
   IsNotRun = fields.IsNotRun;
@@ -521,6 +522,7 @@
        {"address", Target.Address},
        {"load", std::to_string(static_cast<int>(Target.Load))},
        {"load_age_ms", std::to_string(Target.LoadAge.count())},
+       {"endpoint_limit", StatedLimit ? std::to_string(*StatedLimit) : ""},
        {"sends", std::to_string(Request.Sends)},
        {"runs", std::to_string(Request.Runs)},
        {"retry_after_ms", std::to_string(RetryAfter ? RetryAfter->count() : 0)},
--- a/front/relay.h
+++ b/front/relay.h
@@ -67,6 +67,8 @@
   std::shared_ptr<HttpCall> Call;
   std::string Endpoint; ///< Of the current or last exchange.
   SendTo Target;        ///< Endpoint and the load that it was chosen by.
+  /// Request limit that the endpoint stated in the latest answer.
+  std::optional<double> StatedLimit;
   std::optional<Millis> RetryAfter; ///< Sent with a refusal.
   HttpResponseHead
       Head; ///< Of the latest response; a resumed stream keeps the first.
