Keep the request limits that endpoints state, over all fronts

Cause: nothing read the limit. Each front chose endpoints by load and its own sends, so the sum over the fronts was bounded by nothing. Ruled out: fronts not yet told (2 to 12 sends an endpoint), retries (0 and 3), the restarted front. Fix: a statement of an endpoint reaches all fronts at once (notices through the relays, digest in heartbeats, reports of the agents, which read it every 0.1 s), bound to the process that made it. Every send to an endpoint with a limit needs a permit: the leader assigns evenly spaced slots, ahead of time by urgency and waiting time. Without a leader the fronts use half of the limit in slots spread over the fronts. A limit of 0 still gets a request in 5 s, which shows its end. Requests go to other endpoints, or wait only while a slot can be reached. Why it works: the sum is decided in one place, and the parts without it add up to less than the limit; no path to an endpoint goes around recordDispatch.

Tests: 'endpoint gets no more requests than the limit it has stated' failed on (17485 requests, 29 allowed; 14523, 5 allowed).

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -10,6 +10,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "http/status_pages.h"
+#include "platform/caller_codec.h"
 #include "platform/engine_codec.h"
 #include "wire/link.h"
 
@@ -80,7 +81,8 @@
   bool startStatusServer(std::string &Problem);
   void handleMessage(const wire::Envelope &Message);
   void poll();
-  void handleStateResponse(const std::string &Text);
+  void handleStateResponse(const std::string &Text,
+                           const platform::StatedLimit &Limit);
   void handleEngineLoss(const std::string &Reason);
   void sendNextCommand();
   void sendCommand(const PlannedCommand &Planned);
@@ -106,7 +108,9 @@
   EngineAgentState State;
   std::string LastUrgentFields; ///< Serialised, as of the last report.
   bool WasBusy = false;         ///< As of the last report.
-  std::string LastOrderSender;  ///< Front that sent the latest order.
+  /// Requests per second that the engine states as its limit.
+  std::optional<double> RequestLimit;
+  std::string LastOrderSender; ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
   uint64_t NextReportNumber = 1;
   size_t NextFront = 0;
@@ -203,15 +207,17 @@
   IsPolling = true;
   auto text = std::make_shared<std::string>();
   auto status = std::make_shared<unsigned>(0);
+  auto limit = std::make_shared<platform::StatedLimit>();
   HttpCallbacks callbacks;
-  callbacks.OnHead = [status](const HttpResponseHead &Head) {
+  callbacks.OnHead = [status, limit](const HttpResponseHead &Head) {
     *status = Head.Status;
+    *limit = platform::readRequestLimit(Head.Fields);
   };
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
-  callbacks.OnEnd = [self = shared_from_this(), text, status] {
+  callbacks.OnEnd = [self = shared_from_this(), text, status, limit] {
     self->IsPolling = false;
     if (*status == StatusOk)
-      self->handleStateResponse(*text);
+      self->handleStateResponse(*text, *limit);
     else
       self->handleEngineLoss("HTTP status " + std::to_string(*status));
   };
@@ -224,7 +230,8 @@
                makeEngineCallOptions(), std::move(callbacks));
 }
 
-void EngineAgentShell::handleStateResponse(const std::string &Text) {
+void EngineAgentShell::handleStateResponse(const std::string &Text,
+                                           const platform::StatedLimit &Limit) {
   wire::EngineReport report;
   std::string problem;
   if (!platform::readState(Text, report, problem)) {
@@ -236,6 +243,10 @@
              {{"engine", Options.EngineAgentRole.Engine},
               {"born", std::to_string(report.born_ms())}});
   IsSilent = false;
+  if (Limit.IsInvalid)
+    Counts.count("statements_invalid_total", "kind=\"limit\"");
+  else
+    RequestLimit = Limit.PerSecond;
   applyEngineReport(State, report);
   uint64_t done = State.OrderDone;
   sendNextCommand();
@@ -260,6 +271,7 @@
     logEvent(LogLevel::Warning, "engine_lost",
              {{"engine", Options.EngineAgentRole.Engine}, {"reason", Reason}});
   IsSilent = true;
+  RequestLimit.reset();
   clearEngineReport(State);
   publishReport(Clock::now());
   schedulePoll(IdlePollInterval);
@@ -337,6 +349,8 @@
   *out.mutable_self() = Self;
   out.set_address(Options.EngineAgentRole.Engine);
   out.set_is_silent(IsSilent);
+  out.set_has_limit(RequestLimit.has_value());
+  out.set_requests_per_s(RequestLimit.value_or(0));
   out.set_order_done(State.OrderDone);
   out.set_number(NextReportNumber++);
   return out;
@@ -360,6 +374,8 @@
   urgentFields.set_order_done(fullReport.order_done());
   urgentFields.set_loading(fullReport.loading());
   urgentFields.set_born_ms(fullReport.born_ms());
+  urgentFields.set_has_limit(fullReport.has_limit());
+  urgentFields.set_requests_per_s(fullReport.requests_per_s());
   std::string serialized = urgentFields.SerializeAsString();
   bool isDue = isPast(NextFullReport, Now);
   bool isChanged = serialized != LastUrgentFields;
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -3,8 +3,10 @@
 #include "core/hash.h"
 #include "core/logging.h"
 #include "front/crash_notices.h"
+#include "front/send_permits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafras {
 
@@ -45,6 +47,18 @@
 /// A request waits for quota tokens for at most its latency objective divided
 /// by this.
 constexpr int QuotaWaitDivisor = 2;
+/// How long a request waits for a slot of an endpoint with a limit while
+/// another endpoint could take it at once.
+constexpr Millis OptionalPermitWait{30};
+/// The same for the least urgent request that no other endpoint can take, and
+/// the addition for each level of urgency. A request that has waited can wait
+/// for longer than one that has just arrived.
+constexpr Millis LeastPermitWait{300};
+constexpr Millis PermitWaitPerLevel{50};
+constexpr uint32_t LeastUrgentLevel = 9;
+/// A request waits for endpoints that all have a limit only if it can exceed
+/// its estimate by one part in this many: other fronts get slots as well.
+constexpr int PacedMarginDivisor = 3;
 /// Limit of the sends of one request, including those that endpoints reject.
 constexpr uint32_t MaxSends = 4;
 
@@ -76,12 +90,29 @@
           model->second.contains(Request.Attributes.Adapter));
 }
 
+/// Requests that an endpoint with a limit of \p RequestsPerSecond holds at
+/// once.
+uint32_t slotsWithinLimit(uint32_t Slots, double RequestsPerSecond,
+                          Millis ServiceTime) {
+  double held =
+      RequestsPerSecond * std::chrono::duration<double>(ServiceTime).count();
+  return std::clamp<uint32_t>(
+      static_cast<uint32_t>(std::min<double>(std::ceil(held), Slots)), 1,
+      Slots);
+}
+
 EndpointCandidate makeCandidate(FrontState &State, const FrontRequest &Request,
-                                const KnownEndpoint &Known, TimePoint Now) {
+                                const KnownEndpoint &Known, bool IsEngine,
+                                TimePoint Now) {
   EndpointCandidate out;
   out.Id = Known.Id;
   out.Zone = Known.Zone;
-  out.Slots = Known.Slots;
+  out.RequestLimit = requestLimitOf(State, Known);
+  out.Slots = out.RequestLimit
+                  ? slotsWithinLimit(Known.Slots, *out.RequestLimit,
+                                     IsEngine ? MeanEngineServiceTime
+                                              : MeanPlainServiceTime)
+                  : Known.Slots;
   out.IsWarmingUp = !isPast(Known.WarmingUpUntil, Now);
   if (!Request.Attributes.PromptHead.empty())
     out.Affinity =
@@ -113,7 +144,8 @@
         continue;
       ++out.EnginesWithModel;
     }
-    out.Candidates.push_back(makeCandidate(State, Request, known, Now));
+    out.Candidates.push_back(
+        makeCandidate(State, Request, known, IsEngine, Now));
     out.Engines.push_back(engine);
     out.Endpoints.push_back(&known);
   }
@@ -270,15 +302,36 @@
 
 /// Time until a slot is free for a request behind \p Ahead others, at a mean
 /// time of \p Service for each.
-Millis estimateQueueTime(const EndpointSurvey &Found, size_t Ahead,
-                         Millis Service) {
-  double slots = 0;
-  for (const EndpointCandidate &it : Found.Candidates)
-    slots += it.Slots;
-  if (slots <= 0)
-    return Service;
-  return Millis(static_cast<int64_t>(static_cast<double>(Service.count()) *
-                                     static_cast<double>(Ahead + 1) / slots));
+struct QueueEstimate {
+  Millis Wait{0};
+  bool IsPaced = false; ///< All endpoints have a limit: nothing ends sooner.
+};
+
+QueueEstimate estimateQueueTime(const FrontState &State,
+                                const EndpointSurvey &Found, size_t Ahead,
+                                Millis Service, TimePoint Now) {
+  double seconds = std::chrono::duration<double>(Service).count();
+  double perSecond = 0;
+  std::optional<Millis> firstSlot; // Set while every candidate has a limit.
+  size_t limited = 0;
+  for (const EndpointCandidate &it : Found.Candidates) {
+    double most = it.Slots / seconds;
+    perSecond += it.RequestLimit
+                     ? std::min(std::max(*it.RequestLimit, MinSendPace), most)
+                     : most;
+    if (!it.RequestLimit)
+      continue;
+    ++limited;
+    Millis wait = timeUntilPermission(State, it.Id, Now);
+    firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
+  }
+  if (perSecond <= 0)
+    return {Service, false};
+  Millis queued(
+      static_cast<int64_t>(1'000 * static_cast<double>(Ahead + 1) / perSecond));
+  if (limited < Found.Candidates.size())
+    return {queued, false};
+  return {std::max(queued, *firstSlot), true};
 }
 
 DispatchResult waitForSlot(FrontState &State, FrontRequest &Request,
@@ -288,13 +341,23 @@
   ModelUsage &usage =
       State.ModelUsages[IsEngine ? Request.Attributes.Model
                                  : "service " + Request.Service];
-  size_t ahead = usage.Waiting.size() * countFronts(State, Now);
-  Millis wait = estimateQueueTime(
-      Found, ahead, IsEngine ? MeanEngineServiceTime : MeanPlainServiceTime);
   bool isQueued = usage.Waiting.contains(Request.Number);
+  auto rank = static_cast<size_t>(std::distance(
+      usage.Waiting.begin(), usage.Waiting.lower_bound(Request.Number)));
+  size_t ahead =
+      (isQueued ? rank : usage.Waiting.size()) * countFronts(State, Now);
+  QueueEstimate estimate = estimateQueueTime(
+      State, Found, ahead,
+      IsEngine ? MeanEngineServiceTime : MeanPlainServiceTime, Now);
+  Millis needed = estimate.Wait;
+  // Requests end sooner or later than on average; slots do not.
+  if (isQueued && !estimate.IsPaced)
+    needed = Millis(0);
+  else if (!isQueued && estimate.IsPaced)
+    needed += needed / PacedMarginDivisor;
   if ((!isQueued && usage.Waiting.size() >= State.Limits.MaxWaitingRequests) ||
-      Now + (isQueued ? Millis(0) : wait) > Request.FirstByteDeadline) {
-    out.Decision = makeRefusal(State, RefusalReason::NoCapacity, wait);
+      Now + needed > Request.FirstByteDeadline) {
+    out.Decision = makeRefusal(State, RefusalReason::NoCapacity, estimate.Wait);
     return out;
   }
   addWaiting(usage, Request, Now);
@@ -447,6 +510,97 @@
 
 } // namespace
 
+namespace {
+
+/// The candidates of \p Found that \p IsKept accepts, by index.
+template <typename Predicate>
+std::optional<size_t> chooseAmong(FrontState &State,
+                                  const EndpointSurvey &Found,
+                                  const Predicate &IsKept, TimePoint Now) {
+  std::vector<EndpointCandidate> kept;
+  std::vector<size_t> indices;
+  for (size_t i = 0; i < Found.Candidates.size(); ++i) {
+    if (!IsKept(i))
+      continue;
+    kept.push_back(Found.Candidates[i]);
+    indices.push_back(i);
+  }
+  std::uniform_real_distribution<double> draw(0, 1);
+  auto chosen =
+      chooseEndpoint(kept, State.Self.zone(), draw(State.Random), Now);
+  return chosen ? std::optional(indices[*chosen]) : std::nullopt;
+}
+
+/// The endpoint to send to, or that permits are to be asked for first.
+struct EndpointDecision {
+  std::optional<size_t> Chosen; ///< Index in the survey.
+  bool NeedsPermit = false;
+  bool HasAlternative = false; ///< Another endpoint needs no permit.
+};
+
+EndpointDecision decideEndpoint(FrontState &State, const EndpointSurvey &Found,
+                                TimePoint Now) {
+  std::vector<SendPermission> permissions;
+  for (const KnownEndpoint *it : Found.Endpoints)
+    permissions.push_back(checkPermission(State, *it, Now));
+  EndpointDecision out;
+  // A permit was obtained for a request that waits; it must not be wasted.
+  out.Chosen = chooseAmong(
+      State, Found,
+      [&](size_t I) {
+        return Found.Candidates[I].RequestLimit &&
+               permissions[I] == SendPermission::Open;
+      },
+      Now);
+  if (out.Chosen)
+    return out;
+  out.Chosen = chooseAmong(
+      State, Found,
+      [&](size_t I) { return permissions[I] != SendPermission::Closed; }, Now);
+  out.NeedsPermit =
+      out.Chosen && permissions[*out.Chosen] == SendPermission::Asking;
+  out.HasAlternative =
+      out.NeedsPermit &&
+      chooseAmong(
+          State, Found,
+          [&](size_t I) { return permissions[I] == SendPermission::Open; }, Now)
+          .has_value();
+  return out;
+}
+
+/// The request waits for a permit to be sent to one of the endpoints that can
+/// be asked for. It is refused only if others wait already and it cannot start
+/// in time.
+DispatchResult waitForPermit(FrontState &State, FrontRequest &Request,
+                             const EndpointSurvey &Found, bool IsEngine,
+                             bool HasAlternative, TimePoint Now) {
+  ModelUsage &usage =
+      State.ModelUsages[IsEngine ? Request.Attributes.Model
+                                 : "service " + Request.Service];
+  DispatchResult out;
+  if (!usage.Waiting.empty())
+    out = waitForSlot(State, Request, Found, IsEngine, Now);
+  if (std::holds_alternative<FrontRefusal>(out.Decision))
+    return out;
+  addWaiting(usage, Request, Now);
+  out.Decision = WaitUntil{Now + PermitRequestTimeout};
+  std::vector<const KnownEndpoint *> endpoints;
+  for (const KnownEndpoint *it : Found.Endpoints)
+    if (checkPermission(State, *it, Now) == SendPermission::Asking)
+      endpoints.push_back(it);
+  Clock::duration wait = OptionalPermitWait;
+  if (!HasAlternative)
+    wait = LeastPermitWait + (Now - Request.ArrivedAt) / 2 +
+           PermitWaitPerLevel *
+               (LeastUrgentLevel - std::min(Request.Urgency, LeastUrgentLevel));
+  out.PermitRequest =
+      requestPermits(State, endpoints, usage.Waiting.size(),
+                     std::min(Now + wait, Request.FirstByteDeadline), Now);
+  return out;
+}
+
+} // namespace
+
 DispatchResult decideDispatch(FrontState &State, FrontRequest &Request,
                               TimePoint Now) {
   DispatchResult out;
@@ -502,11 +656,13 @@
       return wait;
     }
   }
-  std::uniform_real_distribution<double> draw(0, 1);
-  auto chosen = chooseEndpoint(found.Candidates, State.Self.zone(),
-                               draw(State.Random), Now);
-  if (!chosen) {
-    DispatchResult wait = waitForSlot(State, Request, found, isEngine, Now);
+  EndpointDecision decision = decideEndpoint(State, found, Now);
+  if (!decision.Chosen || decision.NeedsPermit) {
+    DispatchResult wait =
+        decision.NeedsPermit
+            ? waitForPermit(State, Request, found, isEngine,
+                            decision.HasAlternative, Now)
+            : waitForSlot(State, Request, found, isEngine, Now);
     wait.AdapterRequests = std::move(out.AdapterRequests);
     return wait;
   }
@@ -519,8 +675,8 @@
     return out;
   }
   Request.NeedsRetryToken = false;
-  const KnownEndpoint &target = *found.Endpoints[*chosen];
-  const EndpointRecord &record = *found.Candidates[*chosen].Record;
+  const KnownEndpoint &target = *found.Endpoints[*decision.Chosen];
+  const EndpointRecord &record = *found.Candidates[*decision.Chosen].Record;
   Millis age =
       record.ReportedAt == TimePoint()
           ? Millis(0)
@@ -549,6 +705,7 @@
   ++usage.OpenByEndpoint[Endpoint];
   ++Request.Sends;
   recordSend(State.Records[Endpoint]);
+  takePermit(State, Endpoint, Now);
   for (const std::string &it :
        beginTrial(State.Quarantine, Request.Features, Now))
     logEvent(LogLevel::Info, "feature_tried",
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -9,6 +9,9 @@
 ///   load can complete in time.
 /// - Requests that crash each endpoint that answers them. They are refused once
 ///   that is known (policy/crash_quarantine.h).
+/// - Endpoints in need that state a request limit. Requests go to them within
+///   the limit, to other endpoints, or wait only while a slot can be reached
+///   in time (front/send_permits.h).
 /// - An organisation that exceeds its rate. Its requests are refused before
 ///   they are queued.
 #ifndef SASSAFRAS_FRONT_DISPATCH_H
@@ -51,6 +54,8 @@
   std::optional<wire::RowDemand> DemandReport;
   /// Quota tokens to request from the leader now.
   std::optional<wire::QuotaRequest> PoolQuotaRequest;
+  /// Permits to request from the leader now.
+  std::optional<wire::SendPermitRequest> PermitRequest;
 };
 
 /// Decides on a request that is not at an endpoint. Charges its organisation's
--- /dev/null
+++ b/front/endpoint_statements.h
@@ -0,0 +1,60 @@
+/// \file
+/// What endpoints state of themselves in their answers, kept the same at all
+/// fronts.
+///
+/// Load pattern: a front sees the answers of an endpoint every few seconds, and
+/// the endpoint expects all fronts to know what it told one of them. A changed
+/// statement is sent to all fronts at once, through the relays of other zones;
+/// one that missed it learns it from the next heartbeat with another digest,
+/// and the agents of engines report it too. A statement ends when the endpoint
+/// states otherwise or starts again.
+#ifndef SASSAFRAS_FRONT_ENDPOINT_STATEMENTS_H
+#define SASSAFRAS_FRONT_ENDPOINT_STATEMENTS_H
+
+#include "front/fleet_view.h"
+#include "front/front_state.h"
+
+#include <optional>
+#include <string>
+
+namespace sassafras {
+
+/// A statement that another front made may replace the end of one only if it is
+/// newer by this much, so that two fronts never restore for each other what has
+/// ended.
+inline constexpr Millis StatementMargin{500};
+/// An ended statement is remembered for this long, against late notices.
+inline constexpr Millis EndedStatementRetention{10'000};
+
+/// Request limit in force for \p Endpoint, per second over all fronts; nothing
+/// if there is none. Thread safe while \p State does not change.
+std::optional<double> requestLimitOf(const FrontState &State,
+                                     const KnownEndpoint &Endpoint);
+/// Records the limit, or that there is none, in an answer of \p Endpoint to a
+/// request that was sent at \p SentAt. Only an answer to a request sent after a
+/// limit was stated ends it: others may have been on their way. Not thread
+/// safe.
+void recordStatedLimit(FrontState &State, const std::string &Endpoint,
+                       std::optional<double> Limit, TimePoint SentAt,
+                       TimePoint Now);
+/// Records the limit that the agent of the engine at the report's address read.
+/// Not thread safe.
+void recordReportedLimit(FrontState &State, const wire::EngineReport &Report,
+                         TimePoint Now);
+/// Appends the changed statements for the other fronts. Not thread safe.
+void flushStatements(FrontState &State, TimePoint Now, NodeMessages &Out);
+/// Applies the statements that another front received. A message to be passed
+/// on is appended to \p Out for the fronts of the own zone. Not thread safe.
+void handleStatements(FrontState &State, const wire::EndpointStatements &Update,
+                      TimePoint Now, NodeMessages &Out);
+/// All statements in force. Thread safe while \p State does not change.
+wire::EndpointStatements makeStatements(const FrontState &State, TimePoint Now);
+/// Digest of the statements in force; equal at fronts with the same knowledge,
+/// and 0 if there are none. Thread safe while \p State does not change.
+uint64_t digestStatements(const FrontState &State);
+/// Removes statements that have ended or whose endpoint is forgotten.
+void expireStatements(FrontState &State, TimePoint Now);
+
+} // namespace sassafras
+
+#endif
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "fleet/zone_relays.h"
 #include "front/crash_notices.h"
+#include "front/endpoint_statements.h"
 
 #include <algorithm>
 
@@ -192,6 +193,7 @@
   heartbeat.set_roster_digest(digestRoster(State.Roster, State.Self, Now));
   heartbeat.set_endpoint_digest(digestEndpoints(State.Directory));
   heartbeat.set_quarantine_digest(digestQuarantine(State.Quarantine, Now));
+  heartbeat.set_statement_digest(digestStatements(State));
   heartbeat.set_is_leader(IsLeader);
   heartbeat.set_term(IsLeader ? Term : 0);
   heartbeat.set_is_leaving(State.IsStopping);
@@ -340,6 +342,13 @@
     *message.mutable_crash_notice() = makeQuarantineNotice(State, Now);
     send(Out, self.address(), std::move(message));
   }
+  if (!State.Statements.empty() &&
+      Heartbeat.statement_digest() != digestStatements(State) &&
+      mayResync(Gossip, self.address(), "/statements", Now)) {
+    wire::Envelope message;
+    *message.mutable_endpoint_statements() = makeStatements(State, Now);
+    send(Out, self.address(), std::move(message));
+  }
 }
 
 namespace {
@@ -476,6 +485,7 @@
   }
   if (!applyReport(State.Directory, Report, Now))
     return false;
+  recordReportedLimit(State, Report, Now);
   recordEngineLoad(State, Report.address(), Report.active() + Report.queued(),
                    Now);
   return true;
--- a/front/front_core.h
+++ b/front/front_core.h
@@ -29,10 +29,12 @@
   FrontCore(boost::asio::io_context &Io, Metrics &Counts,
             std::function<void(NodeMessages)> Send,
             std::function<void(const wire::RowDemand &)> ReportDemand,
-            std::function<void(const wire::QuotaRequest &)> RequestTokens)
+            std::function<void(const wire::QuotaRequest &)> RequestTokens,
+            std::function<void(const wire::SendPermitRequest &)> RequestPermits)
       : Io(Io), Counts(Counts), Client(Io, Counts), Send(std::move(Send)),
         ReportDemand(std::move(ReportDemand)),
-        RequestTokens(std::move(RequestTokens)) {}
+        RequestTokens(std::move(RequestTokens)),
+        RequestPermits(std::move(RequestPermits)) {}
 
   boost::asio::io_context &Io;
   Metrics &Counts;
@@ -42,6 +44,8 @@
   std::function<void(const wire::RowDemand &)> ReportDemand;
   /// Requests tokens of an organisation's quota from the leader.
   std::function<void(const wire::QuotaRequest &)> RequestTokens;
+  /// Requests permits for endpoints with a request limit from the leader.
+  std::function<void(const wire::SendPermitRequest &)> RequestPermits;
   FrontState State;
   std::map<uint64_t, std::shared_ptr<Relay>> Relays; ///< By request number.
   std::map<const HttpExchange *, uint64_t> ByExchange;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -9,11 +9,13 @@
 #include "front/caller_limits.h"
 #include "front/crash_notices.h"
 #include "front/early_requests.h"
+#include "front/endpoint_statements.h"
 #include "front/fleet_api.h"
 #include "front/front_core.h"
 #include "front/front_status.h"
 #include "front/leader_work.h"
 #include "front/relay.h"
+#include "front/send_permits.h"
 #include "http/address.h"
 #include "platform/caller_codec.h"
 #include "platform/table_codec.h"
@@ -96,10 +98,13 @@
   void send(NodeMessages Messages);
   void reportUnservedDemand(const wire::RowDemand &Row);
   void requestTokens(const wire::QuotaRequest &TokenRequest);
+  void requestPermits(const wire::SendPermitRequest &PermitRequest);
+  void takePermitReply(const wire::SendPermitReply &Reply, TimePoint Now);
   bool isReady() const;
   std::string leaderControlAddress() const;
   void tick();
-  void sendCrashNotices(TimePoint Now);
+  void sendNotices(TimePoint Now);
+  void updatePermits(TimePoint Now);
   void dispatchWaiting();
   void dispatchWaitingForTokens(const std::string &Organisation);
   void runLeaderTasks(TimePoint Now);
@@ -144,7 +149,8 @@
           Parts.Io, Parts.Counts,
           [this](NodeMessages it) { send(std::move(it)); },
           [this](const wire::RowDemand &it) { reportUnservedDemand(it); },
-          [this](const wire::QuotaRequest &it) { requestTokens(it); }),
+          [this](const wire::QuotaRequest &it) { requestTokens(it); },
+          [this](const wire::SendPermitRequest &it) { requestPermits(it); }),
       Timer(Parts.Io) {}
 
 bool FrontShell::start(std::string &Problem) {
@@ -370,6 +376,22 @@
   case wire::Envelope::kCrashNotice:
     handleCrashNotice(state, Message.crash_notice(), now, out);
     break;
+  case wire::Envelope::kEndpointStatements:
+    handleStatements(state, Message.endpoint_statements(), now, out);
+    IsDispatchDue = true;
+    break;
+  case wire::Envelope::kSendPermitRequest: {
+    if (!View.IsLeader)
+      break;
+    wire::Envelope answer;
+    *answer.mutable_send_permit_reply() =
+        grantPermits(Leader, state, Message.send_permit_request(), now);
+    out.push_back({Message.reply_address(), std::move(answer)});
+    break;
+  }
+  case wire::Envelope::kSendPermitReply:
+    takePermitReply(Message.send_permit_reply(), now);
+    break;
   case wire::Envelope::kTableRequest:
     sendTable(state, Message.reply_address(), out);
     break;
@@ -529,6 +551,28 @@
   IsDispatchDue = true;
 }
 
+void FrontShell::requestPermits(const wire::SendPermitRequest &PermitRequest) {
+  Counts.count("send_permit_requests_total");
+  if (!View.IsLeader) {
+    wire::Envelope message;
+    *message.mutable_send_permit_request() = PermitRequest;
+    Peers->send(Core.State.Leader.Address, std::move(message));
+    return;
+  }
+  TimePoint now = Clock::now();
+  takePermitReply(grantPermits(Leader, Core.State, PermitRequest, now), now);
+}
+
+void FrontShell::takePermitReply(const wire::SendPermitReply &Reply,
+                                 TimePoint Now) {
+  applyPermits(Core.State, Reply, Now);
+  Counts.count("send_permits_total", {},
+               static_cast<uint64_t>(Reply.permits_size()));
+  if (Reply.permits().empty())
+    Counts.count("send_permits_refused_total");
+  IsDispatchDue = true;
+}
+
 std::string FrontShell::leaderControlAddress() const {
   if (!View.LeaderAddress.empty() && !View.IsLeader)
     return replacePort(View.LeaderAddress, Options.FrontRole.Control);
@@ -548,13 +592,14 @@
   if (IsExiting)
     return;
   TimePoint now = Clock::now();
+  updatePermits(now);
   if (IsDispatchDue || isPast(NextDispatch, now)) {
     IsDispatchDue = false;
     NextDispatch = now + MaxDispatchInterval;
     dispatchWaiting();
   }
   handleHeldRequests(now);
-  sendCrashNotices(now);
+  sendNotices(now);
   if (isPast(NextHeartbeat, now))
     runHeartbeat(now);
   if (View.IsLeader)
@@ -566,6 +611,7 @@
     expireNodes(Core.State.Roster, now);
     expireEndpoints(Core.State.Directory, now);
     expireFeatures(Core.State.Quarantine, now);
+    expireStatements(Core.State, now);
     std::erase_if(Core.State.NextAdapterRequests,
                   [&](const auto &it) { return isPast(it.second, now); });
   }
@@ -580,12 +626,21 @@
   });
 }
 
-void FrontShell::sendCrashNotices(TimePoint Now) {
+void FrontShell::sendNotices(TimePoint Now) {
   NodeMessages out;
   flushCrashNotices(Core.State, Now, out);
+  flushStatements(Core.State, Now, out);
   send(std::move(out));
 }
 
+void FrontShell::updatePermits(TimePoint Now) {
+  size_t unused = expirePermits(Core.State, Now);
+  if (unused > 0)
+    Counts.count("send_permits_unused_total", {}, unused);
+  if (hasNewPermit(Core.State, Now))
+    IsDispatchDue = true;
+}
+
 /// Dispatches all waiting requests again, the most urgent first.
 void FrontShell::dispatchWaiting() {
   std::set<WaitingKey> waiting = Core.Waiting;
@@ -656,6 +711,11 @@
        {"fronts", std::to_string(countFronts(Core.State, Now))},
        {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
        {"callers", std::to_string(Counts.read("http_requests_total"))},
+       {"permits", std::to_string(Counts.read("send_permits_total"))},
+       {"permits_refused",
+        std::to_string(Counts.read("send_permits_refused_total"))},
+       {"permits_unused",
+        std::to_string(Counts.read("send_permits_unused_total"))},
        {"models", View.IsLeader ? summarizeBusyModels(Leader, Core.State, Now)
                                 : std::string()},
        {"sent_bytes_by_kind", bytes}});
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -13,8 +13,10 @@
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
 #include "policy/row_demand.h"
+#include "policy/send_pace.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -63,6 +65,38 @@
   std::map<std::string, TimePoint> Cleared;
 };
 
+/// What an endpoint stated of itself (front/endpoint_statements.h).
+struct EndpointStatement {
+  uint64_t BornMs = 0; ///< Start of the process that stated it.
+  /// Requests per second over all fronts; nothing if it states no limit.
+  std::optional<double> RequestLimit;
+  TimePoint StatedAt; ///< Of the latest answer.
+};
+
+/// The right to send one request to an endpoint (front/send_permits.h).
+struct SendPermit {
+  TimePoint ValidFrom;
+  TimePoint ExpiresAt;
+  bool IsSeen = false; ///< Waiting requests were told that it is valid.
+};
+
+/// Permits for one endpoint that states a limit.
+struct EndpointPermits {
+  std::vector<SendPermit> Held;
+  uint64_t AskedWith = 0; ///< Number of the unanswered request; or 0.
+  TimePoint ClosedUntil;  ///< The leader has no slot for this front before.
+  LeaderlessSchedule Leaderless;
+};
+
+struct SendPermits {
+  std::map<std::string, EndpointPermits> Endpoints; ///< By id.
+  std::map<uint64_t, TimePoint> Unanswered;         ///< Send times, by number.
+  uint64_t LastNumber = 0;
+  uint64_t Term = 0;            ///< Of the latest reply.
+  TimePoint LeaderAskableAt;    ///< Later after a request without a reply.
+  size_t FrontsUnderLeader = 0; ///< In view when the leader was last asked.
+};
+
 struct KnownLeader {
   std::string Node;
   std::string Address;        ///< Link address.
@@ -83,6 +117,10 @@
   std::map<std::string, RetryBudget> Retries; ///< By service.
   CrashQuarantine Quarantine;
   PendingCrashNotices CrashNotices;
+  std::map<std::string, EndpointStatement> Statements; ///< By endpoint id.
+  /// Endpoints whose statements the other fronts are to be told.
+  std::set<std::string> ChangedStatements;
+  SendPermits Permits;
   /// By model, or "service NAME" for plain services.
   std::map<std::string, ModelUsage> ModelUsages;
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -1,6 +1,7 @@
 #include "front/leader_work.h"
 
 #include "core/logging.h"
+#include "front/send_permits.h"
 
 #include <algorithm>
 
@@ -338,6 +339,7 @@
   Leader.Orders.clear();
   Leader.JustLoadedUntil.clear();
   Leader.Pools.clear();
+  Leader.SendSchedules.clear();
   // Higher than all order numbers of earlier terms.
   Leader.NextOrderNumber = (Term << OrderTermShift) + 1;
   Leader.NextSharesNumber = 1;
@@ -475,6 +477,42 @@
   return out;
 }
 
+wire::SendPermitReply grantPermits(LeaderState &Leader, const FrontState &State,
+                                   const wire::SendPermitRequest &Request,
+                                   TimePoint Now) {
+  wire::SendPermitReply out;
+  out.set_term(Leader.Term);
+  out.set_number(Request.number());
+  TimePoint latest =
+      Now + std::min(Millis(Request.horizon_ms()), MaxPermitHorizon);
+  uint32_t count = std::min(Request.count(), MaxPermitsPerRequest);
+  for (uint32_t i = 0; i < count; ++i) {
+    const wire::EndpointStatement *best = nullptr;
+    for (const wire::EndpointStatement &it : Request.endpoints())
+      if (!best || nextSlot(Leader.SendSchedules[it.endpoint()], Now) <
+                       nextSlot(Leader.SendSchedules[best->endpoint()], Now))
+        best = &it;
+    if (!best)
+      break;
+    auto known = State.Directory.Endpoints.find(best->endpoint());
+    std::optional<double> limit;
+    if (known != State.Directory.Endpoints.end())
+      limit = requestLimitOf(State, known->second);
+    SendSchedule &schedule = Leader.SendSchedules[best->endpoint()];
+    auto slot =
+        takeSlot(schedule, limit.value_or(best->requests_per_s()), latest, Now);
+    if (!slot) {
+      out.set_wait_ms(static_cast<uint32_t>(
+          toMillis(nextSlot(schedule, Now) - latest) + 1));
+      break;
+    }
+    wire::SendPermit &permit = *out.add_permits();
+    permit.set_endpoint(best->endpoint());
+    permit.set_in_ms(static_cast<uint32_t>(toMillis(*slot - Now)));
+  }
+  return out;
+}
+
 namespace {
 
 /// Time until a model that no engine has is loaded from the store, behind the
--- a/front/leader_work.h
+++ b/front/leader_work.h
@@ -37,7 +37,9 @@
   uint64_t Term = 0; ///< Term that this state belongs to.
   TimePoint LeaderSince;
   FleetDemand Demand;
-  std::map<std::string, QuotaPool> Pools;     ///< By organisation.
+  std::map<std::string, QuotaPool> Pools; ///< By organisation.
+  /// Of endpoints that state a request limit, by id.
+  std::map<std::string, SendSchedule> SendSchedules;
   std::map<std::string, PendingOrder> Orders; ///< By engine address.
   /// Until when a newly loaded model is not evicted, by engine and model.
   std::map<std::pair<std::string, std::string>, TimePoint> JustLoadedUntil;
@@ -73,6 +75,11 @@
                                            const FrontState &State,
                                            const wire::QuotaRequest &Request,
                                            TimePoint Now);
+/// Assigns slots of endpoints that state a limit to the requests of a front,
+/// this one included.
+wire::SendPermitReply grantPermits(LeaderState &Leader, const FrontState &State,
+                                   const wire::SendPermitRequest &Request,
+                                   TimePoint Now);
 /// The busiest models as "name:requests/replicas", separated by semicolons, for
 /// the log.
 std::string summarizeBusyModels(const LeaderState &Leader,
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -3,6 +3,7 @@
 #include "core/logging.h"
 #include "core/metrics.h"
 #include "front/crash_notices.h"
+#include "front/endpoint_statements.h"
 #include "platform/caller_codec.h"
 
 #include <algorithm>
@@ -120,6 +121,8 @@
     Core.ReportDemand(*Result.DemandReport);
   if (Result.PoolQuotaRequest)
     Core.RequestTokens(*Result.PoolQuotaRequest);
+  if (Result.PermitRequest)
+    Core.RequestPermits(*Result.PermitRequest);
   if (auto *target = std::get_if<SendTo>(&Result.Decision)) {
     setWaiting(false);
     // The event of the caller's close may still be queued behind others. Asked
@@ -206,7 +209,9 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
-  StatedLimit = fields.RequestLimit;
+  // An answer without an id may belong to another request.
+  if (!fields.RequestId.empty())
+    recordStatements(fields, now);
   AnsweredAt = now;
   HasHead = true;
   IsNotRun = fields.IsNotRun;
@@ -223,6 +228,17 @@
   startResponse();
 }
 
+/// Records what the endpoint states of itself in a trusted answer.
+void Relay::recordStatements(const platform::ResponseFields &Fields,
+                             TimePoint Now) {
+  StatedLimit = Fields.RequestLimit.PerSecond;
+  if (Fields.RequestLimit.IsInvalid) {
+    Core.Counts.count("statements_invalid_total", "kind=\"limit\"");
+    return;
+  }
+  recordStatedLimit(Core.State, Endpoint, StatedLimit, SentAt, Now);
+}
+
 void Relay::startResponse() {
   if (IsResponseStarted)
     return;
--- a/front/relay.h
+++ b/front/relay.h
@@ -15,6 +15,10 @@
 
 namespace sassafras {
 
+namespace platform {
+struct ResponseFields;
+} // namespace platform
+
 /// Not thread safe: all methods run on the io_context's thread.
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
@@ -49,6 +53,7 @@
   void recordProof();
   /// Records that the endpoint broke off this exchange.
   void recordBreak();
+  void recordStatements(const platform::ResponseFields &Fields, TimePoint Now);
   void startResponse();
   void cancelOversized(ExchangeFailure Failure, size_t Bytes);
   void cancelExchange(ExchangeFailure Failure);
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -74,6 +74,8 @@
   bool IsWarmingUp = false; ///< Has just started.
   double Affinity = 0; ///< 0 to 1; breaks ties between endpoints of equal load.
   const EndpointRecord *Record = nullptr;
+  /// Requests that it starts per second, where it states a limit.
+  std::optional<double> RequestLimit = std::nullopt;
 };
 
 /// Estimates the number of requests that the endpoint holds from its last
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -3,6 +3,7 @@
 #include "front/caller_attributes.h"
 #include "front/caller_limits.h"
 #include "front/relay.h"
+#include "front/send_permits.h"
 #include "http/address.h"
 #include "tests/harness/scripted_endpoint.h"
 
@@ -51,7 +52,8 @@
 TestedFront::TestedFront(const std::string &Endpoint)
     : Core(
           Io, Counts, [](const NodeMessages &) {},
-          [](const wire::RowDemand &) {}, [](const wire::QuotaRequest &) {}) {
+          [](const wire::RowDemand &) {}, [](const wire::QuotaRequest &) {},
+          [](const wire::SendPermitRequest &) {}) {
   Core.State.Self.set_name("front");
   Core.State.Self.set_zone("a");
   Core.State.Table = makeTable();
@@ -153,6 +155,7 @@
 }
 
 void TestedFront::scheduleDispatch() {
+  expirePermits(Core.State, Clock::now());
   dispatchWaiting();
   Timer.expires_after(DispatchPeriod);
   Timer.async_wait([this](auto ec) {
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -234,3 +234,54 @@
   CHECK(has(last, "retry-after: "));
   CHECK(has(last, R"("ran":"not_run")"));
 }
+
+TEST_CASE("endpoint gets no more requests than the limit it has stated") {
+  struct Case {
+    const char *Field;
+    double PerSecond;
+  };
+  constexpr Millis RunTime{4'000};
+  const Case cases[] = {{"Server-Limit: 4", 4}, {"Server-Limit: 0", 0}};
+  for (const Case &it : cases) {
+    INFO(it.Field);
+    ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+      sendText(Socket,
+               headOf(Id, std::string(it.Field) + "\r\nContent-Length: 2") +
+                   "ok");
+    });
+    TestedFront front(endpoint.address());
+    REQUIRE(isCompleteSuccess(front.call("many", "first")));
+    size_t answered = 0;
+    size_t sent = 0;
+    TimePoint end = Clock::now() + RunTime;
+    while (Clock::now() < end) {
+      std::string response = front.call("many", std::to_string(++sent));
+      answered += isCompleteSuccess(response);
+      bool isRefusal = response.starts_with("HTTP/1.1 503") ||
+                       response.starts_with("HTTP/1.1 429");
+      CHECK((isCompleteSuccess(response) ||
+             (isRefusal && has(response, "retry-after: "))));
+    }
+    double allowed = 1.5 * it.PerSecond * 4 + 5;
+    CHECK(static_cast<double>(endpoint.countRequests()) <= allowed);
+    // The limit is used: half of it is for each front without a leader.
+    CHECK(static_cast<double>(answered) >= it.PerSecond * 4 / 4);
+  }
+}
+
+TEST_CASE(
+    "limit that an endpoint states in an answer out of order is ignored") {
+  for (const char *it :
+       {"Server-Limit: -1", "Server-Limit: x", "Server-Limit: 1e99",
+        "Server-Limit: nan", "Server-Limit: 0\r\nServer-Limit: 0",
+        "Server-Limit: "}) {
+    INFO(it);
+    ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+      sendText(Socket,
+               headOf(Id, std::string(it) + "\r\nContent-Length: 2") + "ok");
+    });
+    TestedFront front(endpoint.address());
+    for (int i = 1; i <= 20; ++i)
+      CHECK(isCompleteSuccess(front.call("many", std::to_string(i))));
+  }
+}
