Placement follows the request limits that engines state

Cause: the plan counts requests in progress; those that the limits refuse are in none, so no further replica was wanted, and one was even evicted. Fix: a replica on a limited engine counts for what the limit leaves of it, against the requests that would be in progress if none were refused, and such an engine is chosen last for a busy model. Test: 'busy model on limited engines gets replicas on the other engines'; without replaceLimitedReplicas no load is planned.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -28,11 +28,6 @@
 /// unload before it or other loads at the same time. A caller that cannot wait
 /// that long is refused at once with a time to retry.
 constexpr int ForecastMarginDivisor = 10;
-/// Mean time for which a running request holds its slot, derived from the
-/// prompt and output sizes of the known deployments.
-constexpr Millis MeanEngineServiceTime{1'700};
-/// The same for plain services.
-constexpr Millis MeanPlainServiceTime{80};
 /// Retry-After times are extended by a random fraction of up to this, so that
 /// refused callers do not all return together.
 constexpr double RetryAfterJitter = 0.5;
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -24,6 +24,12 @@
 
 namespace sassafras {
 
+/// Mean time for which a running request holds its slot, derived from the
+/// prompt and output sizes of the known deployments.
+inline constexpr Millis MeanEngineServiceTime{1'700};
+/// The same for plain services.
+inline constexpr Millis MeanPlainServiceTime{80};
+
 /// Settings that a front's decisions depend on.
 struct FrontLimits {
   RetryLimits Retries;
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -66,10 +66,13 @@
 std::map<std::string, ModelDemand> sumDemand(const LeaderState &Leader,
                                              TimePoint Now) {
   std::map<std::string, ModelDemand> out;
-  for (const auto &[model, rates] : Leader.Demand.Rates)
+  for (const auto &[model, rates] : Leader.Demand.Rates) {
     out[model].WorthPerSecond =
         std::max(readRate(rates.ShortWorth, ShortWindow, Now),
                  readRate(rates.LongWorth, LongWindow, Now));
+    out[model].Offered = readRate(rates.ShortArrivals, ShortWindow, Now) *
+                         secondsOf(MeanEngineServiceTime);
+  }
   for (const auto &[front, report] : Leader.Demand.Fronts) {
     if (Now - report.HeardAt > DemandRetention)
       continue;
@@ -229,6 +232,8 @@
         engine->IsFromAgent && !engine->IsBusy && !plan.IsLeaving;
     plan.LoadShare = static_cast<double>(engine->Active + engine->Queued) /
                      std::max<uint32_t>(known.Slots, 1);
+    if (auto limit = requestLimitOf(State, known))
+      plan.MaxBusy = *limit * secondsOf(MeanEngineServiceTime);
     for (const auto &[model, adapters] : engine->Models) {
       plan.Models.insert(model);
       auto spec = Spec.Models.find(model);
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -44,6 +44,8 @@
   size_t Wanted = 0;
   /// Engines that have its weights and can load them soon.
   size_t NearbyEngines = 0;
+  /// The limits of its engines allow fewer requests than there are.
+  bool IsLimited = false;
 };
 
 using ModelStates = std::map<std::string, ModelState>;
@@ -117,6 +119,45 @@
   return out;
 }
 
+/// Requests in progress that one replica on \p Engine is planned for.
+double targetBusy(const PlanEngine &Engine, uint32_t Slots) {
+  double target = TargetUtilisation * std::max<uint32_t>(Slots, 1);
+  return Engine.MaxBusy ? std::min(*Engine.MaxBusy, target) : target;
+}
+
+/// Adds the replicas that are lacking because some are on engines with a limit.
+void replaceLimitedReplicas(const PlanInput &Input, ModelStates &States) {
+  std::map<std::string, double> planned;
+  std::set<std::string> limited;
+  for (const PlanEngine &engine : Input.Engines) {
+    if (engine.IsLeaving)
+      continue;
+    std::set<std::string> models = engine.Models;
+    if (!engine.Loading.empty())
+      models.insert(engine.Loading);
+    for (const std::string &it : models) {
+      planned[it] += targetBusy(engine, Input.Spec.Slots);
+      if (engine.MaxBusy)
+        limited.insert(it);
+    }
+  }
+  double target = TargetUtilisation * std::max<uint32_t>(Input.Spec.Slots, 1);
+  for (const std::string &it : limited) {
+    auto found = States.find(it);
+    if (found == States.end())
+      continue;
+    ModelState &state = found->second;
+    double busy = std::max(state.Demand.Busy, state.Demand.Offered);
+    double lacking = busy - planned[it];
+    if (lacking <= 0)
+      continue;
+    state.Wanted = std::max(
+        state.Wanted,
+        state.Replicas + static_cast<size_t>(std::ceil(lacking / target)));
+    state.IsLimited = true;
+  }
+}
+
 ModelStates gather(const PlanInput &Input) {
   ModelStates states;
   for (const auto &[name, spec] : Input.Spec.Models) {
@@ -148,6 +189,7 @@
       if (!engine.Models.contains(engine.Loading))
         ++found->second.Replicas;
   }
+  replaceLimitedReplicas(Input, states);
   return states;
 }
 
@@ -261,6 +303,18 @@
   return sum;
 }
 
+/// Worth within PaybackSeconds that a replica on \p Engine does not add,
+/// because the engine's limit allows fewer requests than a replica is planned
+/// for.
+double lostToLimit(const PlanEngine &Engine, const ModelState &Model,
+                   uint32_t Slots) {
+  double target = TargetUtilisation * std::max<uint32_t>(Slots, 1);
+  double needed = std::min(
+      target, std::max({Model.Demand.Busy, Model.Demand.Offered, 1.0}));
+  double part = std::min(targetBusy(Engine, Slots) / needed, 1.0);
+  return (1 - part) * Model.Demand.WorthPerSecond * PaybackSeconds;
+}
+
 struct LoadOption {
   PlannedLoad Load;
   double Cost = 0; ///< Compared with the gain of the load.
@@ -293,7 +347,8 @@
     double load =
         std::chrono::duration<double>(loadTime(engine, *Model.Spec)).count();
     double cost = std::min(MaxChargedLoadSeconds, load) * worth +
-                  eviction->Cost + BusyEngineCost * engine.LoadShare;
+                  eviction->Cost + BusyEngineCost * engine.LoadShare +
+                  lostToLimit(engine, Model, View.Input.Spec.Slots);
     double rank = cost + eviction->FragmentationCost;
     if (isFromStore)
       rank += load * blockedWorth(engine, View);
@@ -338,6 +393,8 @@
 /// Returns true while the requests for \p Model exceed OverloadUtilisation of
 /// the slots of all its replicas.
 bool isOverloaded(const ModelState &Model, const EngineSpec &Spec) {
+  if (Model.IsLimited)
+    return true;
   return Model.Replicas > 0 &&
          Model.Demand.Busy > OverloadUtilisation *
                                  static_cast<double>(Spec.Slots) *
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -19,6 +19,9 @@
 /// - A busy model is on one engine only, which a load from the store blocks for
 ///   ten seconds. Loads from the store go to engines that hold few other
 ///   weights.
+/// - Engines in need state a request limit. Replicas there count for what the
+///   limit leaves of them, so that a busy model gets replicas elsewhere, also
+///   while its requests are refused and none are in progress.
 /// - Engines hold two or three models of many sizes. Memory into which no model
 ///   fits any more counts as lost.
 #ifndef SASSAFRAS_POLICY_MODEL_PLAN_H
@@ -28,6 +31,7 @@
 #include "policy/store_pace.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +64,8 @@
   double Busy = 0;           ///< Requests in progress or waiting.
   uint32_t Waiting = 0;      ///< Requests that no replica can take now.
   double WaitingWorth = 0;
+  /// Requests that would be in progress if none were refused.
+  double Offered = 0;
 };
 
 /// State of one engine as input of the plan.
@@ -70,6 +76,8 @@
   /// The engine is leaving: its models are not counted as replicas.
   bool IsLeaving = false;
   double LoadShare = 0;    ///< Requests divided by slots.
+  /// Requests in progress that the limit it states allows; nothing without one.
+  std::optional<double> MaxBusy;
   uint64_t ReservedMb = 0; ///< Memory for adapters and loads in progress.
   std::set<std::string> Models;
   /// Models that were just loaded. The requests that wait for them have not
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -97,6 +97,39 @@
   CHECK(loads[0].Model == "m0");
 }
 
+// Requests beyond the limits are refused, so few are in progress: the plan saw
+// no need for a replica on the engines without a limit.
+TEST_CASE("busy model on limited engines gets replicas on the other engines") {
+  EngineSpec spec = smallSpec(8);
+  std::map<std::string, ModelDemand> demand;
+  demand["m0"] = {40, 6, 2, 10};
+  demand["m0"].Offered = 50;
+  demand["m1"] = {0.3, 0.2, 0, 0};
+  demand["m1"].Offered = 0.2;
+  std::vector<PlanEngine> engines;
+  for (int i = 0; i < 6; ++i) {
+    engines.push_back(engine("e" + std::to_string(i), {}));
+    engines.back().OnDisk = {"m0", "m1"};
+  }
+  for (int i = 0; i < 4; ++i) {
+    engines[i].Models = {"m0"};
+    engines[i].MaxBusy = 4;
+  }
+  engines[3].Models = {"m1"};
+  SECTION("with limits") {
+    auto loads = planModels({spec, demand, engines, 0, 0, 3});
+    REQUIRE(countLoads(loads, "m0") == 1);
+    CHECK_FALSE(engines[loads[0].Engine].MaxBusy);
+    // One request in progress is within its engine's limit.
+    CHECK(countLoads(loads, "m1") == 0);
+  }
+  SECTION("without limits") {
+    for (PlanEngine &it : engines)
+      it.MaxBusy.reset();
+    CHECK(countLoads(planModels({spec, demand, engines, 0, 0, 3}), "m0") == 0);
+  }
+}
+
 TEST_CASE("busy models leave the store to models that are on no engine") {
   EngineSpec spec = smallSpec(8);
   // Six empty engines have joined. m0 is busy and loaded on a full engine. m1
