Load models for streams that wait at one software version

Cause: demand did not say at which version a stream waits. Fix: it does, and the plan loads the model on an engine of that version. Test: 'model that streams wait for is loaded on an engine of their version'; the plan before had no versions and planned nothing there.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -55,6 +55,9 @@
 /// A request waits for endpoints that all have a limit only if it can exceed
 /// its estimate by one part in this many: other fronts get slots as well.
 constexpr int PacedMarginDivisor = 3;
+/// A need for a model at one software version is reported for this long after a
+/// stream waited for it.
+constexpr Millis WantedVersionLifetime{1'000};
 /// Limit of the sends of one request, including those that endpoints reject.
 constexpr uint32_t MaxSends = 4;
 
@@ -235,6 +238,7 @@
   out.set_waiting_worth(agedWaitingWorth(Usage, Now));
   out.set_busy(Usage.Open + static_cast<uint32_t>(Usage.Waiting.size()));
   addOpenRequests(Usage, out);
+  addWantedVersions(Usage, Now, out);
   return out;
 }
 
@@ -275,6 +279,8 @@
                             const EndpointSurvey &Found, TimePoint Now) {
   DispatchResult out;
   ModelUsage &usage = State.ModelUsages[Request.Attributes.Model];
+  if (Request.StreamVersion)
+    usage.WantedVersions[*Request.StreamVersion] = Now + WantedVersionLifetime;
   Millis left = estimateLoadTime(State, Request, Found, usage, Now);
   if (left == Millis::max()) {
     out.Decision = makeRefusal(State, RefusalReason::NoCapacity, LoadOverhead);
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -130,6 +130,7 @@
     demand.set_waiting_worth(agedWaitingWorth(it, Now));
     demand.set_busy(it.Open + static_cast<uint32_t>(it.Waiting.size()));
     addOpenRequests(it, demand);
+    addWantedVersions(it, Now, demand);
     it.Arrivals = 0;
     it.Worth = 0;
   }
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -62,6 +62,13 @@
   }
 }
 
+void addWantedVersions(ModelUsage &Usage, TimePoint Now, wire::RowDemand &Out) {
+  std::erase_if(Usage.WantedVersions,
+                [&](const auto &it) { return isPast(it.second, Now); });
+  for (const auto &[version, until] : Usage.WantedVersions)
+    Out.add_software_versions(version);
+}
+
 wire::EngineSizes makeEngineSizes(const EngineSpec &Spec,
                                   const EngineState &Engine,
                                   const std::string &Wanted) {
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -54,6 +54,9 @@
   TimePoint WaitingSince;       ///< Since then, Waiting has not been empty.
   TimePoint RetryExpectedUntil; ///< Refused callers should retry by then.
   double RetryExpectedWorth = 0;
+  /// Software versions at which streams wait that go on nowhere else, and when
+  /// each need ends.
+  std::map<std::string, TimePoint> WantedVersions;
   TimePoint NextDemandReport; ///< Limits the rate of reports to the leader.
   TimePoint NextAgentRequest; ///< The same for agents, without a leader.
   TimePoint ReadyAt;    ///< End of the load, by the leader's last forecast.
@@ -198,6 +201,8 @@
 double agedWaitingWorth(const ModelUsage &Usage, TimePoint Now);
 /// Adds the number of requests of \p Usage in progress at each endpoint.
 void addOpenRequests(const ModelUsage &Usage, wire::RowDemand &Out);
+/// Adds the software versions at which streams wait, and drops ended needs.
+void addWantedVersions(ModelUsage &Usage, TimePoint Now, wire::RowDemand &Out);
 /// Sizes that an agent needs to stay within its engine's memory: those of the
 /// models that the engine has loaded and of \p Wanted.
 wire::EngineSizes makeEngineSizes(const EngineSpec &Spec,
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -81,6 +81,8 @@
       demand.Busy += row.busy();
       demand.Waiting += row.waiting();
       demand.WaitingWorth += row.waiting_worth();
+      demand.Versions.insert(row.software_versions().begin(),
+                             row.software_versions().end());
     }
   }
   return out;
@@ -227,6 +229,7 @@
       continue;
     PlanEngine plan;
     plan.Endpoint = id;
+    plan.SoftwareVersion = known.SoftwareVersion;
     plan.IsLeaving = !isUsable(known, Now) || engine->IsSilent;
     plan.AcceptsOrders =
         engine->IsFromAgent && !engine->IsBusy && !plan.IsLeaving;
--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -322,18 +322,18 @@
 };
 
 /// Finds the engine where loading \p Name costs least, by load time and
-/// evictions.
-std::optional<LoadOption> cheapestLoad(const std::string &Name,
-                                       const ModelState &Model,
-                                       const PlanView &View,
-                                       const std::set<size_t> &Taken,
-                                       bool IsStoreAllowed) {
+/// evictions. \p Version: only engines of this software version will do.
+std::optional<LoadOption>
+cheapestLoad(const std::string &Name, const ModelState &Model,
+             const PlanView &View, const std::set<size_t> &Taken,
+             bool IsStoreAllowed, const std::string *Version) {
   std::optional<LoadOption> best;
   const std::vector<PlanEngine> &engines = View.Input.Engines;
   for (size_t i = 0; i < engines.size(); ++i) {
     const PlanEngine &engine = engines[i];
     if (!engine.AcceptsOrders || engine.IsLeaving || Taken.contains(i) ||
-        engine.Models.contains(Name))
+        engine.Models.contains(Name) ||
+        (Version && engine.SoftwareVersion != *Version))
       continue;
     bool isFromStore =
         !engine.InMemory.contains(Name) && !engine.OnDisk.contains(Name);
@@ -364,14 +364,39 @@
   std::string Name;
   double Gain = 0; ///< Within PaybackSeconds.
   bool IsUrgent = false;
+  /// Only engines of this software version will do; nothing: all will.
+  std::optional<std::string> Version;
 };
 
+/// Lists the versions at which streams wait for a model that no engine of that
+/// version has or loads.
+std::vector<std::string> listMissingVersions(const PlanInput &Input,
+                                             const std::string &Model,
+                                             const ModelDemand &Demand) {
+  std::vector<std::string> out;
+  for (const std::string &version : Demand.Versions) {
+    bool isPresent = std::any_of(
+        Input.Engines.begin(), Input.Engines.end(), [&](const PlanEngine &it) {
+          return !it.IsLeaving && it.SoftwareVersion == version &&
+                 (it.Models.contains(Model) || it.Loading == Model);
+        });
+    if (!isPresent)
+      out.push_back(version);
+  }
+  return out;
+}
+
 /// Lists the models that lack a replica by the gain of one more. Busy models
 /// with too few replicas and cold models with waiting requests compete by gain
 /// alone: many rare models requested at once must not delay the busy ones.
-std::vector<LoadCandidate> listLoadCandidates(const ModelStates &States) {
+std::vector<LoadCandidate> listLoadCandidates(const PlanInput &Input,
+                                              const ModelStates &States) {
   std::vector<LoadCandidate> candidates;
   for (const auto &[name, state] : States) {
+    for (const std::string &it : listMissingVersions(Input, name, state.Demand))
+      candidates.push_back(
+          {name, state.Demand.WorthPerSecond + state.Demand.WaitingWorth, true,
+           it});
     bool isUrgent = state.Demand.Waiting > 0 && state.Replicas == 0;
     bool isShort = state.Replicas < state.Wanted;
     bool isMissing = state.Replicas == 0 && state.Demand.WorthPerSecond > 0;
@@ -381,7 +406,7 @@
         state.Demand.WorthPerSecond / static_cast<double>(state.Replicas + 1);
     double gain = next * PaybackSeconds +
                   (isUrgent || isShort ? state.Demand.WaitingWorth : 0);
-    candidates.push_back({name, gain, isUrgent || isShort});
+    candidates.push_back({name, gain, isUrgent || isShort, std::nullopt});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const LoadCandidate &A, const LoadCandidate &B) {
@@ -458,7 +483,8 @@
   size_t loadsInProgress = Input.LoadsInProgress;
   StoreLoads storeLoads = countStoreLoads(Input, view.States);
   uint32_t storeLeft = Input.StoreLoadsAllowed;
-  std::vector<LoadCandidate> candidates = listLoadCandidates(view.States);
+  std::vector<LoadCandidate> candidates =
+      listLoadCandidates(Input, view.States);
   bool hasLost = std::any_of(
       candidates.begin(), candidates.end(), [&](const LoadCandidate &it) {
         return it.IsUrgent && view.States[it.Name].NearbyEngines == 0;
@@ -469,7 +495,9 @@
     ModelState &state = view.States[candidate.Name];
     bool mayUseStore =
         storeLeft > 0 && mayLoadFromStore(state, Input, storeLoads, hasLost);
-    auto option = cheapestLoad(candidate.Name, state, view, taken, mayUseStore);
+    auto option =
+        cheapestLoad(candidate.Name, state, view, taken, mayUseStore,
+                     candidate.Version ? &*candidate.Version : nullptr);
     if (!option)
       continue;
     double lost = option->Cost + LoadCost;
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -22,6 +22,9 @@
 /// - Engines in need state a request limit. Replicas there count for what the
 ///   limit leaves of them, so that a busy model gets replicas elsewhere, also
 ///   while its requests are refused and none are in progress.
+/// - Streams go on only at the software version that began them. A model that
+///   streams wait for at one version is loaded on an engine of that version,
+///   also while engines of another one have it.
 /// - Engines hold two or three models of many sizes. Memory into which no model
 ///   fits any more counts as lost.
 #ifndef SASSAFRAS_POLICY_MODEL_PLAN_H
@@ -66,11 +69,14 @@
   double WaitingWorth = 0;
   /// Requests that would be in progress if none were refused.
   double Offered = 0;
+  /// Software versions at which streams wait that go on nowhere else.
+  std::set<std::string> Versions = {};
 };
 
 /// State of one engine as input of the plan.
 struct PlanEngine {
   std::string Endpoint; ///< Identity of the endpoint.
+  std::string SoftwareVersion;
   /// Its agent is connected and no order is in progress.
   bool AcceptsOrders = false;
   /// The engine is leaving: its models are not counted as replicas.
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -130,6 +130,30 @@
   }
 }
 
+// Streams of a version waited for a model that only engines of another version
+// had, until their callers gave up.
+TEST_CASE(
+    "model that streams wait for is loaded on an engine of their version") {
+  EngineSpec spec = smallSpec(8);
+  std::map<std::string, ModelDemand> demand;
+  demand["m0"] = {5, 3, 2, 6};
+  demand["m0"].Versions = {"v1"};
+  std::vector<PlanEngine> engines{engine("new-1", {"m0"}), engine("new-2", {}),
+                                  engine("old-1", {"m1"})};
+  for (PlanEngine &it : engines) {
+    it.OnDisk = {"m0"};
+    it.SoftwareVersion = "v2";
+  }
+  engines[2].SoftwareVersion = "v1";
+  auto loads = planModels({spec, demand, engines, 0, 0, 3});
+  REQUIRE(countLoads(loads, "m0") == 1);
+  CHECK(engines[loads[0].Engine].Endpoint == "old-1");
+  SECTION("which has it") {
+    engines[2].Models = {"m0"};
+    CHECK(planModels({spec, demand, engines, 0, 0, 3}).empty());
+  }
+}
+
 TEST_CASE("busy models leave the store to models that are on no engine") {
   EngineSpec spec = smallSpec(8);
   // Six empty engines have joined. m0 is busy and loaded on a full engine. m1
