Do not believe an earlier refusal that arrives on a kept connection

Cause: a refusal was matched by the request's id only, or by nothing where it had no id. After a refusal the same request went to the same endpoint on the same connection, where a copy of that refusal has the right id; and a refusal without an id was believed on any connection. Fix: a request that is sent to an address once more gets a new connection, where nothing earlier can arrive; a refusal without an id is believed only as the first response on its connection.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -185,6 +185,9 @@
   HttpCallOptions options{std::min(ConnectTimeout, left), left + ConnectTimeout,
                           Request.IsRepeatable ? MaxIdle
                                                : MaxIdleNonRepeatable};
+  // A faulty endpoint may write the refusal of the first send again, which has
+  // this request's id; on a new connection nothing of it can arrive.
+  options.NeedsNewConnection = !SentTo.insert(Target.Address).second;
   Call =
       Core.Client.start(Target.Address, message, options, std::move(callbacks));
 }
@@ -193,8 +196,10 @@
 /// seal, must not reach the caller.
 bool Relay::isTrusted(const HttpResponseHead &Head) const {
   auto fields = platform::readResponseFields(Head.Status, Head.Fields);
+  // Without an id, it may respond to an earlier request on the connection.
   if (fields.RequestId != Request.Attributes.Id)
-    return fields.RequestId.empty() && !isSuccess(Head.Status);
+    return fields.RequestId.empty() && Head.IsFirstOnConnection &&
+           !isSuccess(Head.Status);
   return fields.IsSealed || !isSuccess(Head.Status);
 }
 
--- a/front/relay.h
+++ b/front/relay.h
@@ -12,6 +12,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <set>
+#include <string>
 
 namespace sassafras {
 
@@ -73,6 +75,7 @@
   std::shared_ptr<HttpCall> Call;
   std::string Endpoint; ///< Of the current or last exchange.
   SendTo Target;        ///< Endpoint and the load that it was chosen by.
+  std::set<std::string> SentTo; ///< Addresses of all sends.
   /// Request limit that the endpoint stated in the latest answer.
   std::optional<double> StatedLimit;
   std::optional<Millis> RetryAfter; ///< Sent with a refusal.
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -123,8 +123,10 @@
   void start(const std::string &Address, const HttpRequest &Request) {
     buildMessage(Address, Request);
     Parser.skip(Request.Method == "HEAD");
-    Conn = Client->takeIdle(Address, Options.MaxIdle);
+    if (!Options.NeedsNewConnection)
+      Conn = Client->takeIdle(Address, Options.MaxIdle);
     if (Conn) {
+      IsReused = true;
       Client->count("client_reused_total");
       asio::post(Client->Io, [self = shared_from_this()] { self->exchange(); });
       return;
@@ -229,6 +231,7 @@
     }
     HttpResponseHead head;
     head.Status = message.result_int();
+    head.IsFirstOnConnection = !IsReused;
     for (const auto &it : message.base())
       head.Fields.push_back(
           {lowerCase(it.name_string()), std::string(it.value())});
@@ -334,6 +337,7 @@
   std::array<char, BodyBufferSize> BodyBuffer{};
   Millis KeepFor{0};
   bool IsKeptAlive = false;
+  bool IsReused = false; ///< The connection was pooled.
   bool IsRequestSent = false;
   bool IsResponseRead = false;
   bool IsFinished = false;
--- a/http/client.h
+++ b/http/client.h
@@ -31,6 +31,8 @@
   unsigned Status = 0;
   std::vector<HttpField> Fields;  ///< Names are lower case.
   std::optional<uint64_t> Length; ///< Bytes of the body, if declared.
+  /// No other response was due on this connection before.
+  bool IsFirstOnConnection = true;
 };
 
 struct HttpCallbacks {
@@ -59,6 +61,8 @@
   Millis ReadTimeout{};
   /// A pooled connection is used only if it was idle for less than this.
   Millis MaxIdle{10'000};
+  /// No pooled connection is used.
+  bool NeedsNewConnection = false;
   /// An exchange that is not complete by then fails, also while bytes arrive.
   TimePoint Deadline = TimePoint::max();
   /// A response with a larger body, in bytes, fails the exchange.
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -11,6 +11,9 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
 #include <thread>
 
 using namespace sassafras;
@@ -285,3 +288,73 @@
       CHECK(isCompleteSuccess(front.call("many", std::to_string(i))));
   }
 }
+
+namespace {
+
+std::string refusalOf(const std::string &Id) {
+  std::string id = Id.empty() ? "" : "Sassafrasseam-Attempt-Id: " + Id + "\r\n";
+  return "HTTP/1.1 503 Busy\r\n" + id +
+         "Sassafrasseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// True for an answer that says that the request has not run.
+bool saysNotRun(const std::string &Response) {
+  for (const char *it : {"408", "421", "429", "503"})
+    if (Response.starts_with(std::string("HTTP/1.1 ") + it))
+      return true;
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("refusal that is written once more does not deny a later run") {
+  std::atomic<size_t> runs{0};
+  std::map<unsigned, std::string> refusedOn; // By the connection's port.
+  std::mutex lock;
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    unsigned port = Socket.remote_endpoint().port();
+    std::scoped_lock guard(lock);
+    std::string before = refusedOn[port];
+    bool isKnown = std::any_of(refusedOn.begin(), refusedOn.end(),
+                               [&](const auto &it) { return it.second == Id; });
+    if (!before.empty())
+      sendText(Socket, refusalOf(before));
+    if (!isKnown) {
+      refusedOn[port] = Id;
+      sendText(Socket, refusalOf(Id));
+      return;
+    }
+    ++runs;
+    sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
+  });
+  TestedFront front(endpoint.address());
+  for (int i = 1; i <= 10; ++i) {
+    size_t before = runs;
+    std::string response = front.call("once", std::to_string(i));
+    INFO(response);
+    CHECK_FALSE((saysNotRun(response) && runs > before));
+    CHECK(runs <= before + 1);
+  }
+  CHECK(runs > 0);
+}
+
+TEST_CASE("refusal without an id on a kept connection denies no run") {
+  std::atomic<size_t> runs{0};
+  std::set<unsigned> kept; // Ports of connections with an earlier request.
+  std::mutex lock;
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    std::scoped_lock guard(lock);
+    if (!kept.insert(Socket.remote_endpoint().port()).second)
+      sendText(Socket, refusalOf(""));
+    ++runs;
+    sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
+  });
+  TestedFront front(endpoint.address());
+  for (int i = 1; i <= 10; ++i) {
+    size_t before = runs;
+    std::string response = front.call("once", std::to_string(i));
+    INFO(response);
+    CHECK_FALSE((saysNotRun(response) && runs > before));
+    CHECK(runs <= before + 1);
+  }
+}
