Keep errors out of streams that have begun

What callers saw (report of other operators, shown here by a test): the text of a page in the middle of their stream, which then ended as if it were complete. Cause: any success on a streaming route was forwarded as events, also when it was to continue a stream; and whether a stream had begun was inferred from the route and from what was buffered. So a stream of the next endpoint was appended to an error of over 256 KB, and a 503 of that size reached the caller without the endpoint's word that the request had not run. Fix: the relay remembers that it began a stream. Then only an event stream goes on; any other answer is discarded and fails the exchange. An answer that began as an error ends as that error.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -40,6 +40,10 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+bool isEventStream(const HttpResponseHead &Head) {
+  return fieldOf(Head.Fields, "content-type").starts_with("text/event-stream");
+}
+
 std::string refusalBody(const FrontRequest &Request,
                         const FrontRefusal &Refusal) {
   return R"({"error":{"reason":")" + std::string(nameOf(Refusal.Reason)) +
@@ -228,14 +232,17 @@
   IsNotRun = fields.IsNotRun;
   IsUnframed =
       !NewHead.Length && fieldOf(NewHead.Fields, "transfer-encoding").empty();
+  // After the first event only a stream can go on, whatever the status says.
   bool isStreaming = Request.Route->Kind == RequestKind::Streaming &&
-                     isSuccess(NewHead.Status);
+                     isSuccess(NewHead.Status) &&
+                     (!IsStreamStarted || isEventStream(NewHead));
   // A resumed stream keeps the head from its first endpoint.
   if (!IsResponseStarted)
     Head = std::move(NewHead);
   if (IsNotRun || !isStreaming)
     return;
   IsStream = true;
+  IsStreamStarted = true;
   startResponse();
 }
 
@@ -275,10 +282,11 @@
       cancelOversized(ExchangeFailure::Broken, EventBuffer.Incomplete.size());
     return;
   }
+  // The body of a failed attempt to resume a stream is discarded.
+  if (IsStreamStarted)
+    return;
   if (IsResponseStarted) {
-    // The body of a failed attempt to resume a stream is discarded.
-    if (!Body.empty() || !Request.Route->IsResumable)
-      Exchange->write(std::string(Bytes));
+    Exchange->write(std::string(Bytes));
     return;
   }
   Body += Bytes;
@@ -288,9 +296,14 @@
     cancelOversized(ExchangeFailure::Rejected, Body.size());
     return;
   }
+  // Its head would deny a run that the endpoint did not deny.
+  if (isNotRunStatus(Head.Status)) {
+    cancelOversized(ExchangeFailure::Broken, Body.size());
+    return;
+  }
   startResponse();
   Exchange->write(std::move(Body));
-  Body = " ";
+  Body.clear();
 }
 
 /// Records, before the first event of an exchange, which version goes on. False
@@ -361,7 +374,7 @@
     finish("answered", Head.Status);
     return;
   }
-  if (IsResponseStarted && Request.Route->Kind == RequestKind::Streaming) {
+  if (IsStreamStarted) {
     failExchange(IsNotRun ? ExchangeFailure::Rejected : ExchangeFailure::Error);
     return;
   }
@@ -377,11 +390,12 @@
     failExchange(ExchangeFailure::Broken);
     return;
   }
-  if (Head.Status >= 500) {
+  if (Head.Status >= 500 && !IsResponseStarted) {
     failExchange(ExchangeFailure::Error);
     return;
   }
-  recordSuccess(Core.State.Records[Endpoint]);
+  if (Head.Status < 500)
+    recordSuccess(Core.State.Records[Endpoint]);
   forwardResponse();
 }
 
@@ -447,8 +461,7 @@
                                     hasResponse, Clock::now());
   // Once the response has started, only a resumable stream can be retried.
   bool canRetry =
-      !IsResponseStarted || (Request.Route->Kind == RequestKind::Streaming &&
-                             Request.Route->IsResumable);
+      !IsResponseStarted || (IsStreamStarted && Request.Route->IsResumable);
   if (after.IsRetry && canRetry) {
     Core.Counts.count("retries_total",
                       "reason=\"" + std::string(nameOf(*after.Why)) + "\"");
--- a/front/relay.h
+++ b/front/relay.h
@@ -95,6 +95,7 @@
   bool IsStream = false;   ///< This exchange's response is forwarded in pieces.
   bool HasOrigin = false;  ///< The version of this exchange is recorded.
   bool IsResponseStarted = false; ///< The head was sent to the caller.
+  bool IsStreamStarted = false;   ///< That head began a stream.
   bool IsWaiting = false;
   bool IsOver = false;
 };
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -41,6 +41,8 @@
     table->Routes.push_back(route);
   };
   add("stream", RequestKind::Streaming, 1);
+  add("resume", RequestKind::Streaming, 3);
+  table->Routes.back().IsResumable = true;
   add("once", RequestKind::NonIdempotent, 1);
   add("many", RequestKind::Idempotent, 3);
   indexServingTable(*table);
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -20,8 +20,9 @@
 /// Timeout of the front's routes.
 inline constexpr Millis CallerDeadline{3'000};
 
-/// Its routes are "stream" (streaming, one attempt), "once" (not repeatable)
-/// and "many" (idempotent, three attempts).
+/// Its routes are "stream" (streaming, one attempt), "resume" (streaming,
+/// resumable, three attempts), "once" (not repeatable) and "many" (idempotent,
+/// three attempts).
 class TestedFront {
 public:
   /// \p Endpoint: address of the endpoint; empty when it is to be added later.
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -358,3 +358,80 @@
     CHECK(runs <= before + 1);
   }
 }
+
+TEST_CASE("error after a stream has begun never reaches its caller") {
+  struct Case {
+    const char *What;
+    std::string FirstEvents;
+    std::string Status;
+    std::string Framing;
+    std::string Body;
+  };
+  const std::string event = "id: 1\ndata: a\n\n";
+  const std::string text = "ERROR TEXT";
+  const Case cases[] = {
+      {"error", event, "500 Failed", "Content-Length: 10", text},
+      {"error without framing", event, "500 Failed", "Connection: close", text},
+      {"error within an event", event + "id: 2\nda", "500 Failed",
+       "Content-Length: 10", text},
+      {"large error", event, "500 Failed", "Content-Length: 300000",
+       text + std::string(299'990, 'x')},
+      {"not found", event, "404 Not Found", "Content-Length: 10", text},
+      {"page", event, "200 OK", "Content-Type: text/html\r\nContent-Length: 10",
+       text},
+      {"page in chunks", event, "200 OK",
+       "Content-Type: text/html\r\nTransfer-Encoding: chunked",
+       chunkOf(text) + "0\r\n\r\n"},
+      {"page without framing", event, "200 OK",
+       "Content-Type: text/html\r\nConnection: close", text},
+      {"refusal", event, "503 Busy",
+       "Sassafrasseam-Not-Executed: 1\r\nContent-Length: 10", text},
+  };
+  for (const Case &it : cases) {
+    INFO(it.What);
+    std::atomic<size_t> requests{0};
+    auto script = [&](Tcp::socket &Socket, const std::string &Id) {
+      if (++requests == 1) {
+        sendText(Socket, headOf(Id, "Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked") +
+                             chunkOf(it.FirstEvents));
+        Socket.close();
+        return;
+      }
+      sendText(Socket, headOf(Id, it.Framing, it.Status) + it.Body);
+      if (it.Framing.find("close") != std::string::npos)
+        Socket.close();
+    };
+    ScriptedEndpoint one(script);
+    ScriptedEndpoint two(script);
+    TestedFront front(one.address());
+    front.occupy([&] { front.addEndpoint(two.address()); });
+    std::string response = front.call("resume", "1");
+    INFO(response);
+    CHECK(requests > 1);
+    CHECK(has(response, "data: a"));
+    CHECK_FALSE(has(response, "ERROR"));
+    CHECK_FALSE(has(response, "HTTP/1.1 5"));
+    CHECK_FALSE(isCompleteSuccess(response));
+  }
+}
+
+TEST_CASE("stream is not appended to a large error") {
+  std::atomic<size_t> requests{0};
+  auto script = [&](Tcp::socket &Socket, const std::string &Id) {
+    if (++requests == 1)
+      sendText(Socket, headOf(Id, "Transfer-Encoding: chunked", "500 Failed") +
+                           chunkOf(std::string(300'000, 'x')) + "0\r\n\r\n");
+    else
+      sendText(Socket, headOf(Id, "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked") +
+                           chunkOf("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+  };
+  ScriptedEndpoint one(script);
+  ScriptedEndpoint two(script);
+  TestedFront front(one.address());
+  front.occupy([&] { front.addEndpoint(two.address()); });
+  std::string response = front.call("resume", "1");
+  bool isError = response.starts_with("HTTP/1.1 500");
+  CHECK_FALSE((isError && has(response, "data: a")));
+}
