--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -150,6 +150,34 @@
       platform::readFleetCall({"GET", "/Instances.Leave/i-1", {}, ""})));
 }
 
+TEST_CASE("odd entry among the endpoints names none and harms none") {
+  std::string deep(100'000, '[');
+  const std::string start =
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:80")";
+  const std::string cases[] = {
+      start + R"(,"seq":3,"models":)" + deep,
+      start + R"(,"seq":3,"odd":)" + deep + std::string(100'000, ']') + "}",
+      start + R"(,"seq":1e400})",
+      start + R"(,"seq":99999999999999999999999})",
+      start + R"(,"seq":3,"born":1e17})",
+      start + R"(,"seq":3,"slots":4294967296})",
+      start + R"(,"seq":3,"cold-left-ms":1e300})",
+      start + R"(,"seq":3,"remaining-ms":9e15})",
+      start + R"(,"seq":3,"remaining-ms":-1})",
+      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
+      R"("address":"10.0.0.1:65536"})",
+      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
+      R"("address":"10.0.0.1:0"})",
+      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
+      R"("address":"10.0.0.1:99999999999999999999"})",
+  };
+  for (const std::string &it : cases) {
+    INFO(it.substr(0, 140));
+    CHECK(std::holds_alternative<platform::MalformedCall>(
+        platform::readFleetCall({"POST", "/Instances.Heartbeat/i-1", {}, it})));
+  }
+}
+
 TEST_CASE("caller's fields that only the fleet may set do not reach an "
           "endpoint") {
   HttpRequest request{"POST", "/p/x", {}, "body"};
--- a/tests/process/test_fronts.cpp
+++ b/tests/process/test_fronts.cpp
@@ -86,6 +86,39 @@
   CHECK(test.Engine.receivedRequests().size() == receivedCount);
 }
 
+TEST_CASE("fronts survive odd entries among the endpoints and in the table") {
+  ServedFleet test;
+  std::string deep(200'000, '[');
+  const std::string start =
+      R"({"service":"s","zone":"a","state":"ready","seq":1000,"address":")";
+  const std::string odd[] = {
+      start + R"(127.0.0.1:9","models":)" + deep,
+      start + R"(127.0.0.1:65536"})",
+      start + R"(127.0.0.1:9","born":1e300})",
+      start + R"(127.0.0.1:9","remaining-ms":1e300})",
+      start + R"(127.0.0.1:9","cold-left-ms":1e19,"slots":1e12})",
+      deep,
+  };
+  for (int i = 1; i <= test.Fleet.frontCount(); ++i)
+    for (const std::string &it : odd) {
+      for (const char *id : {"i-1", "i-odd"})
+        CHECK(callHttp(
+                  test.Fleet.controlAddress(i),
+                  {"POST", std::string("/Instances.Heartbeat/") + id, {}, it},
+                  seconds(2))
+                  .Status == 400);
+      CHECK(test.Fleet.putTable(i, it) == 400);
+    }
+  for (int i = 1; i <= test.Fleet.frontCount(); ++i) {
+    INFO("front " << i);
+    CHECK(test.Fleet.isRunning(FrontFleet::frontName(i)));
+    CHECK(waitUntil(seconds(10), [&] {
+      return sendCallerRequest(test.Fleet.callerAddress(i), "x", "warm")
+                 .Status == 200;
+    }));
+  }
+}
+
 TEST_CASE("stopping front completes a running stream") {
   ServedFleet test;
   test.Engine.setEventInterval(Millis(300));
