Obey endpoints that state in answers that they leave or want a pause

Fix: both enter the statements of the endpoint, bound to its process. That it leaves goes to all fronts and comes from its agent too; a pause holds for the front that was turned away. A request waits for a pause only if it ends in time, and is else refused at once with its end as Retry-After.

--- a/core/settings.h
+++ b/core/settings.h
@@ -54,6 +54,10 @@
   Millis RateWindow{8'000};   ///< Limits are checked over this window.
   double RateOvershoot = 0.1; ///< Allowed over rate and burst, as a fraction.
   double RateSlack = 0;       ///< Allowed beyond that, in tokens.
+  /// Bounds of how long an endpoint's word keeps it without requests: one that
+  /// asks for a pause, and one that states that it leaves.
+  Millis LongestPause{60'000};
+  Millis LongestLeaving{600'000};
   Millis StopGrace{8'000};    ///< From the stop signal to the exit.
 };
 
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -63,6 +63,12 @@
   return out;
 }
 
+/// What the engine states of itself with its state.
+struct EngineStatements {
+  platform::StatedLimit Limit;
+  bool IsLeaving = false;
+};
+
 class EngineAgentShell : public RoleShell,
                          public std::enable_shared_from_this<EngineAgentShell> {
 public:
@@ -82,7 +88,7 @@
   void handleMessage(const wire::Envelope &Message);
   void poll();
   void handleStateResponse(const std::string &Text,
-                           const platform::StatedLimit &Limit);
+                           const EngineStatements &Stated);
   void handleEngineLoss(const std::string &Reason);
   void sendNextCommand();
   void sendCommand(const PlannedCommand &Planned);
@@ -110,7 +116,8 @@
   bool WasBusy = false;         ///< As of the last report.
   /// Requests per second that the engine states as its limit.
   std::optional<double> RequestLimit;
-  std::string LastOrderSender; ///< Front that sent the latest order.
+  bool IsEngineLeaving = false; ///< It states that it takes no new requests.
+  std::string LastOrderSender;  ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
   uint64_t NextReportNumber = 1;
   size_t NextFront = 0;
@@ -207,17 +214,18 @@
   IsPolling = true;
   auto text = std::make_shared<std::string>();
   auto status = std::make_shared<unsigned>(0);
-  auto limit = std::make_shared<platform::StatedLimit>();
+  auto stated = std::make_shared<EngineStatements>();
   HttpCallbacks callbacks;
-  callbacks.OnHead = [status, limit](const HttpResponseHead &Head) {
+  callbacks.OnHead = [status, stated](const HttpResponseHead &Head) {
     *status = Head.Status;
-    *limit = platform::readRequestLimit(Head.Fields);
+    *stated = {platform::readRequestLimit(Head.Fields),
+               platform::readLeaving(Head.Fields)};
   };
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
-  callbacks.OnEnd = [self = shared_from_this(), text, status, limit] {
+  callbacks.OnEnd = [self = shared_from_this(), text, status, stated] {
     self->IsPolling = false;
     if (*status == StatusOk)
-      self->handleStateResponse(*text, *limit);
+      self->handleStateResponse(*text, *stated);
     else
       self->handleEngineLoss("HTTP status " + std::to_string(*status));
   };
@@ -231,7 +239,7 @@
 }
 
 void EngineAgentShell::handleStateResponse(const std::string &Text,
-                                           const platform::StatedLimit &Limit) {
+                                           const EngineStatements &Stated) {
   wire::EngineReport report;
   std::string problem;
   if (!platform::readState(Text, report, problem)) {
@@ -243,10 +251,11 @@
              {{"engine", Options.EngineAgentRole.Engine},
               {"born", std::to_string(report.born_ms())}});
   IsSilent = false;
-  if (Limit.IsInvalid)
+  if (Stated.Limit.IsInvalid)
     Counts.count("statements_invalid_total", "kind=\"limit\"");
   else
-    RequestLimit = Limit.PerSecond;
+    RequestLimit = Stated.Limit.PerSecond;
+  IsEngineLeaving = Stated.IsLeaving;
   applyEngineReport(State, report);
   uint64_t done = State.OrderDone;
   sendNextCommand();
@@ -272,6 +281,7 @@
              {{"engine", Options.EngineAgentRole.Engine}, {"reason", Reason}});
   IsSilent = true;
   RequestLimit.reset();
+  IsEngineLeaving = false;
   clearEngineReport(State);
   publishReport(Clock::now());
   schedulePoll(IdlePollInterval);
@@ -351,6 +361,7 @@
   out.set_is_silent(IsSilent);
   out.set_has_limit(RequestLimit.has_value());
   out.set_requests_per_s(RequestLimit.value_or(0));
+  out.set_is_leaving(IsEngineLeaving);
   out.set_order_done(State.OrderDone);
   out.set_number(NextReportNumber++);
   return out;
@@ -376,6 +387,7 @@
   urgentFields.set_born_ms(fullReport.born_ms());
   urgentFields.set_has_limit(fullReport.has_limit());
   urgentFields.set_requests_per_s(fullReport.requests_per_s());
+  urgentFields.set_is_leaving(fullReport.is_leaving());
   std::string serialized = urgentFields.SerializeAsString();
   bool isDue = isPast(NextFullReport, Now);
   bool isChanged = serialized != LastUrgentFields;
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -107,6 +107,7 @@
   out.Id = Known.Id;
   out.Zone = Known.Zone;
   out.RequestLimit = requestLimitOf(State, Known);
+  out.PausedUntil = pauseEndOf(State, Known);
   out.Slots = out.RequestLimit
                   ? slotsWithinLimit(Known.Slots, *out.RequestLimit,
                                      IsEngine ? MeanEngineServiceTime
@@ -126,7 +127,7 @@
                                bool IsEngine, TimePoint Now) {
   EndpointSurvey out;
   for (const auto &[id, known] : State.Directory.Endpoints) {
-    if (known.Service != Request.Service || !isUsable(known, Now) ||
+    if (known.Service != Request.Service || !takesRequests(State, known, Now) ||
         !matchesStream(Request, known) || Request.FailedEndpoints.contains(id))
       continue;
     ++out.UsableCount;
@@ -164,7 +165,7 @@
     const EndpointCandidate &it = Found.Candidates[i];
     bool isFull = estimateLoad(*it.Record, Now) >= it.Slots;
     if (Found.Engines[i]->AgentAddress.empty() || isFull ||
-        !isPast(it.Record->PausedUntil, Now))
+        !isPast(std::max(it.Record->PausedUntil, it.PausedUntil), Now))
       continue;
     uint64_t rank = checksumOf(Request.Attributes.Model + '/' +
                                Request.Attributes.Adapter + '@' + it.Id);
@@ -306,7 +307,8 @@
 /// time of \p Service for each.
 struct QueueEstimate {
   Millis Wait{0};
-  bool IsPaced = false; ///< All endpoints have a limit: nothing ends sooner.
+  /// All endpoints have a limit or asked for a pause: nothing ends sooner.
+  bool IsPaced = false;
 };
 
 QueueEstimate estimateQueueTime(const FrontState &State,
@@ -314,9 +316,16 @@
                                 Millis Service, TimePoint Now) {
   double seconds = std::chrono::duration<double>(Service).count();
   double perSecond = 0;
-  std::optional<Millis> firstSlot; // Set while every candidate has a limit.
+  // Earliest time at which an endpoint with a limit or a pause is open.
+  std::optional<Millis> firstSlot;
   size_t limited = 0;
   for (const EndpointCandidate &it : Found.Candidates) {
+    if (!isPast(it.PausedUntil, Now)) {
+      Millis wait(toMillis(it.PausedUntil - Now) + 1);
+      firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
+      ++limited;
+      continue;
+    }
     double most = it.Slots / seconds;
     perSecond += it.RequestLimit
                      ? std::min(std::max(*it.RequestLimit, MinSendPace), most)
@@ -328,7 +337,7 @@
     firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
   }
   if (perSecond <= 0)
-    return {Service, false};
+    return {firstSlot.value_or(Service), firstSlot.has_value()};
   Millis queued(
       static_cast<int64_t>(1'000 * static_cast<double>(Ahead + 1) / perSecond));
   if (limited < Found.Candidates.size())
--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -29,6 +29,37 @@
   return Limit ? std::to_string(*Limit) : "none";
 }
 
+EndpointStatement makeStatement(uint64_t BornMs) {
+  EndpointStatement out;
+  out.BornMs = BornMs;
+  return out;
+}
+
+/// What the process of \p Endpoint that started at \p BornMs stated; null if a
+/// later process is known.
+EndpointStatement *findStatement(FrontState &State, const std::string &Endpoint,
+                                 uint64_t BornMs) {
+  auto [entry, isNew] = State.Statements.try_emplace(Endpoint);
+  EndpointStatement &known = entry->second;
+  if (!isNew && BornMs < known.BornMs)
+    return nullptr;
+  if (isNew || BornMs > known.BornMs)
+    known = makeStatement(BornMs);
+  return &known;
+}
+
+/// Returns true if it was not known that the process leaves.
+bool applyLeaving(FrontState &State, const std::string &Endpoint,
+                  uint64_t BornMs, const char *Source, TimePoint Now) {
+  EndpointStatement *known = findStatement(State, Endpoint, BornMs);
+  if (!known || known->LeavingUntil != TimePoint())
+    return false;
+  known->LeavingUntil = Now + State.Limits.LongestLeaving;
+  logEvent(LogLevel::Info, "endpoint_leaving",
+           {{"endpoint", Endpoint}, {"source", Source}});
+  return true;
+}
+
 /// Applies a statement of the process of \p Endpoint that started at \p BornMs.
 /// Returns true if the limit has changed.
 bool applyLimit(FrontState &State, const std::string &Endpoint, uint64_t BornMs,
@@ -42,7 +73,7 @@
   if (!isNew && BornMs < known.BornMs)
     return false;
   if (isNew || BornMs > known.BornMs)
-    known = {BornMs, std::nullopt, TimePoint()};
+    known = makeStatement(BornMs);
   if (Stated.StatedAt < known.StatedAt)
     return false;
   known.StatedAt = Stated.StatedAt;
@@ -69,6 +100,7 @@
   out.set_age_ms(toMillis(Now - Known.StatedAt));
   out.set_has_limit(Known.RequestLimit.has_value());
   out.set_requests_per_s(Known.RequestLimit.value_or(0));
+  out.set_is_leaving(Known.LeavingUntil != TimePoint());
   return out;
 }
 
@@ -82,6 +114,45 @@
   return it->second.RequestLimit;
 }
 
+bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
+                   TimePoint Now) {
+  if (!isUsable(Endpoint, Now))
+    return false;
+  auto it = State.Statements.find(Endpoint.Id);
+  return it == State.Statements.end() || it->second.BornMs != Endpoint.BornMs ||
+         isPast(it->second.LeavingUntil, Now);
+}
+
+TimePoint pauseEndOf(const FrontState &State, const KnownEndpoint &Endpoint) {
+  auto it = State.Statements.find(Endpoint.Id);
+  if (it == State.Statements.end() || it->second.BornMs != Endpoint.BornMs)
+    return {};
+  return it->second.PausedUntil;
+}
+
+void recordLeaving(FrontState &State, const std::string &Endpoint,
+                   TimePoint Now) {
+  const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
+  if (endpoint &&
+      applyLeaving(State, Endpoint, endpoint->BornMs, "answer", Now))
+    State.ChangedStatements.insert(Endpoint);
+}
+
+void recordPause(FrontState &State, const std::string &Endpoint, Millis Pause,
+                 TimePoint Now) {
+  const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
+  EndpointStatement *known =
+      endpoint ? findStatement(State, Endpoint, endpoint->BornMs) : nullptr;
+  if (!known)
+    return;
+  TimePoint until = Now + std::min(Pause, State.Limits.LongestPause);
+  if (isPast(known->PausedUntil, Now))
+    logEvent(LogLevel::Info, "endpoint_asked_for_pause",
+             {{"endpoint", Endpoint},
+              {"for_ms", std::to_string(toMillis(until - Now))}});
+  known->PausedUntil = std::max(known->PausedUntil, until);
+}
+
 void recordStatedLimit(FrontState &State, const std::string &Endpoint,
                        std::optional<double> Limit, TimePoint SentAt,
                        TimePoint Now) {
@@ -97,8 +168,8 @@
     State.ChangedStatements.insert(Endpoint);
 }
 
-void recordReportedLimit(FrontState &State, const wire::EngineReport &Report,
-                         TimePoint Now) {
+void recordReportedStatements(FrontState &State,
+                              const wire::EngineReport &Report, TimePoint Now) {
   auto id = State.Directory.IdByAddress.find(Report.address());
   if (id == State.Directory.IdByAddress.end() || Report.is_silent())
     return;
@@ -110,6 +181,8 @@
   if (Report.has_limit())
     limit = Report.requests_per_s();
   applyLimit(State, endpoint->Id, endpoint->BornMs, {limit, Now}, "agent");
+  if (Report.is_leaving())
+    applyLeaving(State, endpoint->Id, endpoint->BornMs, "agent", Now);
 }
 
 void flushStatements(FrontState &State, TimePoint Now, NodeMessages &Out) {
@@ -131,6 +204,8 @@
   for (const wire::EndpointStatement &it : Update.statements()) {
     if (!isValidLimit(it.requests_per_s()) || it.endpoint().empty())
       continue;
+    if (it.is_leaving())
+      applyLeaving(State, it.endpoint(), it.born_ms(), "front", Now);
     LimitStatement stated{std::nullopt,
                           Now - Millis(std::min(it.age_ms(), MaxAgeMs))};
     if (it.has_limit())
@@ -138,6 +213,7 @@
     auto known = State.Statements.find(it.endpoint());
     bool hasEnded = known != State.Statements.end() &&
                     known->second.BornMs == it.born_ms() &&
+                    known->second.StatedAt != TimePoint() &&
                     !known->second.RequestLimit;
     if (hasEnded && stated.StatedAt < known->second.StatedAt + StatementMargin)
       continue;
@@ -162,15 +238,18 @@
 uint64_t digestStatements(const FrontState &State) {
   uint64_t digest = 0;
   for (const auto &[id, it] : State.Statements)
-    if (it.RequestLimit)
+    if (it.RequestLimit || it.LeavingUntil != TimePoint())
       digest += checksumOf(id + '/' + std::to_string(it.BornMs) + '/' +
-                           std::to_string(*it.RequestLimit));
+                           textOf(it.RequestLimit) +
+                           (it.LeavingUntil != TimePoint() ? "/leaving" : ""));
   return digest;
 }
 
 void expireStatements(FrontState &State, TimePoint Now) {
   std::erase_if(State.Statements, [&](const auto &it) {
-    bool hasEnded = !it.second.RequestLimit;
+    bool hasEnded = !it.second.RequestLimit &&
+                    isPast(it.second.LeavingUntil, Now) &&
+                    isPast(it.second.PausedUntil, Now);
     bool isKnown = State.Directory.Endpoints.contains(it.first);
     return (hasEnded || !isKnown) &&
            Now - it.second.StatedAt > EndedStatementRetention;
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -30,6 +30,22 @@
 /// if there is none. Thread safe while \p State does not change.
 std::optional<double> requestLimitOf(const FrontState &State,
                                      const KnownEndpoint &Endpoint);
+/// True while new requests may be sent to \p Endpoint, within its limit: it is
+/// usable and has not stated that it leaves. Thread safe while \p State does
+/// not change.
+bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
+                   TimePoint Now);
+/// End of the pause that \p Endpoint asked this front for; in the past if there
+/// is none. Thread safe while \p State does not change.
+TimePoint pauseEndOf(const FrontState &State, const KnownEndpoint &Endpoint);
+/// Records that \p Endpoint stated in an answer that it leaves. Not thread
+/// safe.
+void recordLeaving(FrontState &State, const std::string &Endpoint,
+                   TimePoint Now);
+/// Records that \p Endpoint turned a request of this front away and wants no
+/// other one for \p Pause. Other fronts are not told. Not thread safe.
+void recordPause(FrontState &State, const std::string &Endpoint, Millis Pause,
+                 TimePoint Now);
 /// Records the limit, or that there is none, in an answer of \p Endpoint to a
 /// request that was sent at \p SentAt. Only an answer to a request sent after a
 /// limit was stated ends it: others may have been on their way. Not thread
@@ -37,10 +53,10 @@
 void recordStatedLimit(FrontState &State, const std::string &Endpoint,
                        std::optional<double> Limit, TimePoint SentAt,
                        TimePoint Now);
-/// Records the limit that the agent of the engine at the report's address read.
-/// Not thread safe.
-void recordReportedLimit(FrontState &State, const wire::EngineReport &Report,
-                         TimePoint Now);
+/// Records what the agent of the engine at the report's address read. Not
+/// thread safe.
+void recordReportedStatements(FrontState &State,
+                              const wire::EngineReport &Report, TimePoint Now);
 /// Appends the changed statements for the other fronts. Not thread safe.
 void flushStatements(FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Applies the statements that another front received. A message to be passed
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -486,7 +486,7 @@
   }
   if (!applyReport(State.Directory, Report, Now))
     return false;
-  recordReportedLimit(State, Report, Now);
+  recordReportedStatements(State, Report, Now);
   recordEngineLoad(State, Report.address(), Report.active() + Report.queued(),
                    Now);
   return true;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -196,6 +196,8 @@
   limits.Retries = {Settings.RetryRatio, Settings.RetrySlack};
   limits.Tolerance = {Settings.RateWindow, Settings.RateOvershoot,
                       Settings.RateSlack};
+  limits.LongestPause = Settings.LongestPause;
+  limits.LongestLeaving = Settings.LongestLeaving;
 }
 
 bool FrontShell::startServer(std::unique_ptr<HttpServer> &Server,
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -41,6 +41,9 @@
   /// Limit of waiting requests at one front for each model or service; each
   /// holds its body in memory.
   size_t MaxWaitingRequests = 1'000;
+  /// Bounds of how long an endpoint's word keeps it without requests.
+  Millis LongestPause{60'000};
+  Millis LongestLeaving{600'000};
 };
 
 /// Use of one model or plain service at this front.
@@ -79,7 +82,11 @@
   uint64_t BornMs = 0; ///< Start of the process that stated it.
   /// Requests per second over all fronts; nothing if it states no limit.
   std::optional<double> RequestLimit;
-  TimePoint StatedAt; ///< Of the latest answer.
+  TimePoint StatedAt; ///< Of the latest answer that was about the limit.
+  /// It takes no new requests before this time; it leaves.
+  TimePoint LeavingUntil;
+  /// It wants no request from this front before this time.
+  TimePoint PausedUntil;
 };
 
 /// The right to send one request to an endpoint (front/send_permits.h).
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -230,7 +230,7 @@
     PlanEngine plan;
     plan.Endpoint = id;
     plan.SoftwareVersion = known.SoftwareVersion;
-    plan.IsLeaving = !isUsable(known, Now) || engine->IsSilent;
+    plan.IsLeaving = !takesRequests(State, known, Now) || engine->IsSilent;
     plan.AcceptsOrders =
         engine->IsFromAgent && !engine->IsBusy && !plan.IsLeaving;
     plan.LoadShare = static_cast<double>(engine->Active + engine->Queued) /
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -249,6 +249,12 @@
 /// Records what the endpoint states of itself in a trusted answer.
 void Relay::recordStatements(const platform::ResponseFields &Fields,
                              TimePoint Now) {
+  if (Fields.IsLeaving)
+    recordLeaving(Core.State, Endpoint, Now);
+  if (Fields.HasInvalidPause)
+    Core.Counts.count("statements_invalid_total", "kind=\"pause\"");
+  if (Fields.Pause && Fields.IsNotRun)
+    recordPause(Core.State, Endpoint, *Fields.Pause, Now);
   StatedLimit = Fields.RequestLimit.PerSecond;
   if (Fields.RequestLimit.IsInvalid) {
     Core.Counts.count("statements_invalid_total", "kind=\"limit\"");
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/logging.h"
 #include "fleet/zone_relays.h"
+#include "front/endpoint_statements.h"
 
 #include <algorithm>
 
@@ -234,7 +235,8 @@
                             const FrontRequest &Request, TimePoint Now) {
   const auto &endpoints = State.Directory.Endpoints;
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &it) {
-    return it.second.Service == Request.Service && isUsable(it.second, Now) &&
+    return it.second.Service == Request.Service &&
+           takesRequests(State, it.second, Now) &&
            matchesStream(Request, it.second);
   });
 }
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -52,7 +52,8 @@
     const EndpointRecord &record = *it.Record;
     double slots = it.Slots;
     double load = estimateLoad(record, Now);
-    if (!isPast(record.PausedUntil, Now) || load >= slots * (1 + MaxQueueShare))
+    if (!isPast(std::max(record.PausedUntil, it.PausedUntil), Now) ||
+        load >= slots * (1 + MaxQueueShare))
       continue;
     double penalty = FailurePenalty * record.FailureRate +
                      (it.Zone == OwnZone ? 0 : CrossZonePenalty) +
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -76,6 +76,7 @@
   const EndpointRecord *Record = nullptr;
   /// Requests that it starts per second, where it states a limit.
   std::optional<double> RequestLimit = std::nullopt;
+  TimePoint PausedUntil = {}; ///< It asked for a pause until then.
 };
 
 /// Estimates the number of requests that the endpoint holds from its last
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -435,3 +435,82 @@
   bool isError = response.starts_with("HTTP/1.1 500");
   CHECK_FALSE((isError && has(response, "data: a")));
 }
+
+TEST_CASE("endpoint that states that it leaves gets no further requests") {
+  for (const char *field : {"Server-Leaving: 1", "Server-Leaving: 0"}) {
+    INFO(field);
+    ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+      sendText(Socket,
+               headOf(Id, std::string(field) + "\r\nContent-Length: 2") + "ok");
+    });
+    TestedFront front(endpoint.address());
+    CHECK(isCompleteSuccess(front.call("many", "0")));
+    for (int i = 1; i <= 5; ++i) {
+      TimePoint start = Clock::now();
+      std::string response = front.call("many", std::to_string(i));
+      bool isLeaving = has(field, "1");
+      CHECK(isCompleteSuccess(response) != isLeaving);
+      CHECK(Clock::now() - start < CallerDeadline / 2);
+    }
+    CHECK(endpoint.countRequests() == (has(field, "1") ? 1 : 6));
+  }
+}
+
+TEST_CASE("endpoint that asks for a pause gets no requests until its end") {
+  struct Case {
+    const char *Value;
+    Millis Pause;
+  };
+  // The last two are not read.
+  const Case cases[] = {{"1", Millis(1'000)},
+                        {"0.4", Millis(400)},
+                        {"-5", Millis(0)},
+                        {"1e9", Millis(0)}};
+  for (const Case &it : cases) {
+    INFO(it.Value);
+    std::atomic<bool> isFirst{true};
+    std::atomic<int64_t> refusedAt{0};
+    std::atomic<int64_t> nextAt{0};
+    auto now = [] { return Clock::now().time_since_epoch().count(); };
+    ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+      if (!isFirst.exchange(false)) {
+        int64_t none = 0;
+        nextAt.compare_exchange_strong(none, now());
+        sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
+        return;
+      }
+      refusedAt = now();
+      sendText(Socket,
+               headOf(Id,
+                      "Sassafrasseam-Not-Executed: 1\r\nRetry-After: " +
+                          std::string(it.Value) + "\r\nContent-Length: 0",
+                      "503 Busy"));
+    });
+    TestedFront front(endpoint.address());
+    // The pause ends in time: the request waits for it.
+    CHECK(isCompleteSuccess(front.call("many", "1")));
+    auto gap = std::chrono::nanoseconds(nextAt - refusedAt);
+    CHECK(gap >= it.Pause);
+    CHECK(gap < it.Pause + Millis(600));
+  }
+}
+
+TEST_CASE("request that cannot wait for a pause is refused at once") {
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id,
+                            "Sassafrasseam-Not-Executed: 1\r\nRetry-After: 20"
+                            "\r\nContent-Length: 0",
+                            "503 Busy"));
+  });
+  TestedFront front(endpoint.address());
+  for (int i = 1; i <= 5; ++i) {
+    TimePoint start = Clock::now();
+    std::string response = front.call("many", std::to_string(i));
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(Clock::now() - start < Millis(500));
+    size_t at = response.find("retry-after: ");
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stod(response.substr(at + 13)) >= 19);
+  }
+  CHECK(endpoint.countRequests() == 1);
+}
