Answer requests that have arrived at a stopping front

Cause, by reading and the listed test: the server closed idle connections without a look at bytes that had arrived, and the front exited as soon as it had no relays. Fix: a connection with unread bytes is not idle; the front exits when no connection is open, or at its deadline.

--- a/core/settings.h
+++ b/core/settings.h
@@ -58,7 +58,7 @@
   /// asks for a pause, and one that states that it leaves.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
-  Millis StopGrace{8'000};    ///< From the stop signal to the exit.
+  Millis StopGrace{8'000}; ///< From the stop signal to the exit.
 };
 
 /// [engine_agent_role]: the process that runs next to a model engine.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -764,7 +764,9 @@
   auto relays = Core.Relays;
   for (auto &[number, it] : relays)
     it->stop(isFinal);
-  if (Core.Relays.empty())
+  // A connection that is still open has a request that is not answered yet.
+  if (Core.Relays.empty() &&
+      (isFinal || CallerServer->countConnections() == 0))
     exit();
 }
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -94,6 +94,7 @@
   asio::steady_timer AcceptRetryTimer;
   std::set<Session *> Idle; ///< Connections waiting for a request.
   std::atomic<size_t> OpenCount{0};
+  std::atomic<size_t> ConnectionCount{0};
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsDraining{false};
 };
@@ -104,11 +105,16 @@
 public:
   Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
       : Stream(std::move(Socket)), Server(std::move(Server)),
-        DisconnectTimer(this->Server->Io) {}
-  ~Session() { Server->Idle.erase(this); }
+        DisconnectTimer(this->Server->Io) {
+    ++this->Server->ConnectionCount;
+  }
+  ~Session() {
+    Server->Idle.erase(this);
+    --Server->ConnectionCount;
+  }
 
   void waitForRequest();
-  void closeIdle() { Stream.close(); }
+  void closeIdle();
   void queue(uint64_t RequestNumber, std::string Bytes, bool IsEnd);
   void abort(uint64_t RequestNumber);
   asio::io_context &context() { return Server->Io; }
@@ -277,6 +283,14 @@
       });
 }
 
+void Session::closeIdle() {
+  boost::system::error_code ec;
+  // A request has arrived and is about to be read.
+  if (Stream.socket().available(ec) > 0 && !ec)
+    return;
+  Stream.close();
+}
+
 void Session::readHead() {
   Parser.emplace();
   Parser->header_limit(Server->Limits.HeadBytes);
@@ -615,4 +629,6 @@
 
 size_t HttpServer::countOpenExchanges() const { return Data->OpenCount; }
 
+size_t HttpServer::countConnections() const { return Data->ConnectionCount; }
+
 } // namespace sassafras
--- a/http/server.h
+++ b/http/server.h
@@ -84,7 +84,8 @@
   /// Listening address with the actual port.
   const std::string &address() const;
   /// Stops accepting connections, closes idle ones, and closes the others after
-  /// their response. Call on the thread that runs the I/O context.
+  /// their response. One on which a request has arrived is not idle. May be
+  /// called again. Call on the thread that runs the I/O context.
   void stopAccepting();
   /// Still accepts connections but closes each after its response, so that a
   /// balancer has time to direct callers elsewhere. Call on the thread that
@@ -95,6 +96,9 @@
   void setLimits(const HttpLimits &Limits);
   /// Number of exchanges whose response is not completely written. Thread safe.
   size_t countOpenExchanges() const;
+  /// Number of open connections, those included that wait for a request. Thread
+  /// safe.
+  size_t countConnections() const;
 
   struct Impl;
 
--- a/policy/model_plan.h
+++ b/policy/model_plan.h
@@ -81,7 +81,7 @@
   bool AcceptsOrders = false;
   /// The engine is leaving: its models are not counted as replicas.
   bool IsLeaving = false;
-  double LoadShare = 0;    ///< Requests divided by slots.
+  double LoadShare = 0; ///< Requests divided by slots.
   /// Requests in progress that the limit it states allows; nothing without one.
   std::optional<double> MaxBusy;
   uint64_t ReservedMb = 0; ///< Memory for adapters and loads in progress.
