--- a/ctl/log_trace.cpp
+++ b/ctl/log_trace.cpp
@@ -38,7 +38,11 @@
 }
 
 bool hasRequestId(const LogLine &Line, const std::string &Id) {
-  return getField(Line, "id") == Id || getField(Line, "request") == Id;
+  // Tries that resume a stream name the request that brought its first event.
+  for (const char *name : {"id", "request", "resumed"})
+    if (getField(Line, name) == Id)
+      return true;
+  return false;
 }
 
 /// Time span of a request and what its own log lines refer to.
@@ -80,13 +84,17 @@
   if (event == "order_received" || event == "engine_order" ||
       event == "order_done")
     return Context.Orders.contains(getField(Line, "order"));
-  if (event == "endpoint_changed" || event == "endpoint_paused")
+  static const std::set<std::string> endpointEvents{
+      "endpoint_changed", "endpoint_paused", "endpoint_limit",
+      "endpoint_leaving", "endpoint_asked_for_pause"};
+  if (endpointEvents.contains(event))
     return Context.Endpoints.contains(getField(Line, "endpoint"));
   if (event == "engine_lost" || event == "engine_regained")
     return Context.Endpoints.contains(getField(Line, "engine"));
   static const std::set<std::string> fleetEvents{
-      "group_view", "role_changed", "table_in_force",    "started",
-      "stopping",   "disk_failed",  "log_lines_dropped", "node_out_of_view"};
+      "group_view",        "role_changed",     "table_in_force",
+      "started",           "stopping",         "disk_failed",
+      "log_lines_dropped", "node_out_of_view", "permit_request_unanswered"};
   return fleetEvents.contains(event);
 }
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -765,8 +765,7 @@
   for (auto &[number, it] : relays)
     it->stop(isFinal);
   // A connection that is still open has a request that is not answered yet.
-  if (Core.Relays.empty() &&
-      (isFinal || CallerServer->countConnections() == 0))
+  if (Core.Relays.empty() && (isFinal || CallerServer->countConnections() == 0))
     exit();
 }
 
--- a/tests/ctl/test_log_trace.cpp
+++ b/tests/ctl/test_log_trace.cpp
@@ -52,3 +52,19 @@
   CHECK(times == std::vector<uint64_t>{5000, 5100, 5200, 8000, 8500, 9000});
   CHECK(traceRequest(lines, "r3").empty());
 }
+
+TEST_CASE("trace has what the endpoint stated and the tries that resume") {
+  std::istringstream in(
+      "time_ms=9000 event=request_done id=r1 model=m endpoint=e1 total_ms=500\n"
+      "time_ms=8000 event=endpoint_limit endpoint=e1 requests_per_s=2.0\n"
+      "time_ms=8100 event=endpoint_limit endpoint=e2 requests_per_s=2.0\n"
+      "time_ms=8200 event=endpoint_asked_for_pause endpoint=e1 for_ms=900\n"
+      "time_ms=8300 event=endpoint_leaving endpoint=e1\n"
+      "time_ms=9500 event=request_done id=r2 resumed=r1 endpoint=e3\n");
+  std::vector<LogLine> lines;
+  readLog(in, lines);
+  std::vector<uint64_t> times;
+  for (const LogLine &it : traceRequest(lines, "r1"))
+    times.push_back(it.TimeMs);
+  CHECK(times == std::vector<uint64_t>{8000, 8200, 8300, 9000, 9500});
+}
