--- a/policy/send_pace.cpp
+++ b/policy/send_pace.cpp
@@ -16,9 +16,10 @@
 } // namespace
 
 Clock::duration slotInterval(double RequestsPerSecond) {
+  // In this order, a limit that is not a number counts as the least one.
+  double pace = std::max(MinSendPace, RequestsPerSecond);
   return std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double>(1 /
-                                    std::max(RequestsPerSecond, MinSendPace)));
+      std::chrono::duration<double>(1 / pace));
 }
 
 TimePoint nextSlot(const SendSchedule &Schedule, TimePoint Now) {
