--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -154,6 +154,8 @@
   std::string deep(100'000, '[');
   const std::string start =
       R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:80")";
+  const std::string atAddress =
+      R"({"service":"s","zone":"z","state":"ready","seq":3,"address":")";
   const std::string cases[] = {
       start + R"(,"seq":3,"models":)" + deep,
       start + R"(,"seq":3,"odd":)" + deep + std::string(100'000, ']') + "}",
@@ -164,12 +166,9 @@
       start + R"(,"seq":3,"cold-left-ms":1e300})",
       start + R"(,"seq":3,"remaining-ms":9e15})",
       start + R"(,"seq":3,"remaining-ms":-1})",
-      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
-      R"("address":"10.0.0.1:65536"})",
-      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
-      R"("address":"10.0.0.1:0"})",
-      R"({"service":"s","zone":"z","state":"ready","seq":3,)"
-      R"("address":"10.0.0.1:99999999999999999999"})",
+      atAddress + R"(10.0.0.1:65536"})",
+      atAddress + R"(10.0.0.1:0"})",
+      atAddress + R"(10.0.0.1:99999999999999999999"})",
   };
   for (const std::string &it : cases) {
     INFO(it.substr(0, 140));
