--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts start, into review/bin/.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p bin
+for program in lost_answers; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "bin/$program" \
+    "stand_ins/$program.cpp" stand_ins/fleet.cpp
+done
