--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -450,6 +450,17 @@
   return out.str();
 }
 
+int64_t Fleet::memoryMb(int Host) {
+  if (Processes[Host] <= 0)
+    return 0;
+  std::ifstream in("/proc/" + std::to_string(Processes[Host]) + "/status");
+  std::string line;
+  while (std::getline(in, line))
+    if (line.rfind("VmRSS:", 0) == 0)
+      return std::atoll(line.c_str() + 6) / 1024;
+  return 0;
+}
+
 bool Fleet::putConfig(const std::string &Json, int64_t LimitMs) {
   std::string tail =
       " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -110,6 +110,8 @@
   /// Waits until all fronts are ready.
   bool waitReady(int64_t LimitMs);
   std::string log(int Host) const;
+  /// Memory of the process in megabytes; 0 when it does not run.
+  int64_t memoryMb(int Host);
   int frontCount() const { return Fronts; }
 
   /// Sends a config as the operator does: to any node, following a 307 twice,
--- a/review/stand_ins/lost_answers.cpp
+++ b/review/stand_ins/lost_answers.cpp
@@ -1,12 +1,14 @@
-// Holds requests at a sound engine through two fronts, on kept channels, while
-// one further caller sends a request of the kind named by the first argument.
-// Counts the requests that a front passed on and whose channel it then closed
-// without an answer.
+// Holds requests at sound engines through two fronts, on kept channels, while
+// further callers send requests of the kind named by the first argument. Counts
+// the requests that a front passed on and whose channel it then closed without
+// an answer.
 //
-// usage: lost_answers header|trace FOLDER
-// Without the disruption (TROUBLE=0), the further request is an ordinary one.
+// usage: lost_answers header|trace|bodies FOLDER
+// Without the disruption (TROUBLE=0), the further requests are ordinary ones.
 #include "fleet.h"
 
+#include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -20,6 +22,14 @@
 constexpr int CallersEach = 6;
 constexpr int64_t ContactMs = 3'000;
 constexpr int64_t ConfigMs = 2'000;
+/// `memory-mb` of the deployment's fronts: the platform kills a process that
+/// uses more.
+constexpr int64_t MemoryMb = 260;
+/// Callers that send long bodies at once, and the length: max-body-bytes.
+constexpr int BodyCallers = 48;
+constexpr size_t LongBody = 4'194'304;
+/// The longest body that the deployment's sheet has.
+constexpr size_t UsualBody = 28'000;
 /// More than this many lost requests break the rule.
 constexpr int Excused = 3;
 
@@ -73,31 +83,62 @@
                           : "no answer in time";
 }
 
+/// Sends long bodies to \p Front from many callers at once, while the platform
+/// watches the memory of the process.
+void sendBodies(Fleet &Fronts, int Front, size_t Bytes) {
+  std::string body(Bytes, 'x');
+  std::atomic<int> answered{0};
+  std::vector<std::thread> callers;
+  record(std::to_string(BodyCallers) + " callers send " +
+         std::to_string(Bytes) + " bytes each to front-" +
+         std::to_string(Front));
+  for (int i = 0; i < BodyCallers; ++i)
+    callers.emplace_back([&, i] {
+      Channel channel(Fronts.front(Front));
+      channel.send(request("POST", "/lookup/work-3000",
+                           "body-" + std::to_string(i), "", body));
+      answered += channel.read(6'000).IsComplete;
+    });
+  int64_t peak = 0;
+  for (int64_t end = nowMs() + 5'000; nowMs() < end; sleepMs(10)) {
+    int64_t used = Fronts.memoryMb(Front);
+    peak = std::max(peak, used);
+    if (used > MemoryMb && Fronts.isRunning(Front)) {
+      record("platform kills front-" + std::to_string(Front) + " at " +
+             std::to_string(used) + " MB of " + std::to_string(MemoryMb));
+      Fronts.signal(Front, SIGKILL);
+    }
+  }
+  for (std::thread &it : callers)
+    it.join();
+  record("most memory of front-" + std::to_string(Front) + ": " +
+         std::to_string(peak) + " MB; " + std::to_string(answered) +
+         " of these callers got an answer");
+}
+
 int run(const std::string &Kind, bool HasTrouble) {
   Fleet fleet(Fronts, Disks);
   for (int host = 1; host <= Fronts; ++host)
     fleet.start(host, true);
   int limit = Kind == "header" ? 131072 : 16384;
-  if (!fleet.putConfig(config(1, 16384), 20'000)) {
-    record("first config not confirmed");
+  if (!fleet.putConfig(config(1, limit), 20'000)) {
+    record("config not confirmed");
     return 2;
   }
+  record("config confirmed, max-header-bytes " + std::to_string(limit));
   Engine first("i-1", "desk", fleet.ip(50), fleet.enginePort(), "zone-0");
   Engine second("i-2", "desk", fleet.ip(51), fleet.enginePort(), "zone-1");
+  Engine third("i-3", "desk", fleet.ip(52), fleet.enginePort(), "zone-2");
   std::vector<std::string> controls;
   for (int host = 1; host <= Disks; ++host)
     controls.push_back(fleet.control(host));
   first.startPings(controls);
   second.startPings(controls);
+  third.startPings(controls);
   if (!fleet.waitReady(15'000)) {
     record("fronts are not ready");
     return 2;
   }
-  if (!fleet.putConfig(config(2, limit), 10'000)) {
-    record("second config not confirmed");
-    return 2;
-  }
-  record("config 2 confirmed, max-header-bytes " + std::to_string(limit));
   sleepMs(ContactMs + ConfigMs);
 
   // Two fronts without a disk: the core stays as it is.
@@ -119,9 +160,10 @@
       }
       callers.push_back(std::move(caller));
     }
+  std::string work = Kind == "bodies" ? "/charge/work-3500" : "/charge/work-1500";
   for (Caller &it : callers)
-    it.Thread = std::thread([&it] {
-      it.Kept->send(request("POST", "/charge/work-1500", it.Id, "", "abc"));
+    it.Thread = std::thread([&it, work] {
+      it.Kept->send(request("POST", work, it.Id, "", "abc"));
       record("caller sent " + it.Id + " to front-" + std::to_string(it.Front) +
              " on its kept channel");
       it.Got = it.Kept->read(6'000);
@@ -134,10 +176,14 @@
   if (Kind == "header")
     further = request("POST", "/lookup/work-5", "further",
                       promptField(HasTrouble ? 66'000 : 60'000), "abc");
-  else
+  else if (Kind == "trace")
     further = request(HasTrouble ? "TRACE" : "POST", "/lookup/work-5",
                       "further", "", "abc");
+  if (Kind == "bodies")
+    sendBodies(fleet, targets[0], HasTrouble ? LongBody : UsualBody);
   for (int front : targets) {
+    if (Kind == "bodies")
+      break;
     record("further caller sends " + std::to_string(further.size()) +
            " bytes, " + further.substr(0, further.find('\r')) + ", to front-" +
            std::to_string(front));
@@ -160,8 +206,9 @@
   int lost = 0;
   int answered = 0;
   std::vector<Run> runs = first.runs();
-  for (const Run &it : second.runs())
-    runs.push_back(it);
+  for (Engine *engine : {&second, &third})
+    for (const Run &it : engine->runs())
+      runs.push_back(it);
   for (const Caller &caller : callers) {
     bool isPassedOn = false;
     for (const Run &it : runs)
