--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -32,8 +32,8 @@
   size_t colon = Address.rfind(':');
   Out = {};
   Out.sin_family = AF_INET;
-  Out.sin_port = htons(
-      static_cast<uint16_t>(std::atoi(Address.c_str() + colon + 1)));
+  Out.sin_port =
+      htons(static_cast<uint16_t>(std::atoi(Address.c_str() + colon + 1)));
   return ::inet_pton(AF_INET, Address.substr(0, colon).c_str(),
                      &Out.sin_addr) == 1;
 }
@@ -133,8 +133,8 @@
 bool Channel::send(const std::string &Bytes) {
   size_t done = 0;
   while (Socket >= 0 && done < Bytes.size()) {
-    ssize_t n = ::send(Socket, Bytes.data() + done, Bytes.size() - done,
-                       MSG_NOSIGNAL);
+    ssize_t n =
+        ::send(Socket, Bytes.data() + done, Bytes.size() - done, MSG_NOSIGNAL);
     if (n <= 0)
       return false;
     done += static_cast<size_t>(n);
@@ -239,8 +239,8 @@
         return;
       }
     std::string head = buffer.substr(0, end + 2);
-    size_t n = std::strtoul(fieldOf(head, "content-length").c_str(), nullptr,
-                            10);
+    size_t n =
+        std::strtoul(fieldOf(head, "content-length").c_str(), nullptr, 10);
     while (buffer.size() < end + 4 + n)
       if (!readMore()) {
         ::close(Socket);
@@ -248,9 +248,9 @@
       }
     buffer.erase(0, end + 4 + n);
     std::string method = head.substr(0, head.find(' '));
-    std::string path = head.substr(method.size() + 1,
-                                   head.find(' ', method.size() + 1) -
-                                       method.size() - 1);
+    std::string path =
+        head.substr(method.size() + 1,
+                    head.find(' ', method.size() + 1) - method.size() - 1);
     std::string attempt = fieldOf(head, "sassafrasseam-attempt-id");
     std::string expected = fieldOf(head, "sassafrasseam-expect-instance");
     std::string answer;
@@ -292,13 +292,13 @@
           R"("born":)" + std::to_string(BornMs) + R"(,"seq":)" +
           std::to_string(++Sequence) + "}";
       for (size_t i = 0; i < Controls.size(); ++i) {
-        Answer answer = call(Controls[next % Controls.size()],
-                             "POST /Instances.Heartbeat/" + Id +
-                                 " HTTP/1.1\r\nHost: control\r\nContent-Type: "
-                                 "application/json\r\nContent-Length: " +
-                                 std::to_string(body.size()) + "\r\n\r\n" +
-                                 body,
-                             1000);
+        Answer answer =
+            call(Controls[next % Controls.size()],
+                 "POST /Instances.Heartbeat/" + Id +
+                     " HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                     "application/json\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body,
+                 1000);
         if (answer.Status / 100 == 2)
           break;
         ++next;
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -26,8 +26,8 @@
 void openRecord(const std::string &Folder);
 
 struct Answer {
-  int Status = 0;          ///< 0: the channel ended without a status line.
-  std::string Head;        ///< Status line and fields.
+  int Status = 0;   ///< 0: the channel ended without a status line.
+  std::string Head; ///< Status line and fields.
   std::string Body;
   bool IsComplete = false; ///< The body ended as its framing says.
   bool HasClosed = false;  ///< The channel ended before the answer did.
--- a/review/stand_ins/lost_answers.cpp
+++ b/review/stand_ins/lost_answers.cpp
@@ -150,8 +150,8 @@
       caller.Front = front;
       caller.Id = "kept-" + std::to_string(front) + "-" + std::to_string(i);
       caller.Kept = std::make_unique<Channel>(fleet.front(front));
-      caller.Kept->send(request("POST", "/charge/work-5", caller.Id + "-warm",
-                                "", "abc"));
+      caller.Kept->send(
+          request("POST", "/charge/work-5", caller.Id + "-warm", "", "abc"));
       Answer answer = caller.Kept->read(3'000);
       if (answer.Status != 200 || !caller.Kept->isOpen()) {
         record(caller.Id + ": first request failed, " + describe(answer));
@@ -160,7 +160,8 @@
       }
       callers.push_back(std::move(caller));
     }
-  std::string work = Kind == "bodies" ? "/charge/work-3500" : "/charge/work-1500";
+  std::string work =
+      Kind == "bodies" ? "/charge/work-3500" : "/charge/work-1500";
   for (Caller &it : callers)
     it.Thread = std::thread([&it, work] {
       it.Kept->send(request("POST", work, it.Id, "", "abc"));
@@ -236,8 +237,12 @@
   } catch (const std::exception &problem) {
     record(std::string("cannot run: ") + problem.what());
   }
-  record(result == 1 ? "LOST is broken" : result == 0 ? "LOST held" : "not run");
-  std::cout << (result == 1 ? "broken" : result == 0 ? "held" : "not run")
+  record(result == 1   ? "LOST is broken"
+         : result == 0 ? "LOST held"
+                       : "not run");
+  std::cout << (result == 1   ? "broken"
+                : result == 0 ? "held"
+                              : "not run")
             << std::endl;
   return result;
 }
