--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -15,6 +15,7 @@
 #include <random>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -397,6 +398,8 @@
   std::string log = Folder + "/log-" + std::to_string(Host);
   pid_t pid = ::fork();
   if (pid == 0) {
+    // No front outlives the script, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(file, 1);
     ::dup2(file, 2);
