--- a/http/client.cpp
+++ b/http/client.cpp
@@ -2,6 +2,8 @@
 
 #include "core/metrics.h"
 #include "http/address.h"
+#include "http/head_writer.h"
+#include "http/message_parser.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -39,8 +41,11 @@
 constexpr Millis DefaultIdleTimeout{4'000};
 /// A pooled connection is closed this long before the peer would close it.
 constexpr Millis IdleMargin{1'000};
-/// Size of the buffer through which a body is read, in bytes.
-constexpr size_t BodyBufferSize = 8'192;
+/// Bytes that are read at once.
+constexpr size_t ReadSize = 8'192;
+/// Limit of the bytes of a body's framing, such as a chunk's extensions, that
+/// are kept until they are complete.
+constexpr size_t MaxFramingBytes = 16ULL * 1024;
 
 struct Connection {
   explicit Connection(asio::io_context &Io) : Stream(Io) {}
@@ -63,11 +68,9 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::string lowerCase(std::string_view Text) {
-  std::string out(Text);
-  for (char &it : out)
-    it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
-  return out;
+bool hasPayload(const HttpRequest &Request) {
+  return !Request.Body.empty() || Request.Method == "POST" ||
+         Request.Method == "PUT" || Request.Method == "PATCH";
 }
 
 } // namespace
@@ -152,18 +155,19 @@
   }
 
   void buildMessage(const std::string &Address, const HttpRequest &Request) {
-    Message.method_string(Request.Method);
-    Message.target(Request.Target);
-    Message.version(11);
-    Message.set(http::field::host, Address);
+    HeadWriter head = HeadWriter::request(Request.Method, Request.Target);
+    std::string_view host = fieldOf(Request.Fields, "host");
+    head.add("Host", host.empty() ? Address : host);
     for (const HttpField &it : Request.Fields)
-      if (it.Name == "host")
-        Message.set(http::field::host, it.Value);
-      else if (!isHopByHopField(it.Name))
-        Message.insert(it.Name, it.Value);
-    Message.keep_alive(Client->PoolsConnections);
-    Message.body() = Request.Body;
-    Message.prepare_payload();
+      if (!isHopByHopField(it.Name))
+        head.add(it.Name, it.Value);
+    if (!Client->PoolsConnections)
+      head.add("Connection", "close");
+    // Without a length, there is no body.
+    if (hasPayload(Request))
+      head.addLength(Request.Body.size());
+    Head = std::move(head).finish();
+    Body = Request.Body;
   }
 
   void connect(const std::string &Address) {
@@ -211,54 +215,98 @@
     if (IsFinished || (Callbacks.MaySend && !Callbacks.MaySend()))
       return;
     expireRead();
-    http::async_write(
-        Conn->Stream, Message,
+    std::array<asio::const_buffer, 2> bytes{asio::buffer(Head),
+                                            asio::buffer(Body)};
+    asio::async_write(
+        Conn->Stream, bytes,
         [self = shared_from_this()](beast::error_code ec, size_t) {
           self->IsRequestSent = !ec;
           self->finishIfComplete();
         });
-    readHead();
+    readMore();
   }
 
-  void readHead() {
-    http::async_read_header(
-        Conn->Stream, Conn->Buffer, *Parser,
-        [self = shared_from_this()](beast::error_code ec, size_t) {
-          if (ec)
-            self->fail({true, false, ec == beast::error::timeout});
-          else
-            self->handleHead();
+  void readMore() {
+    Conn->Stream.async_read_some(
+        Conn->Buffer.prepare(ReadSize),
+        [self = shared_from_this()](beast::error_code ec, size_t n) {
+          self->handleBytes(ec, n);
         });
   }
 
-  void handleHead() {
+  void handleBytes(beast::error_code Error, size_t Size) {
     if (IsFinished)
       return;
-    const auto &message = Parser->get();
-    // Informational responses precede the final one. No other protocol is asked
-    // for, so a switch to one fails the exchange.
-    if (message.result_int() < 200) {
-      if (message.result() == http::status::switching_protocols ||
-          ++InformationalHeads > MaxInformationalHeads) {
+    Conn->Buffer.commit(Size);
+    beast::error_code ec = Error;
+    // The end of the connection may be the end of the body.
+    if (Error == asio::error::eof && Parser->got_some())
+      Parser->put_eof(ec);
+    if (ec)
+      fail({true, false, ec == beast::error::timeout});
+    else
+      parse();
+  }
+
+  /// Parses what has been read, and reads on until the response is complete.
+  void parse() {
+    while (Conn->Buffer.size() > 0 && !Parser->is_done()) {
+      bool isInHead = !Parser->is_header_done();
+      beast::error_code ec;
+      Conn->Buffer.consume(Parser->put(Conn->Buffer.data(), ec));
+      if (isInHead && Parser->is_header_done() && !ec) {
+        handleHead();
+      } else if (!Parser->Body.empty()) {
+        Callbacks.OnBody(Parser->Body);
+        Parser->Body.clear();
+      }
+      if (IsFinished)
+        return;
+      if (ec == http::error::need_more)
+        break;
+      if (ec) {
+        fail({true, false, false});
+        return;
+      }
+    }
+    if (Parser->is_done()) {
+      IsResponseRead = true;
+      finishIfComplete();
+      return;
+    }
+    if (Parser->is_header_done()) {
+      if (Conn->Buffer.size() > MaxFramingBytes) {
         fail({true, false, false});
         return;
       }
-      prepareParser();
-      readHead();
+      expireRead();
+    }
+    readMore();
+  }
+
+  void handleHead() {
+    // Informational responses precede the final one. No other protocol is asked
+    // for, so a switch to one fails the exchange.
+    constexpr unsigned StatusSwitching = 101;
+    constexpr unsigned FirstFinalStatus = 200;
+    if (Parser->Status < FirstFinalStatus) {
+      if (Parser->Status == StatusSwitching ||
+          ++InformationalHeads > MaxInformationalHeads)
+        fail({true, false, false});
+      else
+        prepareParser();
       return;
     }
     HttpResponseHead head;
-    head.Status = message.result_int();
+    head.Status = Parser->Status;
     head.IsFirstOnConnection = !IsReused;
-    for (const auto &it : message.base())
-      head.Fields.push_back(
-          {lowerCase(it.name_string()), std::string(it.value())});
+    head.Fields = std::move(Parser->Fields);
     if (Parser->content_length())
       head.Length = *Parser->content_length();
-    IsKeptAlive = message.keep_alive() && !Parser->need_eof();
-    parseKeepAlive(message[http::field::keep_alive]);
+    IsKeptAlive = Parser->keep_alive() && !Parser->need_eof();
+    parseKeepAlive(fieldOf(head.Fields, "keep-alive"));
+    Parser->eager(true);
     Callbacks.OnHead(std::move(head));
-    readBody();
   }
 
   void parseKeepAlive(std::string_view Value) {
@@ -271,37 +319,6 @@
     KeepFor = idle > IdleMargin ? idle - IdleMargin : Millis(0);
   }
 
-  void readBody() {
-    if (IsFinished)
-      return;
-    if (Parser->is_done()) {
-      IsResponseRead = true;
-      finishIfComplete();
-      return;
-    }
-    Parser->get().body().data = BodyBuffer.data();
-    Parser->get().body().size = BodyBuffer.size();
-    expireRead();
-    http::async_read_some(
-        Conn->Stream, Conn->Buffer, *Parser,
-        [self = shared_from_this()](beast::error_code ec, size_t) {
-          self->handleBody(ec);
-        });
-  }
-
-  void handleBody(beast::error_code Error) {
-    if (IsFinished)
-      return;
-    size_t n = BodyBuffer.size() - Parser->get().body().size;
-    if (n > 0)
-      Callbacks.OnBody(std::string_view(BodyBuffer.data(), n));
-    if (Error && Error != http::error::need_buffer) {
-      fail({true, false, Error == beast::error::timeout});
-      return;
-    }
-    readBody();
-  }
-
   /// A complete response is delivered even if the request could not be sent
   /// completely; only the connection is not reused then.
   void finishIfComplete() {
@@ -350,12 +367,12 @@
   HttpCallOptions Options;
   HttpCallbacks Callbacks;
   ConnectionPtr Conn;
-  http::request<http::string_body> Message;
+  std::string Head; ///< Of the request.
+  std::string Body; ///< Of the request.
   /// Replaced after each informational response.
-  std::optional<http::response_parser<http::buffer_body>> Parser;
+  std::optional<ResponseParser> Parser;
   int InformationalHeads = 0;
   bool IsHeadRequest = false;
-  std::array<char, BodyBufferSize> BodyBuffer{};
   Millis KeepFor{0};
   bool IsKeptAlive = false;
   bool IsReused = false; ///< The connection was pooled.
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -3,6 +3,8 @@
 #include "core/metrics.h"
 #include "core/time.h"
 #include "http/address.h"
+#include "http/head_writer.h"
+#include "http/message_parser.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +20,6 @@
 #include <optional>
 #include <poll.h>
 #include <set>
-#include <sstream>
 #include <sys/socket.h>
 
 namespace sassafras {
@@ -42,12 +43,12 @@
 /// Interval of checks for a disconnect once that limit is reached.
 constexpr Millis DisconnectPollPeriod{200};
 
-std::string lowerCase(std::string_view Text) {
-  std::string out(Text);
-  for (char &it : out)
-    it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
-  return out;
-}
+/// Largest header that is read, in bytes, whatever the limits allow.
+constexpr uint32_t MaxHeadBytes = 1024 * 1024;
+/// Limit of the bytes of a body's framing, such as a chunk's extensions, that
+/// are kept until they are complete.
+constexpr size_t MaxFramingBytes = 16ULL * 1024;
+constexpr size_t BodyReadSize = 16ULL * 1024;
 
 std::string encodeChunk(const std::string &Bytes) {
   return beast::buffers_to_string(http::make_chunk(asio::buffer(Bytes)));
@@ -55,6 +56,13 @@
 
 } // namespace
 
+std::string lowerCase(std::string_view Text) {
+  std::string out(Text);
+  for (char &it : out)
+    it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
+  return out;
+}
+
 void eraseField(std::vector<HttpField> &Fields, std::string_view Name) {
   std::erase_if(Fields, [&](const HttpField &it) { return it.Name == Name; });
 }
@@ -128,13 +136,17 @@
 
 private:
   void readHead();
+  void readMore(size_t Size);
+  void parse();
   void readBody();
   bool hasAmbiguousFraming() const;
   void dispatchRequest();
   void watchForDisconnect();
   void handleReadable(uint64_t Number, beast::error_code Error);
   bool isDisconnected();
+  void handleReadError(beast::error_code Error);
   void rejectRequest(http::status Status, const char *Reason);
+  void rejectUnparsable(beast::error_code Error);
   void writeNext();
   void finishResponse();
   void abortConnection();
@@ -144,7 +156,7 @@
   std::shared_ptr<HttpServer::Impl> Server;
   asio::steady_timer DisconnectTimer;
   beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<RequestParser> Parser;
   std::deque<std::string> Output;
   size_t OutputBytes = 0;
   uint64_t RequestNumber = 0; ///< Number of the current request.
@@ -170,9 +182,9 @@
 
   void respond(unsigned Status, std::vector<HttpField> Fields,
                std::string Body) override {
-    auto head = makeHead(Status, Fields);
-    head.content_length(Body.size());
-    std::string bytes = print(head);
+    HeadWriter head = makeHead(Status, Fields, KeepAlive);
+    head.addLength(Body.size());
+    std::string bytes = std::move(head).finish();
     if (!IsHead)
       bytes += Body;
     send(std::move(bytes), true);
@@ -180,15 +192,15 @@
 
   void start(unsigned Status, std::vector<HttpField> Fields,
              std::optional<uint64_t> Length) override {
-    auto head = makeHead(Status, Fields);
     IsChunked = !Length && !IsHttp10;
+    // Without a length, the end of an HTTP/1.0 connection ends the body.
+    HeadWriter head =
+        makeHead(Status, Fields, KeepAlive && (Length || !IsHttp10));
     if (Length)
-      head.content_length(*Length);
-    else if (IsHttp10)
-      head.keep_alive(false);
-    else
-      head.chunked(true);
-    send(print(head), false);
+      head.addLength(*Length);
+    else if (IsChunked)
+      head.add("Transfer-Encoding", "chunked");
+    send(std::move(head).finish(), false);
   }
 
   void write(std::string Bytes) override {
@@ -215,19 +227,18 @@
   }
 
 private:
-  http::response<http::empty_body>
-  makeHead(unsigned Status, const std::vector<HttpField> &Fields) const {
-    http::response<http::empty_body> head;
-    head.version(IsHttp10 ? 10 : 11);
-    head.result(Status);
+  HeadWriter makeHead(unsigned Status, const std::vector<HttpField> &Fields,
+                      bool MayKeepAlive) const {
+    HeadWriter head = HeadWriter::response(Status, IsHttp10);
     for (const HttpField &it : Fields)
       if (!isHopByHopField(it.Name))
-        head.insert(it.Name, it.Value);
-    bool isKept = KeepAlive && Owner->keepsAlive();
-    head.keep_alive(isKept);
+        head.add(it.Name, it.Value);
+    bool isKept = MayKeepAlive && Owner->keepsAlive();
+    if (isKept != !IsHttp10)
+      head.add("Connection", isKept ? "keep-alive" : "close");
     if (isKept)
-      head.set(
-          http::field::keep_alive,
+      head.add(
+          "Keep-Alive",
           "timeout=" +
               std::to_string(std::chrono::duration_cast<std::chrono::seconds>(
                                  Owner->limits().IdleTimeout)
@@ -235,12 +246,6 @@
     return head;
   }
 
-  static std::string print(const http::response<http::empty_body> &Head) {
-    std::ostringstream out;
-    out << Head.base();
-    return out.str();
-  }
-
   void send(std::string Bytes, bool IsEnd) {
     // Runs immediately when called on the I/O context's thread.
     asio::dispatch(
@@ -293,44 +298,92 @@
 
 void Session::readHead() {
   Parser.emplace();
-  Parser->header_limit(Server->Limits.HeadBytes);
+  Parser->header_limit(std::min(Server->Limits.HeadBytes, MaxHeadBytes));
   Parser->body_limit(Server->Limits.BodyBytes);
   Stream.expires_after(Server->Limits.HeadTimeout);
-  http::async_read_header(
-      Stream, Buffer, *Parser,
-      [self = shared_from_this()](beast::error_code ec, size_t) {
-        if (ec == http::error::end_of_stream) {
-          self->Stream.close();
-        } else if (ec == http::error::header_limit) {
-          self->rejectRequest(http::status::request_header_fields_too_large,
-                              "header_too_large");
-        } else if (ec == http::error::body_limit) {
-          self->rejectRequest(http::status::payload_too_large,
-                              "body_too_large");
-        } else if (ec == beast::error::timeout) {
-          self->Server->Counts.count("http_timeouts_total", "part=\"head\"");
-          self->Stream.close();
-        } else if (ec) {
-          self->rejectRequest(http::status::bad_request, "bad_request");
-        } else {
-          self->readBody();
-        }
+  parse();
+}
+
+void Session::readMore(size_t Size) {
+  Stream.async_read_some(
+      Buffer.prepare(Size),
+      [self = shared_from_this()](beast::error_code ec, size_t n) {
+        self->Buffer.commit(n);
+        if (ec)
+          self->handleReadError(ec);
+        else
+          self->parse();
       });
 }
 
+/// Parses what has been read, and reads on until the request is complete.
+void Session::parse() {
+  while (Buffer.size() > 0 && !Parser->is_done()) {
+    bool isInHead = !Parser->is_header_done();
+    beast::error_code ec;
+    Buffer.consume(Parser->put(Buffer.data(), ec));
+    if (ec == http::error::need_more)
+      break;
+    if (ec) {
+      rejectUnparsable(ec);
+      return;
+    }
+    if (isInHead && Parser->is_header_done()) {
+      readBody();
+      return;
+    }
+  }
+  if (Parser->is_done()) {
+    dispatchRequest();
+    return;
+  }
+  if (!Parser->is_header_done()) {
+    readMore(ReadBufferSize);
+    return;
+  }
+  if (Buffer.size() > MaxFramingBytes) {
+    rejectRequest(http::status::bad_request, "bad_request");
+    return;
+  }
+  readMore(BodyReadSize);
+}
+
+void Session::handleReadError(beast::error_code Error) {
+  bool isTimeout = Error == beast::error::timeout;
+  if (!Parser->is_header_done() && isTimeout) {
+    Server->Counts.count("http_timeouts_total", "part=\"head\"");
+    Stream.close();
+  } else if (isTimeout) {
+    rejectRequest(http::status::request_timeout, "body_too_slow");
+  } else if (Error == asio::error::eof && !Parser->got_some()) {
+    Stream.close();
+  } else {
+    rejectRequest(http::status::bad_request, "bad_request");
+  }
+}
+
+void Session::rejectUnparsable(beast::error_code Error) {
+  if (Error == http::error::header_limit)
+    rejectRequest(http::status::request_header_fields_too_large,
+                  "header_too_large");
+  else if (Error == http::error::body_limit)
+    rejectRequest(http::status::payload_too_large, "body_too_large");
+  else
+    rejectRequest(http::status::bad_request, "bad_request");
+}
+
 /// True when another HTTP parser might find a different end of the request, or
 /// a different host, in the same bytes (request smuggling).
 bool Session::hasAmbiguousFraming() const {
-  const auto &message = Parser->get();
-  auto codings = message.equal_range(http::field::transfer_encoding);
-  bool hasCoding = codings.first != codings.second;
-  bool isChunked = hasCoding && std::next(codings.first) == codings.second &&
-                   beast::iequals(codings.first->value(), "chunked");
-  if (hasCoding && (!isChunked || message.version() < 11 ||
-                    message.count(http::field::content_length) > 0))
+  size_t codings = Parser->countFields("transfer-encoding");
+  size_t lengths = Parser->countFields("content-length");
+  bool isChunked =
+      codings == 1 &&
+      beast::iequals(std::string(fieldOf(Parser->Fields, "transfer-encoding")),
+                     "chunked");
+  if (codings > 0 && (!isChunked || Parser->Version < 11 || lengths > 0))
     return true;
-  return message.count(http::field::content_length) > 1 ||
-         message.count(http::field::host) > 1;
+  return lengths > 1 || Parser->countFields("host") > 1;
 }
 
 void Session::readBody() {
@@ -338,52 +391,35 @@
     rejectRequest(http::status::bad_request, "ambiguous_framing");
     return;
   }
-  auto expect = Parser->get()[http::field::expect];
-  bool wantsContinue = beast::iequals(expect, "100-continue");
+  std::string expect = lowerCase(fieldOf(Parser->Fields, "expect"));
+  bool wantsContinue = expect == "100-continue";
   if (!expect.empty() && !wantsContinue) {
     rejectRequest(http::status::expectation_failed, "bad_expectation");
     return;
   }
-  auto read = [self = shared_from_this()] {
-    self->Stream.expires_after(self->Server->Limits.BodyTimeout);
-    http::async_read(
-        self->Stream, self->Buffer, *self->Parser,
-        [self](beast::error_code ec, size_t) {
-          if (ec == http::error::body_limit)
-            self->rejectRequest(http::status::payload_too_large,
-                                "body_too_large");
-          else if (ec == beast::error::timeout)
-            self->rejectRequest(http::status::request_timeout, "body_too_slow");
-          else if (ec)
-            self->rejectRequest(http::status::bad_request, "bad_request");
-          else
-            self->dispatchRequest();
-        });
-  };
+  Stream.expires_after(Server->Limits.BodyTimeout);
   if (!wantsContinue || Parser->is_done()) {
-    read();
+    parse();
     return;
   }
   auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
-  asio::async_write(Stream, asio::buffer(*text),
-                    [read, text](beast::error_code ec, size_t) {
-                      if (!ec)
-                        read();
-                    });
+  asio::async_write(
+      Stream, asio::buffer(*text),
+      [self = shared_from_this(), text](beast::error_code ec, size_t) {
+        if (!ec)
+          self->parse();
+      });
 }
 
 void Session::dispatchRequest() {
-  const auto &message = Parser->get();
   HttpRequest request;
-  request.Method = std::string(message.method_string());
-  request.Target = std::string(message.target());
-  for (const auto &it : message)
-    request.Fields.push_back(
-        {lowerCase(it.name_string()), std::string(it.value())});
-  IsHttp10 = message.version() < 11;
-  KeepAlive = message.keep_alive();
-  IsHeadRequest = message.method() == http::verb::head;
-  request.Body = std::move(Parser->get().body());
+  request.Method = std::move(Parser->Method);
+  request.Target = std::move(Parser->Target);
+  request.Fields = std::move(Parser->Fields);
+  request.Body = std::move(Parser->Body);
+  IsHttp10 = Parser->Version < 11;
+  KeepAlive = Parser->keep_alive();
+  IsHeadRequest = request.Method == "HEAD";
   ++RequestNumber;
   IsResponding = true;
   IsEndQueued = false;
--- a/tests/fakes/fake_platform_engine.cpp
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -43,7 +43,9 @@
     handleRequest(Request, Exchange);
   };
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
-  Server = std::make_unique<HttpServer>(Io, this->Address, HttpLimits(), Counts,
+  HttpLimits limits;
+  limits.HeadBytes = 256 * 1024;
+  Server = std::make_unique<HttpServer>(Io, this->Address, limits, Counts,
                                         std::move(handlers));
   std::string error;
   Server->start(error);
--- a/tests/process/test_fronts.cpp
+++ b/tests/process/test_fronts.cpp
@@ -177,3 +177,50 @@
   CHECK(Clock::now() - sentAt < Millis(1'000));
   CHECK(test.Fleet.waitForExit(FrontFleet::frontName(4), seconds(8)) == 0);
 }
+
+namespace {
+
+/// Sends \p Bytes on a new connection and returns what is received until it
+/// ends. Unlike callHttp it sends fields of any length.
+std::string exchangeBytes(const std::string &Address,
+                          const std::string &Bytes) {
+  auto address = parseAddress(Address);
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code ec;
+  socket.connect({boost::asio::ip::make_address(address->Ip), address->Port},
+                 ec);
+  boost::asio::write(socket, boost::asio::buffer(Bytes), ec);
+  std::string response;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(response), ec);
+  return response;
+}
+
+} // namespace
+
+// Review case 1: each front that read the request ended, with all its requests.
+TEST_CASE("header field over 64 KiB ends no front and reaches the engine") {
+  std::string table = tableText(1);
+  table.insert(1, R"("limits":{"max-header-bytes":131072},)");
+  ServedFleet test(table);
+  std::string value(66'000, 'x');
+  for (int i = 1; i <= test.Fleet.frontCount(); ++i) {
+    INFO("front " << i);
+    REQUIRE(waitUntil(seconds(10), [&] {
+      return sendCallerRequest(test.Fleet.callerAddress(i), "first", "warm")
+                 .Status == 200;
+    }));
+    std::string response = exchangeBytes(
+        test.Fleet.callerAddress(i),
+        "POST /p/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+        "Authorization: Bearer secret-key\r\nSassafrasseam-Model: warm\r\n"
+        "Sassafrasseam-Attempt-Id: long\r\nContent-Length: 4\r\nX-Long: " +
+            value + "\r\n\r\nbody");
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(test.Fleet.isRunning(FrontFleet::frontName(i)));
+  }
+  int received = 0;
+  for (const ReceivedRequest &it : test.Engine.receivedRequests())
+    received += fieldOf(it.Fields, "x-long") == value;
+  CHECK(received == test.Fleet.frontCount());
+}
--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -20,11 +20,20 @@
 
 namespace {
 
+HttpLimits smallLimits() {
+  HttpLimits limits;
+  limits.HeadBytes = 2048;
+  limits.BodyBytes = 1000;
+  return limits;
+}
+
 /// Server that responds with the method, target and body of the request. Target
-/// /stream gets a streamed response, /broken one that is aborted.
+/// /stream gets a streamed response, /broken one that is aborted, /field the
+/// length of field x.
 class EchoServer {
 public:
-  EchoServer() : Server(Io, "127.0.0.1:0", limits(), Counts, handlers()) {
+  explicit EchoServer(const HttpLimits &Limits = smallLimits())
+      : Server(Io, "127.0.0.1:0", Limits, Counts, handlers()) {
     std::string problem;
     REQUIRE(Server.start(problem));
     Runner = std::thread([this] { Io.run(); });
@@ -71,13 +80,6 @@
   }
 
 private:
-  static HttpLimits limits() {
-    HttpLimits limits;
-    limits.HeadBytes = 2048;
-    limits.BodyBytes = 1000;
-    return limits;
-  }
-
   static HttpServer::Handlers handlers() {
     HttpServer::Handlers handlers;
     handlers.OnRequest = [](const HttpRequest &Request,
@@ -93,6 +95,9 @@
         Exchange->start(200, {});
         Exchange->write("one ");
         Exchange->abort();
+      } else if (Request.Target == "/field") {
+        Exchange->respond(200, {},
+                          std::to_string(fieldOf(Request.Fields, "x").size()));
       } else {
         Exchange->respond(200, {}, text);
       }
@@ -107,6 +112,10 @@
   std::thread Runner;
 };
 
+bool has(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
 struct RequestCase {
   const char *What;
   std::string Input;
@@ -231,3 +240,24 @@
       server.exchangeAtStop("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
   CHECK(response.find("200 OK") != std::string::npos);
 }
+
+// Review case 1: the process ended by std::length_error.
+TEST_CASE("header field over 64 KiB ends no server") {
+  HttpLimits limits;
+  limits.HeadBytes = 131'072;
+  EchoServer server(limits);
+  for (size_t n : {60'000, 65'533, 65'534, 65'536, 66'000, 130'000}) {
+    INFO(n << " bytes");
+    std::string value(n, 'x');
+    CHECK(has(server.exchange("GET /field HTTP/1.1\r\nHost: h\r\nX: " + value +
+                              "\r\n\r\n"),
+              "\r\n\r\n" + std::to_string(n)));
+    CHECK(has(server.exchange("GET /field HTTP/1.1\r\nHost: h\r\n" + value +
+                              ": y\r\n\r\n"),
+              "HTTP/1.1 200"));
+  }
+  std::string tooLong(131'073, 'x');
+  CHECK(has(server.exchange("GET /field HTTP/1.1\r\nHost: h\r\nX: " + tooLong +
+                            "\r\n\r\n"),
+            "HTTP/1.1 431"));
+}
