--- a/policy/model_plan.cpp
+++ b/policy/model_plan.cpp
@@ -31,8 +31,10 @@
 /// Maximum number of models of one engine that are considered for eviction. All
 /// subsets are tried; an engine holds only a few models.
 constexpr size_t MaxVictims = 8;
-/// Granularity in MB of the memory accounting.
-constexpr uint64_t MemoryStep = 100;
+/// Granularity in MB of the memory accounting. It is coarser for engines with
+/// more than MaxMemorySteps such steps, as the work grows with their number.
+constexpr uint64_t MinMemoryStepMb = 100;
+constexpr uint64_t MaxMemorySteps = 4096;
 /// Engines are lost now and then with the replicas on them. Models with at
 /// least this many requests in progress or waiting have two replicas or more.
 constexpr double RedundancyThreshold = 4.0;
@@ -54,42 +56,50 @@
 struct PlanView {
   const PlanInput &Input;
   ModelStates States;
+  uint64_t MemoryStepMb = MinMemoryStepMb;
   /// For each number of free memory steps, the largest number of steps that a
   /// combination of models can fill.
-  std::vector<uint64_t> FillableSteps;
+  std::vector<uint64_t> FillableSteps = {};
   /// Worth per second of a memory step, averaged over models with at most one
   /// replica wanted.
   double WorthPerStep = 0;
 };
 
-uint64_t stepsOf(uint64_t Mb) { return (Mb + MemoryStep - 1) / MemoryStep; }
+uint64_t stepsOf(const PlanView &View, uint64_t Mb) {
+  return (Mb + View.MemoryStepMb - 1) / View.MemoryStepMb;
+}
 
 /// Returns how much of \p FreeMb models could fill, in memory steps.
 uint64_t fillable(const PlanView &View, uint64_t FreeMb) {
-  uint64_t steps =
-      std::min<uint64_t>(FreeMb / MemoryStep, View.FillableSteps.size() - 1);
+  uint64_t steps = std::min<uint64_t>(FreeMb / View.MemoryStepMb,
+                                      View.FillableSteps.size() - 1);
   return View.FillableSteps[steps];
 }
 
 void buildMemoryTable(PlanView &View) {
-  const EngineSpec &spec = View.Input.Spec;
+  uint64_t totalMb = View.Input.Spec.WeightsMb;
+  View.MemoryStepMb = std::max(MinMemoryStepMb, totalMb / MaxMemorySteps + 1);
   std::set<uint64_t> sizes;
   double worth = 0;
   uint64_t steps = 0;
   for (const auto &[name, state] : View.States) {
-    sizes.insert(stepsOf(state.Spec->WeightsMb));
+    uint64_t size = stepsOf(View, state.Spec->WeightsMb);
+    sizes.insert(size);
     if (state.Wanted > 1 || state.Demand.WorthPerSecond <= 0)
       continue;
     worth += state.Demand.WorthPerSecond;
-    steps += stepsOf(state.Spec->WeightsMb);
+    steps += size;
   }
   View.WorthPerStep = steps > 0 ? worth / static_cast<double>(steps) : 0;
-  View.FillableSteps.assign(spec.WeightsMb / MemoryStep + 1, 0);
-  for (uint64_t free = 1; free < View.FillableSteps.size(); ++free)
-    for (uint64_t size : sizes)
-      if (size > 0 && size <= free)
-        View.FillableSteps[free] = std::max(
-            View.FillableSteps[free], View.FillableSteps[free - size] + size);
+  std::vector<uint64_t> &table = View.FillableSteps;
+  table.assign(totalMb / View.MemoryStepMb + 1, 0);
+  for (uint64_t size : sizes) {
+    // A sum of smaller sizes fills nothing that they do not fill.
+    if (size == 0 || size >= table.size() || table[size] == size)
+      continue;
+    for (uint64_t free = size; free < table.size(); ++free)
+      table[free] = std::max(table[free], table[free - size] + size);
+  }
 }
 
 /// Returns the worth per second that the last of \p Replicas replicas adds.
@@ -229,10 +239,10 @@
   if (after > totalMb)
     return std::nullopt;
   // Memory that models could fill before and no longer can: fragmentation.
-  auto before =
-      static_cast<double>(stepsOf(UsedMb) + fillable(View, totalMb - UsedMb));
-  auto left =
-      static_cast<double>(stepsOf(after) + fillable(View, totalMb - after));
+  auto before = static_cast<double>(stepsOf(View, UsedMb) +
+                                    fillable(View, totalMb - UsedMb));
+  auto left = static_cast<double>(stepsOf(View, after) +
+                                  fillable(View, totalMb - after));
   eviction.FragmentationCost =
       (before - left) * View.WorthPerStep * PaybackSeconds;
   eviction.Cost =
@@ -477,7 +487,9 @@
 
 std::vector<PlannedLoad> planModels(const PlanInput &Input) {
   std::vector<PlannedLoad> out;
-  PlanView view{Input, gather(Input), {}, 0};
+  if (Input.Engines.empty())
+    return out;
+  PlanView view{Input, gather(Input)};
   buildMemoryTable(view);
   std::set<size_t> taken;
   size_t loadsInProgress = Input.LoadsInProgress;
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -154,6 +154,19 @@
   return info.si_pid == 0;
 }
 
+uint64_t FrontFleet::peakMemoryMb(const std::string &Process) const {
+  auto found = Processes.find(Process);
+  if (found == Processes.end())
+    return 0;
+  std::string status =
+      readFile("/proc/" + std::to_string(found->second) + "/status");
+  const std::string key = "VmHWM:";
+  size_t at = status.find(key);
+  return at == std::string::npos
+             ? 0
+             : std::stoull(status.substr(at + key.size())) / 1024;
+}
+
 std::string FrontFleet::logPathOf(const std::string &Process) const {
   return Folder + "/" + Process + ".log";
 }
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -59,6 +59,9 @@
   /// redirects to; empty if the status is not 200.
   std::string readTable(int Host) const;
   bool isRunning(const std::string &Process) const;
+  /// Most resident memory of the process since its start, in MB; 0 if it has
+  /// ended.
+  uint64_t peakMemoryMb(const std::string &Process) const;
   std::string log(const std::string &Process) const;
   std::string logPathOf(const std::string &Process) const;
   std::string settingsPathOf(const std::string &Process) const;
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -179,6 +179,58 @@
   CHECK(countLoads(planModels(later), "m0") == 0);
 }
 
+// Review case 2: the planner kept an entry for each 100 MB of an engine and
+// took the leader over its memory.
+TEST_CASE("sizes in bytes do not exhaust the planner's memory") {
+  constexpr uint64_t BytesPerMb = 1'000'000;
+  std::vector<PlannedLoad> loads[2];
+  for (bool isInBytes : {false, true}) {
+    EngineSpec spec = smallSpec(8);
+    uint64_t unit = isInBytes ? 1'000 * BytesPerMb : 1'000;
+    spec.WeightsMb *= unit;
+    for (auto &[name, model] : spec.Models) {
+      model.WeightsMb *= unit;
+      model.AdapterMb *= unit;
+    }
+    std::map<std::string, ModelDemand> demand;
+    demand["m0"] = {10, 30, 5, 20};
+    demand["m7"] = {0.3, 1, 1, 8};
+    std::vector<PlanEngine> engines{engine("one", {"m1", "m2"}),
+                                    engine("two", {"m3"}),
+                                    engine("three", {"m0", "m4"})};
+    for (PlanEngine &it : engines)
+      it.OnDisk = {"m0", "m7"};
+    loads[isInBytes] = planModels({spec, demand, engines, 0, 0, 3});
+  }
+  REQUIRE(loads[0].size() == loads[1].size());
+  CHECK_FALSE(loads[0].empty());
+  for (size_t i = 0; i < loads[0].size(); ++i) {
+    CHECK(loads[0][i].Model == loads[1][i].Model);
+    CHECK(loads[0][i].Engine == loads[1][i].Engine);
+    CHECK(loads[0][i].Evict == loads[1][i].Evict);
+  }
+}
+
+TEST_CASE("planning time does not grow with the sizes of models and engines") {
+  constexpr int PlanCount = 10;
+  for (uint64_t engineMb : {uint64_t{400'000}, uint64_t{1'000'000'000'000}}) {
+    EngineSpec spec = smallSpec(8);
+    spec.WeightsMb = engineMb;
+    for (uint64_t i = 0; i < 3'000; ++i) {
+      std::string name = "size-" + std::to_string(i);
+      spec.Models[name] = {name, engineMb / 2 + i * engineMb / 8'000};
+    }
+    std::map<std::string, ModelDemand> demand;
+    demand["size-7"] = {0.3, 1, 1, 8};
+    std::vector<PlanEngine> engines{engine("one", {})};
+    TimePoint start = Clock::now();
+    for (int i = 0; i < PlanCount; ++i)
+      CHECK(planModels({spec, demand, engines, 0, 0, 3}).size() == 1);
+    // The leader plans every 100 ms, in less than a tenth of its time.
+    CHECK(Clock::now() - start < PlanCount * Millis(10));
+  }
+}
+
 TEST_CASE(
     "busy model may use the store while no request waits for a lost one") {
   EngineSpec spec = smallSpec(8);
--- a/tests/process/test_fronts.cpp
+++ b/tests/process/test_fronts.cpp
@@ -224,3 +224,44 @@
     received += fieldOf(it.Fields, "x-long") == value;
   CHECK(received == test.Fleet.frontCount());
 }
+
+// Review case 2: each leader in turn ended over its memory until the table was
+// corrected, also after a restart.
+TEST_CASE("table with sizes in bytes takes no front over its memory") {
+  constexpr uint64_t MemoryMb = 260;
+  auto inBytes = [](int Version) {
+    std::string table = tableText(Version);
+    const std::string large =
+        R"({"name":"large","engine":{"slots":8,"weights-mb":200000000000,)"
+        R"("adapter-slots":2,"loads-per-s":5,"models":[{"name":"huge",)"
+        R"("weights-mb":72700000000,"load-s":1}]}},)";
+    const std::string start = R"("services":[)";
+    return table.insert(table.find(start) + start.size(), large);
+  };
+  ServedFleet test;
+  FakePlatformEngine other("i-2", "large", test.Fleet.addressOf(51, 7), {}, {});
+  test.Fleet.startAgent(51, test.Fleet.addressOf(51, 7));
+  REQUIRE(other.announce(test.Fleet.controlAddress(1)));
+  REQUIRE(waitUntil(seconds(10),
+                    [&] { return test.Fleet.putTable(4, inBytes(2)) == 200; }));
+  auto checkAll = [&](const std::string &When) {
+    for (int i = 1; i <= test.Fleet.frontCount(); ++i) {
+      INFO("front " << i << " " << When);
+      CHECK(waitUntil(seconds(10), [&] {
+        other.announce(test.Fleet.controlAddress(i));
+        return sendCallerRequest(test.Fleet.callerAddress(i), "x", "warm")
+                   .Status == 200;
+      }));
+      CHECK(test.Fleet.isRunning(FrontFleet::frontName(i)));
+      CHECK(test.Fleet.peakMemoryMb(FrontFleet::frontName(i)) < MemoryMb);
+    }
+  };
+  std::this_thread::sleep_for(seconds(1));
+  checkAll("with the table");
+  for (int i = 1; i <= test.Fleet.frontCount(); ++i)
+    test.Fleet.kill(FrontFleet::frontName(i));
+  for (int i = 1; i <= test.Fleet.frontCount(); ++i)
+    test.Fleet.start(i, false);
+  std::this_thread::sleep_for(seconds(2));
+  checkAll("after a restart");
+}
