--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -39,7 +39,7 @@
 public:
   explicit AgentShell(const ShellParts &Parts)
       : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), ProbeTimer(Io) {}
+        Counts(Parts.Counts), Memory(Parts.Memory), ProbeTimer(Io) {}
   AgentShell(const AgentShell &) = delete;
   AgentShell &operator=(const AgentShell &) = delete;
 
@@ -63,6 +63,7 @@
   caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   AgentState State; ///< Used by the actor only, once it runs.
   std::unique_ptr<Link> Peers;
   std::unique_ptr<HttpServer> Server;
@@ -89,7 +90,7 @@
   };
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
-                                        std::move(callbacks));
+                                        Memory, std::move(callbacks));
   return Server->start(Problem);
 }
 
@@ -141,7 +142,7 @@
   };
   Counts.count("attempts_started_total");
   Calls[key] = startHttpCall(Io, EndpointAddress, request, ResponseIdleTimeout,
-                             std::move(callbacks));
+                             std::move(callbacks), Memory);
 }
 
 void AgentShell::sendOrder(const SendOrder &Order) {
@@ -171,7 +172,7 @@
   callbacks.OnEnd = [finish] { finish(true); };
   callbacks.OnFailure = [finish](HttpFailure) { finish(false); };
   startHttpCall(Io, EndpointAddress, request, OrderIdleTimeout,
-                std::move(callbacks));
+                std::move(callbacks), Memory);
 }
 
 /// Periodically probes an endpoint that has stopped announcing itself.
@@ -211,7 +212,7 @@
     }
   };
   startHttpCall(Io, EndpointAddress, {"GET", "/healthz", {}, {}}, ProbeTimeout,
-                std::move(callbacks));
+                std::move(callbacks), Memory);
 }
 
 void AgentShell::scheduleProbeRetry(int RetriesLeft) {
--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -39,7 +39,8 @@
 public:
   explicit ControlShell(const ShellParts &Parts)
       : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), Disk(Options.ControlRole.DataFolder) {}
+        Counts(Parts.Counts), Memory(Parts.Memory),
+        Disk(Options.ControlRole.DataFolder) {}
   ControlShell(const ControlShell &) = delete;
   ControlShell &operator=(const ControlShell &) = delete;
 
@@ -59,6 +60,7 @@
   caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   DiskLog Disk;
   ControlState State; ///< Used by the actor only, once it runs.
   std::unique_ptr<Link> Peers;
@@ -107,7 +109,7 @@
   };
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
-                                        std::move(callbacks));
+                                        Memory, std::move(callbacks));
   return Server->start(Problem);
 }
 
--- a/core/role_shell.h
+++ b/core/role_shell.h
@@ -4,6 +4,7 @@
 #ifndef SASSAFRAS_CORE_ROLE_SHELL_H
 #define SASSAFRAS_CORE_ROLE_SHELL_H
 
+#include "core/memory_budget.h"
 #include "core/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,7 @@
   caf::actor_system &System;
   const Settings &Options;
   Metrics &Counts;
+  MemoryBudgetPtr Memory; ///< For requests and responses; not null.
 };
 
 class RoleShell {
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -74,8 +74,8 @@
 public:
   explicit EngineAgentShell(const ShellParts &Parts)
       : Io(Parts.Io), Options(Parts.Options), Counts(Parts.Counts),
-        Client(Parts.Io, Parts.Counts), PollTimer(Parts.Io),
-        HeartbeatTimer(Parts.Io) {}
+        Memory(Parts.Memory), Client(Parts.Io, Parts.Counts, Parts.Memory),
+        PollTimer(Parts.Io), HeartbeatTimer(Parts.Io) {}
   EngineAgentShell(const EngineAgentShell &) = delete;
   EngineAgentShell &operator=(const EngineAgentShell &) = delete;
 
@@ -103,6 +103,7 @@
   boost::asio::io_context &Io;
   Settings Options;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   HttpClient Client;
   boost::asio::steady_timer PollTimer;
   boost::asio::steady_timer HeartbeatTimer;
@@ -160,8 +161,8 @@
       Exchange->respond(404, {}, "not found\n");
   };
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
-  StatusServer = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(),
-                                              Counts, std::move(callbacks));
+  StatusServer = std::make_unique<HttpServer>(
+      Io, Options.Http, HttpLimits(), Counts, Memory, std::move(callbacks));
   return StatusServer->start(Problem);
 }
 
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -39,7 +39,7 @@
 public:
   explicit EntryShell(const ShellParts &Parts)
       : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), StopTimer(Io) {}
+        Counts(Parts.Counts), Memory(Parts.Memory), StopTimer(Io) {}
   EntryShell(const EntryShell &) = delete;
   EntryShell &operator=(const EntryShell &) = delete;
 
@@ -66,6 +66,7 @@
   caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   uint64_t Incarnation = 0;
   EntryState State; ///< Used only by the actor once it runs.
   std::unique_ptr<Link> Peers;
@@ -127,7 +128,7 @@
   limits.HeadBytes = Options.EntryRole.HeadBytes;
   limits.BodyBytes = Options.EntryRole.BodyBytes;
   Server = std::make_unique<HttpServer>(Io, Options.Http, limits, Counts,
-                                        std::move(callbacks));
+                                        Memory, std::move(callbacks));
   return Server->start(Problem);
 }
 
--- a/front/front_core.h
+++ b/front/front_core.h
@@ -27,17 +27,19 @@
 
 struct FrontCore {
   FrontCore(boost::asio::io_context &Io, Metrics &Counts,
-            std::function<void(NodeMessages)> Send,
+            MemoryBudgetPtr Memory, std::function<void(NodeMessages)> Send,
             std::function<void(const wire::RowDemand &)> ReportDemand,
             std::function<void(const wire::QuotaRequest &)> RequestTokens,
             std::function<void(const wire::SendPermitRequest &)> RequestPermits)
-      : Io(Io), Counts(Counts), Client(Io, Counts), Send(std::move(Send)),
+      : Io(Io), Counts(Counts), Memory(std::move(Memory)),
+        Client(Io, Counts, this->Memory), Send(std::move(Send)),
         ReportDemand(std::move(ReportDemand)),
         RequestTokens(std::move(RequestTokens)),
         RequestPermits(std::move(RequestPermits)) {}
 
   boost::asio::io_context &Io;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   HttpClient Client;
   std::function<void(NodeMessages)> Send;
   /// Reports demand for a model to the leader.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -92,6 +92,7 @@
   void refuseRequest(const RequestAttributes &Attributes,
                      const FrontRefusal &Refusal, HttpExchange &Exchange);
   void handleLoss(const HttpExchange *Exchange, HttpLoss Loss);
+  std::shared_ptr<Relay> findRelay(const HttpExchange *Exchange);
   void handleMessage(wire::Envelope Message);
   void handleHello(const wire::Envelope &Message);
   void answerStatus(const wire::Envelope &Message);
@@ -148,7 +149,7 @@
     : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
       Counts(Parts.Counts),
       Core(
-          Parts.Io, Parts.Counts,
+          Parts.Io, Parts.Counts, Parts.Memory,
           [this](NodeMessages it) { send(std::move(it)); },
           [this](const wire::RowDemand &it) { reportUnservedDemand(it); },
           [this](const wire::QuotaRequest &it) { requestTokens(it); },
@@ -209,7 +210,7 @@
                              HttpServer::Handlers Callbacks,
                              std::string &Problem) {
   Server = std::make_unique<HttpServer>(Io, Address, Limits, Counts,
-                                        std::move(Callbacks));
+                                        Core.Memory, std::move(Callbacks));
   return Server->start(Problem);
 }
 
@@ -223,6 +224,10 @@
   callerHandlers.OnLoss = [this](const HttpExchange *Exchange, HttpLoss Loss) {
     handleLoss(Exchange, Loss);
   };
+  callerHandlers.OnRoom = [this](const HttpExchange *Exchange) {
+    if (auto relay = findRelay(Exchange))
+      relay->handleRoom();
+  };
   HttpServer::Handlers fleetHandlers;
   fleetHandlers.OnRequest =
       [this](const HttpRequest &Request,
@@ -354,15 +359,18 @@
     Counts.count("callers_gone_total", "stage=\"early\"");
     return;
   }
+  if (auto relay = findRelay(Exchange)) {
+    relay->handleCallerLoss(Loss);
+    IsDispatchDue = true;
+  }
+}
+
+std::shared_ptr<Relay> FrontShell::findRelay(const HttpExchange *Exchange) {
   auto number = Core.ByExchange.find(Exchange);
   if (number == Core.ByExchange.end())
-    return;
+    return nullptr;
   auto relay = Core.Relays.find(number->second);
-  if (relay == Core.Relays.end())
-    return;
-  std::shared_ptr<Relay> keepAlive = relay->second;
-  keepAlive->handleCallerLoss(Loss);
-  IsDispatchDue = true;
+  return relay == Core.Relays.end() ? nullptr : relay->second;
 }
 
 // ---- Peers ----
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -53,7 +53,8 @@
 Relay::Relay(FrontCore &Core, FrontRequest Request, HttpRequest Message,
              std::shared_ptr<HttpExchange> Exchange)
     : Core(Core), Request(std::move(Request)), Message(std::move(Message)),
-      Exchange(std::move(Exchange)), Timer(Core.Io) {}
+      Exchange(std::move(Exchange)), Timer(Core.Io), BufferCharge(Core.Memory) {
+}
 
 void Relay::start() {
   Core.Relays[Request.Number] = shared_from_this();
@@ -157,6 +158,7 @@
   IsStream = false;
   HasOrigin = false;
   Body.clear();
+  DiscardedBytes = 0;
   recordDispatch(Core.State, Request, Endpoint, now);
   if (Request.Sends == 1)
     observe("queue_seconds", now - Request.ArrivedAt);
@@ -281,19 +283,26 @@
     }
     if (!events.empty())
       writeEvents(std::move(events));
-    if (EventBuffer.Incomplete.size() > MaxEventBytes)
-      cancelOversized(ExchangeFailure::Broken, EventBuffer.Incomplete.size());
+    size_t n = EventBuffer.Incomplete.size();
+    if (n > MaxEventBytes || !BufferCharge.tryResize(n))
+      cancelOversized(ExchangeFailure::Broken, n);
     return;
   }
   // The body of a failed attempt to resume a stream is discarded.
-  if (IsStreamStarted)
+  if (IsStreamStarted) {
+    DiscardedBytes += Bytes.size();
+    if (DiscardedBytes > MaxBufferedResponse)
+      cancelOversized(IsNotRun ? ExchangeFailure::Rejected
+                               : ExchangeFailure::Error,
+                      DiscardedBytes);
     return;
+  }
   if (IsResponseStarted) {
-    Exchange->write(std::string(Bytes));
+    writeToCaller(std::string(Bytes));
     return;
   }
   Body += Bytes;
-  if (Body.size() <= MaxBufferedResponse)
+  if (Body.size() <= MaxBufferedResponse && BufferCharge.tryResize(Body.size()))
     return;
   if (IsNotRun) {
     cancelOversized(ExchangeFailure::Rejected, Body.size());
@@ -305,8 +314,22 @@
     return;
   }
   startResponse();
-  Exchange->write(std::move(Body));
+  writeToCaller(std::move(Body));
   Body.clear();
+  BufferCharge.set(0);
+}
+
+/// Writes a part of the response. While the caller reads slowly, so does the
+/// exchange with the endpoint.
+void Relay::writeToCaller(std::string Bytes) {
+  Exchange->write(std::move(Bytes));
+  if (Call && !Exchange->hasRoom())
+    Call->pause();
+}
+
+void Relay::handleRoom() {
+  if (Call)
+    Call->resume();
 }
 
 /// Records, before the first event of an exchange, which version goes on. False
@@ -335,7 +358,7 @@
   LastEventAt = now;
   if (now - AnsweredAt >= ProvenRunTime)
     recordProof();
-  Exchange->write(std::move(Events));
+  writeToCaller(std::move(Events));
 }
 
 void Relay::recordProof() {
--- a/front/relay.h
+++ b/front/relay.h
@@ -40,6 +40,8 @@
   void stop(bool IsFinal);
   /// Ends the request: the caller closed its connection or does not read.
   void handleCallerLoss(HttpLoss Loss);
+  /// Reads on from the endpoint: the caller has read enough of its response.
+  void handleRoom();
 
 private:
   void startDeadlineTimer(TimePoint At);
@@ -54,6 +56,7 @@
   bool isTrusted(const HttpResponseHead &Head) const;
   bool mayForwardEvents();
   void writeEvents(std::string Events);
+  void writeToCaller(std::string Bytes);
   /// Records the duration of a stage in the histogram of the request's kind.
   void observe(const char *Stage, Clock::duration Span);
   /// Records, once for each exchange, that an endpoint can run the request.
@@ -87,6 +90,8 @@
       Head; ///< Of the latest response; a resumed stream keeps the first.
   std::string Body; ///< Buffered until the response is complete.
   SseBuffer EventBuffer;
+  MemoryCharge BufferCharge; ///< For the two above.
+  size_t DiscardedBytes = 0; ///< Of this exchange's response.
   TimePoint SentAt;
   TimePoint AnsweredAt; ///< Head of this exchange's response; or zero.
   TimePoint FirstByteAt;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -19,6 +19,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace sassafras {
 
@@ -68,15 +69,15 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool hasPayload(const HttpRequest &Request) {
-  return !Request.Body.empty() || Request.Method == "POST" ||
-         Request.Method == "PUT" || Request.Method == "PATCH";
+bool mayHaveBody(std::string_view Method) {
+  return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
 
 } // namespace
 
 struct HttpClient::Impl {
-  Impl(asio::io_context &Io, Metrics *Counts) : Io(Io), Counts(Counts) {}
+  Impl(asio::io_context &Io, Metrics *Counts, MemoryBudgetPtr Memory)
+      : Io(Io), Counts(Counts), Memory(std::move(Memory)) {}
 
   ConnectionPtr takeIdle(const std::string &Address, Millis MaxIdle);
   void release(ConnectionPtr Idle);
@@ -87,6 +88,7 @@
 
   asio::io_context &Io;
   Metrics *Counts; ///< Null for single exchanges.
+  MemoryBudgetPtr Memory;
   bool PoolsConnections = true;
   std::map<std::string, std::vector<ConnectionPtr>> Idle;
 };
@@ -111,6 +113,8 @@
 
 void HttpClient::Impl::release(ConnectionPtr Done) {
   Done->IdleSince = Clock::now();
+  if (Done->Buffer.capacity() > ReadSize)
+    Done->Buffer.shrink_to_fit();
   Idle[Done->Address].push_back(std::move(Done));
 }
 
@@ -121,9 +125,10 @@
   Call(std::shared_ptr<HttpClient::Impl> Client, HttpCallOptions Options,
        HttpCallbacks Callbacks)
       : Client(std::move(Client)), Options(Options),
-        Callbacks(std::move(Callbacks)) {}
+        Callbacks(std::move(Callbacks)), Charge(this->Client->Memory) {}
 
   void start(const std::string &Address, const HttpRequest &Request) {
+    Body = std::make_shared<const std::string>(Request.Body);
     buildMessage(Address, Request);
     IsHeadRequest = Request.Method == "HEAD";
     prepareParser();
@@ -146,6 +151,18 @@
     reset();
   }
 
+  void pause() override { IsPaused = true; }
+
+  void resume() override {
+    IsPaused = false;
+    if (!std::exchange(IsReadDue, false))
+      return;
+    asio::post(Client->Io, [self = shared_from_this()] {
+      if (!self->IsFinished)
+        self->readMore();
+    });
+  }
+
 private:
   void prepareParser() {
     Parser.emplace();
@@ -164,10 +181,9 @@
     if (!Client->PoolsConnections)
       head.add("Connection", "close");
     // Without a length, there is no body.
-    if (hasPayload(Request))
-      head.addLength(Request.Body.size());
+    if (!Body->empty() || mayHaveBody(Request.Method))
+      head.addLength(Body->size());
     Head = std::move(head).finish();
-    Body = Request.Body;
   }
 
   void connect(const std::string &Address) {
@@ -216,7 +232,7 @@
       return;
     expireRead();
     std::array<asio::const_buffer, 2> bytes{asio::buffer(Head),
-                                            asio::buffer(Body)};
+                                            asio::buffer(*Body)};
     asio::async_write(
         Conn->Stream, bytes,
         [self = shared_from_this()](beast::error_code ec, size_t) {
@@ -227,6 +243,18 @@
   }
 
   void readMore() {
+    if (IsPaused) {
+      IsReadDue = true;
+      return;
+    }
+    if (Parser->is_header_done())
+      expireRead();
+    size_t kept = Conn->Buffer.size();
+    if (kept > ReadSize && !Charge.tryResize(2 * kept)) {
+      Client->count("client_memory_exhausted_total");
+      fail({true, false, false});
+      return;
+    }
     Conn->Stream.async_read_some(
         Conn->Buffer.prepare(ReadSize),
         [self = shared_from_this()](beast::error_code ec, size_t n) {
@@ -274,14 +302,10 @@
       finishIfComplete();
       return;
     }
-    if (Parser->is_header_done()) {
-      if (Conn->Buffer.size() > MaxFramingBytes) {
-        fail({true, false, false});
-        return;
-      }
-      expireRead();
-    }
-    readMore();
+    if (Parser->is_header_done() && Conn->Buffer.size() > MaxFramingBytes)
+      fail({true, false, false});
+    else
+      readMore();
   }
 
   void handleHead() {
@@ -367,8 +391,9 @@
   HttpCallOptions Options;
   HttpCallbacks Callbacks;
   ConnectionPtr Conn;
-  std::string Head; ///< Of the request.
-  std::string Body; ///< Of the request.
+  std::string Head;                        ///< Of the request.
+  std::shared_ptr<const std::string> Body; ///< Of the request.
+  MemoryCharge Charge; ///< For bytes that are not parsed yet.
   /// Replaced after each informational response.
   std::optional<ResponseParser> Parser;
   int InformationalHeads = 0;
@@ -378,13 +403,16 @@
   bool IsReused = false; ///< The connection was pooled.
   bool IsRequestSent = false;
   bool IsResponseRead = false;
+  bool IsPaused = false;
+  bool IsReadDue = false; ///< A read was put off by the pause.
   bool IsFinished = false;
 };
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &Io, Metrics &Counts)
-    : Data(std::make_shared<Impl>(Io, &Counts)) {}
+HttpClient::HttpClient(asio::io_context &Io, Metrics &Counts,
+                       MemoryBudgetPtr Memory)
+    : Data(std::make_shared<Impl>(Io, &Counts, std::move(Memory))) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -407,12 +435,12 @@
   }
 }
 
-std::shared_ptr<HttpCall> startHttpCall(asio::io_context &Io,
-                                        const std::string &Address,
-                                        const HttpRequest &Request,
-                                        Millis ReadTimeout,
-                                        HttpCallbacks Callbacks) {
-  auto client = std::make_shared<HttpClient::Impl>(Io, nullptr);
+std::shared_ptr<HttpCall>
+startHttpCall(asio::io_context &Io, const std::string &Address,
+              const HttpRequest &Request, Millis ReadTimeout,
+              HttpCallbacks Callbacks, MemoryBudgetPtr Memory) {
+  auto client =
+      std::make_shared<HttpClient::Impl>(Io, nullptr, std::move(Memory));
   client->PoolsConnections = false;
   auto call = std::make_shared<Call>(
       client, HttpCallOptions{DefaultConnectTimeout, ReadTimeout, Millis(0)},
--- a/http/client.h
+++ b/http/client.h
@@ -4,6 +4,7 @@
 #ifndef SASSAFRAS_HTTP_CLIENT_H
 #define SASSAFRAS_HTTP_CLIENT_H
 
+#include "core/memory_budget.h"
 #include "core/time.h"
 #include "http/message.h"
 
@@ -52,6 +53,10 @@
   /// Ends the exchange and resets its connection; no callback is called
   /// afterwards. Call on the I/O context's thread.
   virtual void cancel() = 0;
+  /// Reads no more of the response body, so that the peer has to wait, until
+  /// resume is called. Call both on the I/O context's thread.
+  virtual void pause() = 0;
+  virtual void resume() = 0;
 };
 
 /// Time-outs of one exchange.
@@ -73,7 +78,9 @@
 /// all methods on the thread that runs the I/O context.
 class HttpClient {
 public:
-  HttpClient(boost::asio::io_context &Io, Metrics &Counts);
+  /// Exchanges fail when \p Memory has no room for what they have to keep.
+  HttpClient(boost::asio::io_context &Io, Metrics &Counts,
+             MemoryBudgetPtr Memory);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
@@ -97,11 +104,10 @@
 
 /// Like HttpClient::start, but on a new connection that is closed afterwards.
 /// \p ReadTimeout is as in HttpCallOptions. Call on the thread that runs \p Io.
-std::shared_ptr<HttpCall> startHttpCall(boost::asio::io_context &Io,
-                                        const std::string &Address,
-                                        const HttpRequest &Request,
-                                        Millis ReadTimeout,
-                                        HttpCallbacks Callbacks);
+std::shared_ptr<HttpCall>
+startHttpCall(boost::asio::io_context &Io, const std::string &Address,
+              const HttpRequest &Request, Millis ReadTimeout,
+              HttpCallbacks Callbacks, MemoryBudgetPtr Memory);
 
 } // namespace sassafras
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -49,7 +49,10 @@
 /// are kept until they are complete.
 constexpr size_t MaxFramingBytes = 16ULL * 1024;
 constexpr size_t BodyReadSize = 16ULL * 1024;
-
+/// Unsent bytes of a response from which on an exchange has no room, and the
+/// same while the process is short of memory.
+constexpr size_t RoomyUnsentBytes = 256ULL * 1024;
+constexpr size_t ScarceUnsentBytes = 16ULL * 1024;
 std::string encodeChunk(const std::string &Bytes) {
   return beast::buffers_to_string(http::make_chunk(asio::buffer(Bytes)));
 }
@@ -86,9 +89,10 @@
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(asio::io_context &Io, std::string Listen, HttpLimits Limits,
-       Metrics &Counts, Handlers Callbacks)
+       Metrics &Counts, MemoryBudgetPtr Memory, Handlers Callbacks)
       : Io(Io), Listen(std::move(Listen)), Limits(Limits), Counts(Counts),
-        Callbacks(std::move(Callbacks)), Acceptor(Io), AcceptRetryTimer(Io) {}
+        Memory(std::move(Memory)), Callbacks(std::move(Callbacks)),
+        Acceptor(Io), AcceptRetryTimer(Io) {}
 
   void accept();
 
@@ -96,6 +100,7 @@
   std::string Listen;
   HttpLimits Limits;
   Metrics &Counts;
+  MemoryBudgetPtr Memory;
   Handlers Callbacks;
   std::string Address;
   Tcp::acceptor Acceptor;
@@ -113,7 +118,7 @@
 public:
   Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
       : Stream(std::move(Socket)), Server(std::move(Server)),
-        DisconnectTimer(this->Server->Io) {
+        DisconnectTimer(this->Server->Io), OutputCharge(this->Server->Memory) {
     ++this->Server->ConnectionCount;
   }
   ~Session() {
@@ -132,6 +137,7 @@
   }
   void closeAfterResponse() { KeepAlive = false; }
   bool hasCallerLeft(uint64_t Number);
+  bool hasRoom(uint64_t Number);
   HttpLimits limits() const { return Server->Limits; }
 
 private:
@@ -148,6 +154,7 @@
   void rejectRequest(http::status Status, const char *Reason);
   void rejectUnparsable(beast::error_code Error);
   void writeNext();
+  void reportRoom();
   void finishResponse();
   void abortConnection();
   void handleLoss(HttpLoss Loss);
@@ -159,6 +166,8 @@
   std::optional<RequestParser> Parser;
   std::deque<std::string> Output;
   size_t OutputBytes = 0;
+  MemoryCharge OutputCharge;
+  bool IsRoomAwaited = false; ///< The exchange was told that it has no room.
   uint64_t RequestNumber = 0; ///< Number of the current request.
   bool IsResponding = false;
   bool IsEndQueued = false;
@@ -220,6 +229,8 @@
 
   bool hasCallerLeft() override { return Owner->hasCallerLeft(RequestNumber); }
 
+  bool hasRoom() override { return Owner->hasRoom(RequestNumber); }
+
   void abort() override {
     asio::post(Owner->context(), [owner = Owner, number = RequestNumber] {
       owner->abort(number);
@@ -273,6 +284,8 @@
     readHead();
     return;
   }
+  if (Buffer.capacity() > ReadBufferSize)
+    Buffer.shrink_to_fit();
   Server->Idle.insert(this);
   Stream.expires_after(Server->Limits.IdleTimeout);
   Stream.async_read_some(
@@ -492,6 +505,7 @@
   IsResponding = true;
   IsEndQueued = false;
   ++Server->OpenCount;
+  Parser.reset();
   SessionExchange exchange(shared_from_this(), RequestNumber, false, false,
                            false);
   exchange.respond(static_cast<unsigned>(Status),
@@ -508,8 +522,11 @@
   if (!Bytes.empty()) {
     OutputBytes += Bytes.size();
     Output.push_back(std::move(Bytes));
+    OutputCharge.set(OutputBytes);
   }
-  if (OutputBytes > Server->Limits.MaxUnsentBytes && !IsEnd) {
+  size_t limit = Server->Memory->available() > 0 ? Server->Limits.MaxUnsentBytes
+                                                 : RoomyUnsentBytes;
+  if (OutputBytes > limit && !IsEnd) {
     handleLoss(HttpLoss::SlowReader);
     return;
   }
@@ -541,10 +558,29 @@
         self->Stream.expires_never();
         self->OutputBytes -= n;
         self->Output.pop_front();
+        self->OutputCharge.set(self->OutputBytes);
         self->writeNext();
+        self->reportRoom();
       });
 }
 
+bool Session::hasRoom(uint64_t Number) {
+  if (Number != RequestNumber || !IsResponding)
+    return true;
+  size_t limit =
+      Server->Memory->isScarce() ? ScarceUnsentBytes : RoomyUnsentBytes;
+  IsRoomAwaited = OutputBytes > limit;
+  return !IsRoomAwaited;
+}
+
+void Session::reportRoom() {
+  if (!IsRoomAwaited || !hasRoom(RequestNumber))
+    return;
+  auto exchange = Exchange.lock();
+  if (exchange && Server->Callbacks.OnRoom)
+    Server->Callbacks.OnRoom(exchange.get());
+}
+
 void Session::finishResponse() {
   IsResponding = false;
   --Server->OpenCount;
@@ -562,6 +598,7 @@
   --Server->OpenCount;
   Output.clear();
   OutputBytes = 0;
+  OutputCharge.set(0);
   Stream.close();
   Server->Counts.count("http_lost_total");
   if (auto exchange = Exchange.lock())
@@ -613,9 +650,10 @@
 }
 
 HttpServer::HttpServer(asio::io_context &Io, std::string Listen,
-                       HttpLimits Limits, Metrics &Counts, Handlers Callbacks)
+                       HttpLimits Limits, Metrics &Counts,
+                       MemoryBudgetPtr Memory, Handlers Callbacks)
     : Data(std::make_shared<Impl>(Io, std::move(Listen), Limits, Counts,
-                                  std::move(Callbacks))) {}
+                                  std::move(Memory), std::move(Callbacks))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/http/server.h
+++ b/http/server.h
@@ -4,6 +4,7 @@
 #ifndef SASSAFRAS_HTTP_SERVER_H
 #define SASSAFRAS_HTTP_SERVER_H
 
+#include "core/memory_budget.h"
 #include "core/time.h"
 #include "http/message.h"
 
@@ -22,7 +23,8 @@
 struct HttpLimits {
   uint32_t HeadBytes = 32 * 1024;
   uint64_t BodyBytes = 8ULL * 1024 * 1024;
-  /// Bytes of a response that are queued but not sent.
+  /// Bytes of a response that are queued but not sent. A caller beyond it is
+  /// cut off.
   size_t MaxUnsentBytes = 4ULL * 1024 * 1024;
   Millis HeadTimeout{10'000}; ///< For the request head, from its first byte.
   Millis BodyTimeout{30'000}; ///< For the request body.
@@ -56,6 +58,10 @@
   /// be later when the process is behind. False while HttpLimits do not cancel
   /// on disconnect. Call on the thread that runs the I/O context.
   virtual bool hasCallerLeft() = 0;
+  /// False while much of the response is unsent: whoever can should write no
+  /// more until Handlers::OnRoom is called for this exchange. Call on the
+  /// thread that runs the I/O context.
+  virtual bool hasRoom() = 0;
 };
 
 /// Why an exchange ended before its response was complete.
@@ -69,11 +75,14 @@
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)> OnRequest;
     /// The exchange ended before its response was complete.
     std::function<void(const HttpExchange *, HttpLoss)> OnLoss;
+    /// An exchange without room has room again. May be empty.
+    std::function<void(const HttpExchange *)> OnRoom = {};
   };
 
-  /// Handlers are called on the thread that runs \p Io.
+  /// Handlers are called on the thread that runs \p Io. Unsent
+  /// responses are charged to \p Memory.
   HttpServer(boost::asio::io_context &Io, std::string Listen, HttpLimits Limits,
-             Metrics &Counts, Handlers Callbacks);
+             Metrics &Counts, MemoryBudgetPtr Memory, Handlers Callbacks);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -13,10 +13,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <caf/all.hpp>
 
+#include <charconv>
+#include <cinttypes>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <getopt.h>
+#include <malloc.h>
 #include <sstream>
 
 namespace sassafras {
@@ -31,27 +34,44 @@
     "usage: sassafrasd --settings FILE [--check]\n"
     "  -s, --settings FILE  settings file of this process\n"
     "  -c, --check          validate the settings and exit\n"
+    "  -m, --memory-mb=N    memory that the process may use, in MB (256)\n"
     "  -h, --help           print this help and exit\n"
     "  -v, --version        print the version and exit\n";
 
 struct Options {
   std::string SettingsFile;
   bool IsCheck = false;
+  uint64_t MemoryMb = 256;
 };
 
 const option LongOptions[] = {
     {"settings", required_argument, nullptr, 's'},
     {"check", no_argument, nullptr, 'c'},
+    {"memory-mb", required_argument, nullptr, 'm'},
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'v'},
     {nullptr, 0, nullptr, 0},
 };
 
+/// Bounds of the option memory-mb.
+constexpr uint64_t MinMemoryMb = 16;
+constexpr uint64_t MaxMemoryMb = 1'000'000;
+
+/// Reads a value of the option memory-mb. An empty one leaves the default.
+bool readMemoryMb(std::string_view Text, uint64_t &Out) {
+  if (Text.empty())
+    return true;
+  auto [end, error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Out);
+  return error == std::errc() && end == Text.data() + Text.size() &&
+         Out >= MinMemoryMb && Out <= MaxMemoryMb;
+}
+
 /// Parses the command line into \p Out. Returns an exit code when the process
 /// has to exit at once.
 std::optional<int> readOptions(int Argc, char **Argv, Options &Out) {
   int code = 0;
-  while ((code = getopt_long(Argc, Argv, "s:chv", LongOptions, nullptr)) !=
+  while ((code = getopt_long(Argc, Argv, "s:cm:hv", LongOptions, nullptr)) !=
          -1) {
     switch (code) {
     case 's':
@@ -60,6 +80,14 @@
     case 'c':
       Out.IsCheck = true;
       break;
+    case 'm':
+      if (readMemoryMb(optarg, Out.MemoryMb))
+        break;
+      std::fprintf(stderr,
+                   "sassafrasd: --memory-mb must be from %" PRIu64
+                   " to %" PRIu64 ", not '%s'\n",
+                   MinMemoryMb, MaxMemoryMb, optarg);
+      return ExitUsage;
     case 'h':
       std::fputs(Usage, stdout);
       return ExitOk;
@@ -175,8 +203,24 @@
   std::string LastText;
 };
 
+/// Freed memory is returned to the system at once, so that the process stays
+/// within its limit after a burst of large messages.
+void configureAllocator() {
+  constexpr int LargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+  mallopt(M_ARENA_MAX, 2);
+}
+
+/// Part of the process's memory that requests and responses may occupy; the
+/// rest is for its state, its code and the allocator.
+MemoryBudgetPtr makeMemoryBudget(uint64_t MemoryMb) {
+  constexpr uint64_t BytesPerMb = 1'000'000;
+  return std::make_shared<MemoryBudget>(MemoryMb * BytesPerMb / 2);
+}
+
 /// Runs the role until it has stopped gracefully. Returns the exit code.
-int runRole(const Settings &Settings, const std::string &File) {
+int runRole(const Settings &Settings, const Options &Options) {
   Metrics counts;
   boost::asio::io_context io;
   caf::actor_system_config config;
@@ -185,7 +229,8 @@
   // work-stealing policy would still poll for it.
   config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system system(config);
-  auto shell = makeShell({io, system, Settings, counts});
+  auto shell = makeShell(
+      {io, system, Settings, counts, makeMemoryBudget(Options.MemoryMb)});
   std::string problem;
   if (!shell->start(problem)) {
     logEvent(LogLevel::Error, "start_failed", {{"reason", problem}});
@@ -194,7 +239,7 @@
   logEvent(LogLevel::Info, "started", {{"version", VersionText}});
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   stopOnSignal(signals, *shell);
-  SettingsWatcher watcher(io, File, *shell);
+  SettingsWatcher watcher(io, Options.SettingsFile, *shell);
   watcher.start();
   io.run();
   logEvent(LogLevel::Info, "stopped");
@@ -217,7 +262,8 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   startLogging(settings->Level, settings->Node);
-  return runRole(*settings, options.SettingsFile);
+  configureAllocator();
+  return runRole(*settings, options);
 }
 
 } // namespace
--- a/tests/fakes/fake_endpoint.cpp
+++ b/tests/fakes/fake_endpoint.cpp
@@ -28,6 +28,8 @@
 namespace {
 
 constexpr Millis AnnouncePeriod{200};
+/// Memory for requests and responses.
+constexpr uint64_t MemoryBytes = 1'000'000'000;
 
 struct Weights {
   uint64_t MemoryMb = 0;
@@ -36,6 +38,7 @@
 
 struct FakeEndpoint {
   boost::asio::io_context Io;
+  MemoryBudgetPtr Memory = std::make_shared<MemoryBudget>(MemoryBytes);
   Metrics Counts;
   std::string Listen = "127.0.0.1:0";
   std::string Agent;
@@ -95,7 +98,7 @@
   object["cached"] = std::move(cached);
   startHttpCall(Endpoint.Io, Endpoint.Agent,
                 {"POST", "/announce", {}, json::serialize(object)},
-                Millis(1000), ignoreResponse());
+                Millis(1000), ignoreResponse(), Endpoint.Memory);
   after(Endpoint, AnnouncePeriod, [&Endpoint] { announce(Endpoint); });
 }
 
@@ -162,7 +165,7 @@
   };
   startHttpCall(Endpoint.Io, Endpoint.Store,
                 {"GET", "/weights/" + name, {}, {}}, Millis(600'000),
-                std::move(callbacks));
+                std::move(callbacks), Endpoint.Memory);
 }
 
 void unload(FakeEndpoint &Endpoint, const json::object &Order,
@@ -333,7 +336,7 @@
   };
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpServer server(endpoint.Io, endpoint.Listen, {}, endpoint.Counts,
-                    handlers);
+                    endpoint.Memory, handlers);
   std::string error;
   if (!server.start(error)) {
     std::fprintf(stderr, "fake_endpoint: %s\n", error.c_str());
--- a/tests/fakes/fake_platform_engine.cpp
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -11,6 +11,8 @@
 namespace json = boost::json;
 
 constexpr int EventCount = 10;
+/// Memory for requests and responses.
+constexpr uint64_t MemoryBytes = 1'000'000'000;
 constexpr uint64_t BornMs = 1'700'000'000'000;
 
 json::array namesOf(const std::set<std::string> &Names) {
@@ -45,8 +47,9 @@
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpLimits limits;
   limits.HeadBytes = 256 * 1024;
-  Server = std::make_unique<HttpServer>(Io, this->Address, limits, Counts,
-                                        std::move(handlers));
+  Server = std::make_unique<HttpServer>(
+      Io, this->Address, limits, Counts,
+      std::make_shared<MemoryBudget>(MemoryBytes), std::move(handlers));
   std::string error;
   Server->start(error);
   IoThread = std::thread([this] { Io.run(); });
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Memory for requests and responses.
+constexpr uint64_t MemoryBytes = 1'000'000'000;
+
 struct Store {
   boost::asio::io_context Io;
   Metrics Counts;
@@ -74,7 +77,8 @@
     handleRequest(store, Request, Exchange);
   };
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
-  HttpServer server(store.Io, store.Listen, {}, store.Counts, handlers);
+  HttpServer server(store.Io, store.Listen, {}, store.Counts,
+                    std::make_shared<MemoryBudget>(MemoryBytes), handlers);
   std::string error;
   if (!server.start(error)) {
     std::fprintf(stderr, "fake_store: %s\n", error.c_str());
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -53,8 +53,9 @@
 
 TestedFront::TestedFront(const std::string &Endpoint)
     : Core(
-          Io, Counts, [](const NodeMessages &) {},
-          [](const wire::RowDemand &) {}, [](const wire::QuotaRequest &) {},
+          Io, Counts, std::make_shared<MemoryBudget>(TestMemoryBytes),
+          [](const NodeMessages &) {}, [](const wire::RowDemand &) {},
+          [](const wire::QuotaRequest &) {},
           [](const wire::SendPermitRequest &) {}) {
   Core.State.Self.set_name("front");
   Core.State.Self.set_zone("a");
@@ -76,9 +77,14 @@
       std::shared_ptr<Relay>(Core.Relays.at(number->second))
           ->handleCallerLoss(Loss);
   };
+  handlers.OnRoom = [this](const HttpExchange *Exchange) {
+    auto number = Core.ByExchange.find(Exchange);
+    if (number != Core.ByExchange.end())
+      Core.Relays.at(number->second)->handleRoom();
+  };
   Server =
       std::make_unique<HttpServer>(Io, "127.0.0.1:0", makeCallerLimits(nullptr),
-                                   Counts, std::move(handlers));
+                                   Counts, Core.Memory, std::move(handlers));
   std::string problem;
   if (!Server->start(problem))
     throw std::runtime_error("no server: " + problem);
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -17,6 +17,8 @@
 
 namespace sassafras {
 
+/// Memory of the front for requests and responses.
+inline constexpr uint64_t TestMemoryBytes = 128'000'000;
 /// Timeout of the front's routes.
 inline constexpr Millis CallerDeadline{3'000};
 
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -240,7 +240,8 @@
     });
     asio::io_context io;
     Metrics counts;
-    HttpClient client(io, counts);
+    HttpClient client(io, counts,
+                      std::make_shared<MemoryBudget>(TestMemoryBytes));
     HttpCallOptions options{Millis(500), Millis(500), Millis(500)};
     options.Deadline = Clock::now() + Millis(400);
     options.MaxBodyBytes = 10'000;
--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr uint64_t MemoryBytes = 10'000'000;
+
 HttpLimits smallLimits() {
   HttpLimits limits;
   limits.HeadBytes = 2048;
@@ -33,7 +35,8 @@
 class EchoServer {
 public:
   explicit EchoServer(const HttpLimits &Limits = smallLimits())
-      : Server(Io, "127.0.0.1:0", Limits, Counts, handlers()) {
+      : Server(Io, "127.0.0.1:0", Limits, Counts,
+               std::make_shared<MemoryBudget>(MemoryBytes), handlers()) {
     std::string problem;
     REQUIRE(Server.start(problem));
     Runner = std::thread([this] { Io.run(); });
