--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -53,6 +53,8 @@
 Relay::Relay(FrontCore &Core, FrontRequest Request, HttpRequest Message,
              std::shared_ptr<HttpExchange> Exchange)
     : Core(Core), Request(std::move(Request)), Message(std::move(Message)),
+      RequestBody(
+          std::make_shared<const std::string>(std::move(this->Message.Body))),
       Exchange(std::move(Exchange)), Timer(Core.Io), BufferCharge(Core.Memory) {
 }
 
@@ -191,8 +193,8 @@
   // A faulty endpoint may write the refusal of the first send again, which has
   // this request's id; on a new connection nothing of it can arrive.
   options.NeedsNewConnection = !SentTo.insert(Target.Address).second;
-  Call =
-      Core.Client.start(Target.Address, message, options, std::move(callbacks));
+  Call = Core.Client.start(Target.Address, message, options,
+                           std::move(callbacks), RequestBody);
 }
 
 /// A response to another request, or a successful one without the endpoint's
--- a/front/relay.h
+++ b/front/relay.h
@@ -76,7 +76,8 @@
 
   FrontCore &Core;
   FrontRequest Request;
-  HttpRequest Message;
+  HttpRequest Message; ///< Without its body.
+  std::shared_ptr<const std::string> RequestBody;
   std::shared_ptr<HttpExchange> Exchange;
   boost::asio::steady_timer Timer;
   std::shared_ptr<HttpCall> Call;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -123,12 +123,14 @@
 class Call : public HttpCall, public std::enable_shared_from_this<Call> {
 public:
   Call(std::shared_ptr<HttpClient::Impl> Client, HttpCallOptions Options,
-       HttpCallbacks Callbacks)
+       HttpCallbacks Callbacks, std::shared_ptr<const std::string> Body)
       : Client(std::move(Client)), Options(Options),
-        Callbacks(std::move(Callbacks)), Charge(this->Client->Memory) {}
+        Callbacks(std::move(Callbacks)), Body(std::move(Body)),
+        Charge(this->Client->Memory) {}
 
   void start(const std::string &Address, const HttpRequest &Request) {
-    Body = std::make_shared<const std::string>(Request.Body);
+    if (!Body)
+      Body = std::make_shared<const std::string>(Request.Body);
     buildMessage(Address, Request);
     IsHeadRequest = Request.Method == "HEAD";
     prepareParser();
@@ -416,11 +418,12 @@
 
 HttpClient::~HttpClient() = default;
 
-std::shared_ptr<HttpCall> HttpClient::start(const std::string &Address,
-                                            const HttpRequest &Request,
-                                            HttpCallOptions Options,
-                                            HttpCallbacks Callbacks) {
-  auto call = std::make_shared<Call>(Data, Options, std::move(Callbacks));
+std::shared_ptr<HttpCall>
+HttpClient::start(const std::string &Address, const HttpRequest &Request,
+                  HttpCallOptions Options, HttpCallbacks Callbacks,
+                  std::shared_ptr<const std::string> SharedBody) {
+  auto call = std::make_shared<Call>(Data, Options, std::move(Callbacks),
+                                     std::move(SharedBody));
   call->start(Address, Request);
   return call;
 }
@@ -444,7 +447,7 @@
   client->PoolsConnections = false;
   auto call = std::make_shared<Call>(
       client, HttpCallOptions{DefaultConnectTimeout, ReadTimeout, Millis(0)},
-      std::move(Callbacks));
+      std::move(Callbacks), nullptr);
   call->start(Address, Request);
   return call;
 }
--- a/http/client.h
+++ b/http/client.h
@@ -87,11 +87,11 @@
 
   /// Sends \p Request to \p Address. Unless the exchange is cancelled, exactly
   /// one of OnEnd and OnFailure is called, as the last callback. No callback is
-  /// called before this returns.
-  std::shared_ptr<HttpCall> start(const std::string &Address,
-                                  const HttpRequest &Request,
-                                  HttpCallOptions Options,
-                                  HttpCallbacks Callbacks);
+  /// called before this returns. With \p SharedBody, that is sent as the body.
+  std::shared_ptr<HttpCall>
+  start(const std::string &Address, const HttpRequest &Request,
+        HttpCallOptions Options, HttpCallbacks Callbacks,
+        std::shared_ptr<const std::string> SharedBody = nullptr);
   /// Closes pooled connections that have expired or on which the peer has sent
   /// data or closed its side.
   void closeExpired();
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -49,10 +49,22 @@
 /// are kept until they are complete.
 constexpr size_t MaxFramingBytes = 16ULL * 1024;
 constexpr size_t BodyReadSize = 16ULL * 1024;
+/// Up to this size, the string of a body with a length is not moved as it
+/// grows.
+constexpr uint64_t MaxReservedBody = 8ULL * 1024 * 1024;
 /// Unsent bytes of a response from which on an exchange has no room, and the
 /// same while the process is short of memory.
 constexpr size_t RoomyUnsentBytes = 256ULL * 1024;
 constexpr size_t ScarceUnsentBytes = 16ULL * 1024;
+/// A caller whose request was refused while it was sent may go on sending for
+/// this time and size. A connection that is closed earlier is reset, and the
+/// caller might lose the response.
+constexpr Millis LingerTime{1'000};
+constexpr size_t MaxLingerBytes = 16ULL * 1024 * 1024;
+/// Retry-After of a request for which there is no memory, in seconds. Another
+/// host can serve it at once.
+constexpr const char *MemoryRetryAfter = "0.2";
+
 std::string encodeChunk(const std::string &Bytes) {
   return beast::buffers_to_string(http::make_chunk(asio::buffer(Bytes)));
 }
@@ -118,7 +130,8 @@
 public:
   Session(Tcp::socket Socket, std::shared_ptr<HttpServer::Impl> Server)
       : Stream(std::move(Socket)), Server(std::move(Server)),
-        DisconnectTimer(this->Server->Io), OutputCharge(this->Server->Memory) {
+        DisconnectTimer(this->Server->Io), InputCharge(this->Server->Memory),
+        OutputCharge(this->Server->Memory) {
     ++this->Server->ConnectionCount;
   }
   ~Session() {
@@ -145,6 +158,8 @@
   void readMore(size_t Size);
   void parse();
   void readBody();
+  bool chargeInput();
+  uint64_t inputBytes() const;
   bool hasAmbiguousFraming() const;
   void dispatchRequest();
   void watchForDisconnect();
@@ -156,6 +171,7 @@
   void writeNext();
   void reportRoom();
   void finishResponse();
+  void discardInput();
   void abortConnection();
   void handleLoss(HttpLoss Loss);
 
@@ -164,6 +180,7 @@
   asio::steady_timer DisconnectTimer;
   beast::flat_buffer Buffer;
   std::optional<RequestParser> Parser;
+  MemoryCharge InputCharge; ///< For the request, until it is answered.
   std::deque<std::string> Output;
   size_t OutputBytes = 0;
   MemoryCharge OutputCharge;
@@ -176,6 +193,8 @@
   bool IsHttp10 = false;
   bool KeepAlive = false;
   bool IsHeadRequest = false;
+  bool IsLingering = false; ///< The caller may still be sending.
+  size_t LingerBytes = 0;
   std::weak_ptr<HttpExchange> Exchange;
 };
 
@@ -286,6 +305,7 @@
   }
   if (Buffer.capacity() > ReadBufferSize)
     Buffer.shrink_to_fit();
+  InputCharge.set(0);
   Server->Idle.insert(this);
   Stream.expires_after(Server->Limits.IdleTimeout);
   Stream.async_read_some(
@@ -346,6 +366,10 @@
       return;
     }
   }
+  if (!chargeInput()) {
+    rejectRequest(http::status::service_unavailable, "memory_exhausted");
+    return;
+  }
   if (Parser->is_done()) {
     dispatchRequest();
     return;
@@ -385,6 +409,26 @@
     rejectRequest(http::status::bad_request, "bad_request");
 }
 
+/// Bytes that the request occupies so far.
+uint64_t Session::inputBytes() const {
+  uint64_t bytes = Buffer.capacity() + Parser->Body.size();
+  // Other strings grow by doubling.
+  if (Parser->Body.capacity() > MaxReservedBody ||
+      (Parser->is_header_done() && !Parser->content_length()))
+    bytes += Parser->Body.size();
+  bytes += Parser->Fields.capacity() * sizeof(HttpField);
+  for (const HttpField &it : Parser->Fields)
+    bytes += it.Name.size() + it.Value.size();
+  return bytes;
+}
+
+/// False when the process has no memory for the rest of the request.
+bool Session::chargeInput() {
+  // A single small read is part of any connection.
+  uint64_t bytes = inputBytes();
+  return bytes <= ReadBufferSize + BodyReadSize || InputCharge.tryResize(bytes);
+}
+
 /// True when another HTTP parser might find a different end of the request, or
 /// a different host, in the same bytes (request smuggling).
 bool Session::hasAmbiguousFraming() const {
@@ -410,6 +454,18 @@
     rejectRequest(http::status::expectation_failed, "bad_expectation");
     return;
   }
+  if (auto length = Parser->content_length()) {
+    const MemoryBudget &memory = *Server->Memory;
+    if (*length > memory.limit()) {
+      rejectRequest(http::status::payload_too_large, "body_too_large");
+      return;
+    }
+    if (*length > memory.available()) {
+      rejectRequest(http::status::service_unavailable, "memory_exhausted");
+      return;
+    }
+    Parser->Body.reserve(std::min(*length, MaxReservedBody));
+  }
   Stream.expires_after(Server->Limits.BodyTimeout);
   if (!wantsContinue || Parser->is_done()) {
     parse();
@@ -501,15 +557,19 @@
                        "reason=\"" + std::string(Reason) + "\"");
   // The rest of a malformed request cannot be told apart from a next request.
   KeepAlive = false;
+  IsLingering = true;
   ++RequestNumber;
   IsResponding = true;
   IsEndQueued = false;
   ++Server->OpenCount;
   Parser.reset();
+  InputCharge.set(0);
+  std::vector<HttpField> fields{{"content-type", "application/json"}};
+  if (Status == http::status::service_unavailable)
+    fields.push_back({"retry-after", MemoryRetryAfter});
   SessionExchange exchange(shared_from_this(), RequestNumber, false, false,
                            false);
-  exchange.respond(static_cast<unsigned>(Status),
-                   {{"content-type", "application/json"}},
+  exchange.respond(static_cast<unsigned>(Status), std::move(fields),
                    R"({"error":{"reason":")" + std::string(Reason) +
                        R"(","ran":"not_run"}})"
                        "\n");
@@ -590,7 +650,25 @@
   }
   beast::error_code ec;
   Stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
-  Stream.close();
+  if (!IsLingering) {
+    Stream.close();
+    return;
+  }
+  Stream.expires_after(LingerTime);
+  discardInput();
+}
+
+void Session::discardInput() {
+  Buffer.clear();
+  Stream.async_read_some(
+      Buffer.prepare(BodyReadSize),
+      [self = shared_from_this()](beast::error_code ec, size_t n) {
+        self->LingerBytes += n;
+        if (ec || self->LingerBytes > MaxLingerBytes)
+          self->Stream.close();
+        else
+          self->discardInput();
+      });
 }
 
 void Session::handleLoss(HttpLoss Loss) {
@@ -599,6 +677,7 @@
   Output.clear();
   OutputBytes = 0;
   OutputCharge.set(0);
+  InputCharge.set(0);
   Stream.close();
   Server->Counts.count("http_lost_total");
   if (auto exchange = Exchange.lock())
--- a/http/server.h
+++ b/http/server.h
@@ -79,8 +79,8 @@
     std::function<void(const HttpExchange *)> OnRoom = {};
   };
 
-  /// Handlers are called on the thread that runs \p Io. Unsent
-  /// responses are charged to \p Memory.
+  /// Handlers are called on the thread that runs \p Io. Requests for which
+  /// \p Memory has no room are refused.
   HttpServer(boost::asio::io_context &Io, std::string Listen, HttpLimits Limits,
              Metrics &Counts, MemoryBudgetPtr Memory, Handlers Callbacks);
   ~HttpServer();
--- a/tests/process/test_memory.cpp
+++ b/tests/process/test_memory.cpp
@@ -195,3 +195,44 @@
   CHECK(response.size() - body - 4 == Size);
   CHECK(fleet.peakMemoryMb() < 100);
 }
+
+// Review case 4: the front kept each body twice, without a bound over all.
+TEST_CASE("long bodies at once take no front over its memory") {
+  constexpr int Callers = 80;
+  constexpr size_t BodyBytes = 4'000'000;
+  ServedFleet test;
+  test.Engine.setEventInterval(Millis(200));
+  const std::string address = test.Fleet.callerAddress(TestedHost);
+  REQUIRE(waitUntil(seconds(10), [&] {
+    return sendCallerRequest(address, "first", "warm").Status == 200;
+  }));
+  std::string text = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nConnection: "
+                     "close\r\nAuthorization: Bearer secret-key\r\n"
+                     "Sassafrasseam-Model: warm\r\nContent-Length: " +
+                     std::to_string(BodyBytes) + "\r\n\r\n" +
+                     std::string(BodyBytes, 'x');
+  std::atomic<int> served{0};
+  std::atomic<int> refused{0};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < Callers; ++i)
+    threads.emplace_back([&] {
+      RawCaller caller(address, 65'536);
+      caller.send(text);
+      std::string response = caller.readAll();
+      served += response.starts_with("HTTP/1.1 200");
+      std::string head = response.substr(0, response.find("\r\n\r\n"));
+      refused += head.starts_with("HTTP/1.1 503") &&
+                 head.find("retry-after: ") != std::string::npos;
+    });
+  std::this_thread::sleep_for(Millis(500));
+  // Others wait for a slot of the engine at most.
+  CHECK(waitUntil(seconds(10), [&] {
+    return sendCallerRequest(address, "other", "warm").Status == 200;
+  }));
+  for (std::thread &it : threads)
+    it.join();
+  CHECK(served > 0);
+  CHECK(served + refused == Callers);
+  CHECK(test.Fleet.isRunning(FrontFleet::frontName(TestedHost)));
+  CHECK(test.Fleet.peakMemoryMb(FrontFleet::frontName(TestedHost)) < MemoryMb);
+}
