--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -6,6 +6,7 @@
 #include "tests/harness/scripted_endpoint.h"
 #include "tests/harness/tested_front.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -136,6 +137,25 @@
   }
 }
 
+// Review case 3: the client threw for the request, which ended the process.
+TEST_CASE("TRACE with a body ends no front") {
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, "Content-Length: 3") + "own");
+  });
+  TestedFront front(endpoint.address());
+  for (const char *method : {"TRACE", "OPTIONS", "DELETE", "GET", "UNUSUAL"}) {
+    INFO(method);
+    Tcp::socket socket = front.connect();
+    std::string request = TestedFront::requestText(
+        "many", "1", "Connection: close\r\nContent-Length: 3\r\n");
+    sendText(socket, method + request.substr(request.find(' ')) + "abc");
+    std::string response;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    CHECK(isCompleteSuccess(response));
+  }
+}
+
 TEST_CASE("informational heads without end are cut off") {
   std::atomic<bool> isCutOff{false};
   ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &) {
