--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -440,7 +440,13 @@
     Exchange->finish();
   } else {
     observe("first_byte_seconds", Clock::now() - Request.ArrivedAt);
-    Exchange->respond(Head.Status, Head.Fields, std::move(Body));
+    if (Message.Method == "HEAD" && Head.Length) {
+      // The length that a GET would have; no body follows it.
+      Exchange->start(Head.Status, Head.Fields, Head.Length);
+      Exchange->finish();
+    } else {
+      Exchange->respond(Head.Status, Head.Fields, std::move(Body));
+    }
   }
   observe("answer_seconds", Clock::now() - Request.ArrivedAt);
   finish(Head.Status < 500 ? "answered" : "endpoint_error", Head.Status);
--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -156,6 +156,24 @@
   }
 }
 
+TEST_CASE("answer to HEAD keeps the length that the endpoint states") {
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, "Content-Length: 1234"));
+  });
+  TestedFront front(endpoint.address());
+  Tcp::socket socket = front.connect();
+  std::string request =
+      TestedFront::requestText("many", "1", "Connection: close\r\n");
+  sendText(socket, "HEAD" + request.substr(request.find(' ')));
+  std::string response;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(response), ec);
+  INFO(response);
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(has(response, "Content-Length: 1234\r\n"));
+  CHECK(response.ends_with("\r\n\r\n"));
+}
+
 TEST_CASE("informational heads without end are cut off") {
   std::atomic<bool> isCutOff{false};
   ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &) {
