--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -165,6 +165,11 @@
        "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
        {"POST /a abc"},
        {}},
+      {"trailer field is no header field",
+       "POST /field HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n1\r\na\r\n0\r\nX: trailer\r\n\r\n",
+       {"\r\n\r\n0"},
+       {"\r\n\r\n7"}},
       {"body at the limit",
        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n" + body,
        {"200", body},
