--- a/front/admission.cpp
+++ b/front/admission.cpp
@@ -57,7 +57,8 @@
     return 1;
   if (!Attributes.HasTokenCounts)
     return static_cast<double>(Organisation.PlainTokens);
-  return static_cast<double>(Attributes.PromptTokens + Attributes.OutputTokens);
+  return static_cast<double>(Attributes.PromptTokens) +
+         static_cast<double>(Attributes.OutputTokens);
 }
 
 RequestFeatures featuresOf(const RequestAttributes &Attributes) {
@@ -117,7 +118,8 @@
     out.Cost = costOf(*organisation, Attributes);
     organisationPriority = organisation->Priority;
   }
-  out.Urgency = std::min(organisationPriority * RoutePriorityLevels +
+  out.Urgency = std::min(std::min(organisationPriority, MaxUrgencyValue) *
+                                 RoutePriorityLevels +
                              std::min(route->Priority, RoutePriorityLevels - 1),
                          MaxUrgencyValue);
   std::uniform_real_distribution<double> draw(0, 1);
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -40,6 +40,8 @@
 constexpr int MaxInformationalHeads = 8;
 /// Time an idle connection is kept if the response has no Keep-Alive field.
 constexpr Millis DefaultIdleTimeout{4'000};
+/// Longest time, in seconds, that is read from that field.
+constexpr unsigned long MaxIdleSeconds = 3600;
 /// A pooled connection is closed this long before the peer would close it.
 constexpr Millis IdleMargin{1'000};
 /// Bytes that are read at once.
@@ -339,9 +341,11 @@
     constexpr std::string_view Key = "timeout=";
     Millis idle = DefaultIdleTimeout;
     size_t at = Value.find(Key);
-    if (at != std::string_view::npos)
-      idle = std::chrono::seconds(std::strtoul(
-          std::string(Value.substr(at + Key.size())).c_str(), nullptr, 10));
+    if (at != std::string_view::npos) {
+      std::string seconds(Value.substr(at + Key.size()));
+      idle = std::chrono::seconds(
+          std::min(std::strtoul(seconds.c_str(), nullptr, 10), MaxIdleSeconds));
+    }
     KeepFor = idle > IdleMargin ? idle - IdleMargin : Millis(0);
   }
 
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -100,6 +100,78 @@
   CHECK(model.DiskLoad == Millis(6'000));
 }
 
+// Numbers over 32 bits were truncated: weights and slots became 0, and a limit
+// of 2^32 bytes refused every request.
+TEST_CASE("numbers of a table that are too large to tell apart stay large") {
+  const std::string numbers[] = {"4294967296", "8589934592", "9007199254740993",
+                                 "1e18", "1e300"};
+  for (const std::string &it : numbers) {
+    INFO(it);
+    std::string problem;
+    std::string text =
+        R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/",)"
+        R"("kind":"idempotent","timeout-ms":N,"slo-ms":N,"gap-target-ms":N,)"
+        R"("priority":N,"max-attempts":N,"split":[{"service":"s","weight":N},)"
+        R"({"service":"s","weight":1}]}],"services":[{"name":"s",)"
+        R"("max-conns":N,"engine":{"slots":N,"kv-tokens":N,"weights-mb":N,)"
+        R"("adapter-slots":N,"loads-per-s":N,"models":[{"name":"m",)"
+        R"("weights-mb":N,"load-s":N,"adapters":N,"adapter-mb":N}]}}],)"
+        R"("limits":{"max-header-bytes":N,"max-body-bytes":N,)"
+        R"("header-timeout-ms":N,"idle-timeout-ms":N},"tenants":[{"name":"t",)"
+        R"("api-keys":["k"],"priority":N,"plain-tokens":N,"rate-per-s":N,)"
+        R"("burst":N}]})";
+    for (size_t at = text.find(":N"); at != std::string::npos;
+         at = text.find(":N", at))
+      text.replace(at + 1, 1, it);
+    ServingTablePtr table = platform::readTable(text, problem);
+    INFO(problem);
+    REQUIRE(table);
+    constexpr uint32_t Large = 4'294'967'295;
+    const ServingRoute &route = table->Routes.front();
+    CHECK(route.Services.front().Weight == Large);
+    CHECK(route.MaxAttempts == Large);
+    CHECK(route.Priority == Large);
+    CHECK(route.Timeout > std::chrono::hours(24));
+    const EngineSpec &engine = *table->Services.at("s").Engine;
+    CHECK(engine.Slots == Large);
+    CHECK(engine.AdapterSlots == Large);
+    CHECK(engine.KvTokens >= Large);
+    CHECK(engine.Models.at("m").AdapterCount == Large);
+    CHECK(table->Limits.HeadBytes == Large);
+    CHECK(table->Limits.BodyBytes >= Large);
+    CHECK(table->Organisations.front().Priority == Large);
+    CHECK(table->Organisations.front().RatePerSecond >= Large);
+  }
+}
+
+TEST_CASE("numbers of a table that are small or 0 refuse no request") {
+  std::string problem;
+  std::string text = tableWith(route(R"(,"service":"s")"),
+                               R"(,"limits":{"max-header-bytes":0,)"
+                               R"("max-body-bytes":0,"header-timeout-ms":0,)"
+                               R"("idle-timeout-ms":0})");
+  const std::string timeout = "\"timeout-ms\":500";
+  text.replace(text.find(timeout), timeout.size(), "\"timeout-ms\":0.5");
+  ServingTablePtr table = platform::readTable(text, problem);
+  INFO(problem);
+  REQUIRE(table);
+  CHECK(table->Routes.front().Timeout == Millis(1));
+  const CallerLimits defaults;
+  CHECK(table->Limits.HeadBytes == defaults.HeadBytes);
+  CHECK(table->Limits.BodyBytes == defaults.BodyBytes);
+  CHECK(table->Limits.HeadTime == defaults.HeadTime);
+  CHECK(table->Limits.IdleTime == defaults.IdleTime);
+}
+
+TEST_CASE("caller's deadline that is too long is a long one") {
+  for (const char *it : {"9223372036854775808", "18446744073709551615"}) {
+    HttpRequest request{"GET", "/", {{"sassafrasseam-deadline-ms", it}}, ""};
+    auto fields = platform::extractCallerFields(request);
+    REQUIRE(fields.TimeLeft);
+    CHECK(*fields.TimeLeft > std::chrono::hours(1));
+  }
+}
+
 TEST_CASE("announcement is accepted only if all of its fields can be parsed") {
   const std::string good =
       R"("service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
