--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agent_state.h"
 #include "agent/announcement.h"
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/metrics.h"
 #include "core/role_actor.h"
@@ -303,7 +304,9 @@
   State.View.ControlAddresses = Options.Control;
   State.View.NextNumber = incarnation;
   std::function<void(AgentEvent &)> handleEvent =
-      [self = shared_from_this()](AgentEvent &it) { self->handleEvent(it); };
+      [self = shared_from_this()](AgentEvent &it) {
+        runGuarded(self->Counts, "agent_event", [&] { self->handleEvent(it); });
+      };
   Role = System.spawn(makeRoleBehavior<AgentEvent>, handleEvent,
                       AgentEvent(AgentTick{}), TickPeriod);
   scheduleSilenceProbe();
--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -1,6 +1,7 @@
 #include "control/control_shell.h"
 
 #include "control/control_state.h"
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/metrics.h"
 #include "core/role_actor.h"
@@ -191,7 +192,12 @@
   if (!Peers->start(Problem) || !restore(Problem) || !startHttp(Problem))
     return false;
   std::function<void(ControlEvent &)> handleEvent =
-      [self = shared_from_this()](ControlEvent &it) { self->handleEvent(it); };
+      [self = shared_from_this()](ControlEvent &it) {
+        // A member whose state may be half changed must not vote or reply.
+        if (!runGuarded(self->Counts, "control_event",
+                        [&] { self->handleEvent(it); }))
+          std::abort();
+      };
   Role = System.spawn(makeRoleBehavior<ControlEvent>, handleEvent,
                       ControlEvent(ControlTick{}), TickPeriod);
   return true;
--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -1,5 +1,6 @@
 #include "control/serving_group.h"
 
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/logging.h"
 #include "core/metrics.h"
@@ -39,6 +40,7 @@
   bool openStore();
   bool applyEffect(StoreEffect &Effect);
   void handleDiskFailure();
+  void closeStore();
   void reportUnavailable(const StoreEvent &Event);
   void postResult(StoreResult Result);
   void publishTable(StorePublish Table);
@@ -97,16 +99,21 @@
   return true;
 }
 
-/// Fails the pending writes and closes the data folder. Everything acknowledged
-/// is on the disk, so the member can stop taking part in the group; its peers
-/// continue without it.
 void ServingGroup::Impl::handleDiskFailure() {
   Counts.count("disk_failures_total");
   logEvent(
       LogLevel::Error, "disk_failed",
       {{"file", Disk->lastError().File}, {"reason", Disk->lastError().Reason}});
-  for (const PendingWrite &it : Store->Pending)
-    postResult({it.Number, StoreOutcome::Unavailable, 0, {}});
+  closeStore();
+}
+
+/// Fails the pending writes and closes the data folder. Everything acknowledged
+/// is on the disk, so the member can stop taking part in the group; its peers
+/// continue without it.
+void ServingGroup::Impl::closeStore() {
+  if (Store)
+    for (const PendingWrite &it : Store->Pending)
+      postResult({it.Number, StoreOutcome::Unavailable, 0, {}});
   Store.reset();
   Disk.reset();
   NextOpenAttempt = Clock::now() + ReopenDelay;
@@ -210,8 +217,14 @@
 ServingGroup::~ServingGroup() { close(); }
 
 void ServingGroup::start() {
-  std::function<void(StoreEvent &)> handleEvent =
-      [data = Data](StoreEvent &it) { data->handleEvent(it); };
+  std::function<void(StoreEvent &)> handleEvent = [data =
+                                                       Data](StoreEvent &it) {
+    // The state may be half changed: it is read from the disk again.
+    if (!runGuarded(data->Counts, "group", [&] { data->handleEvent(it); })) {
+      data->reportUnavailable(it);
+      data->closeStore();
+    }
+  };
   Data->Role = Data->System.spawn(makeRoleBehavior<StoreEvent>, handleEvent,
                                   StoreEvent(StoreTick{}), TickPeriod);
 }
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -1,5 +1,6 @@
 #include "engine_agent/engine_agent_shell.h"
 
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/logging.h"
 #include "core/metrics.h"
@@ -225,10 +226,14 @@
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
   callbacks.OnEnd = [self = shared_from_this(), text, status, stated] {
     self->IsPolling = false;
-    if (*status == StatusOk)
-      self->handleStateResponse(*text, *stated);
-    else
-      self->handleEngineLoss("HTTP status " + std::to_string(*status));
+    bool isHandled = runGuarded(self->Counts, "engine_state", [&] {
+      if (*status == StatusOk)
+        self->handleStateResponse(*text, *stated);
+      else
+        self->handleEngineLoss("HTTP status " + std::to_string(*status));
+    });
+    if (!isHandled)
+      self->schedulePoll(IdlePollInterval);
   };
   callbacks.OnFailure = [self = shared_from_this()](HttpFailure Failure) {
     self->IsPolling = false;
@@ -441,6 +446,12 @@
   if (IsStopping)
     return;
   TimePoint now = Clock::now();
+  HeartbeatTimer.expires_after(
+      now - StartedAt < StartupPhase ? StartupRosterInterval : RosterInterval);
+  HeartbeatTimer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec)
+      self->sendHeartbeat();
+  });
   std::vector<std::string> targets;
   for (const auto &[name, it] : Fronts.Nodes)
     if (isInView(it, now) && it.Entry.zone() == Options.Zone)
@@ -454,12 +465,6 @@
   if (!targets.empty())
     Peers->send(targets[NextFront++ % targets.size()], message);
   expireNodes(Fronts, now);
-  HeartbeatTimer.expires_after(
-      now - StartedAt < StartupPhase ? StartupRosterInterval : RosterInterval);
-  HeartbeatTimer.async_wait([self = shared_from_this()](auto ec) {
-    if (!ec)
-      self->sendHeartbeat();
-  });
 }
 
 void EngineAgentShell::stop() {
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_shell.h"
 
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/metrics.h"
 #include "core/role_actor.h"
@@ -313,7 +314,9 @@
   State.View.NextNumber = Incarnation;
   State.Tokens.NextNumber = Incarnation;
   std::function<void(EntryEvent &)> handleEvent =
-      [self = shared_from_this()](EntryEvent &it) { self->handleEvent(it); };
+      [self = shared_from_this()](EntryEvent &it) {
+        runGuarded(self->Counts, "entry_event", [&] { self->handleEvent(it); });
+      };
   Role = System.spawn(makeRoleBehavior<EntryEvent>, handleEvent,
                       EntryEvent(EntryTick{}), TickPeriod);
   return true;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -2,6 +2,7 @@
 
 #include "control/serving_group.h"
 #include "core/compress.h"
+#include "core/guard.h"
 #include "core/hash.h"
 #include "core/logging.h"
 #include "core/metrics.h"
@@ -106,6 +107,7 @@
   bool isReady() const;
   std::string leaderControlAddress() const;
   void tick();
+  void sweep(TimePoint Now);
   void sendNotices(TimePoint Now);
   void updatePermits(TimePoint Now);
   void dispatchWaiting();
@@ -288,8 +290,15 @@
               {"has_table", Core.State.Table ? "yes" : "no"},
               {"longest_wait_ms",
                std::to_string(toMillis(Now - early.front().ArrivedAt))}});
-  for (EarlyRequest &it : early)
-    handleRequest(std::move(it.Message), it.Exchange, it.ArrivedAt);
+  for (EarlyRequest &it : early) {
+    bool isHandled = runGuarded(Counts, "request", [&] {
+      handleRequest(std::move(it.Message), it.Exchange, it.ArrivedAt);
+    });
+    if (isHandled)
+      continue;
+    handleLoss(it.Exchange.get(), HttpLoss::Failed);
+    it.Exchange->abort();
+  }
 }
 
 void FrontShell::handleRequest(HttpRequest Request,
@@ -634,43 +643,52 @@
 void FrontShell::tick() {
   if (IsExiting)
     return;
+  // The next tick comes also if a task of this one fails. Each task is run by
+  // itself, so that one that always fails does not keep the others from it.
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec)
+      self->tick();
+  });
   TimePoint now = Clock::now();
-  updatePermits(now);
+  auto run = [&](const char *Task, auto Act) {
+    runGuarded(Counts, Task, [&] { Act(now); });
+  };
+  run("permits", [&](TimePoint Now) { updatePermits(Now); });
   if (IsDispatchDue || isPast(NextDispatch, now)) {
     IsDispatchDue = false;
     NextDispatch = now + MaxDispatchInterval;
-    dispatchWaiting();
+    run("dispatch", [&](TimePoint) { dispatchWaiting(); });
   }
-  handleHeldRequests(now);
-  sendNotices(now);
+  run("held_requests", [&](TimePoint Now) { handleHeldRequests(Now); });
+  run("notices", [&](TimePoint Now) { sendNotices(Now); });
   if (isPast(NextHeartbeat, now))
-    runHeartbeat(now);
+    run("heartbeat", [&](TimePoint Now) { runHeartbeat(Now); });
   if (View.IsLeader)
-    runLeaderTasks(now);
-  if (isPast(NextSweep, now)) {
-    NextSweep = now + SweepPeriod;
-    Core.Client.closeExpired();
-    logNodeChanges(now);
-    logQuotaTallies(Core.State, now);
-    if (View.IsLeader)
-      logPoolTallies(Leader);
-    expireNodes(Core.State.Roster, now);
-    expireEndpoints(Core.State.Directory, now);
-    expireFeatures(Core.State.Quarantine, now);
-    expireStatements(Core.State, now);
-    expireStreamOrigins(Core.State, now);
-    std::erase_if(Core.State.NextAdapterRequests,
-                  [&](const auto &it) { return isPast(it.second, now); });
-  }
+    run("leader", [&](TimePoint Now) { runLeaderTasks(Now); });
+  if (isPast(NextSweep, now))
+    run("sweep", [&](TimePoint Now) { sweep(Now); });
   if (isPast(NextStatistics, now))
-    logStatistics(now);
+    run("statistics", [&](TimePoint Now) { logStatistics(Now); });
   if (Core.State.IsStopping)
-    stopIfDone(now);
-  Timer.expires_after(TickPeriod);
-  Timer.async_wait([self = shared_from_this()](auto ec) {
-    if (!ec)
-      self->tick();
-  });
+    run("stop", [&](TimePoint Now) { stopIfDone(Now); });
+}
+
+/// Drops what has expired.
+void FrontShell::sweep(TimePoint Now) {
+  NextSweep = Now + SweepPeriod;
+  Core.Client.closeExpired();
+  logNodeChanges(Now);
+  logQuotaTallies(Core.State, Now);
+  if (View.IsLeader)
+    logPoolTallies(Leader);
+  expireNodes(Core.State.Roster, Now);
+  expireEndpoints(Core.State.Directory, Now);
+  expireFeatures(Core.State.Quarantine, Now);
+  expireStatements(Core.State, Now);
+  expireStreamOrigins(Core.State, Now);
+  std::erase_if(Core.State.NextAdapterRequests,
+                [&](const auto &it) { return isPast(it.second, Now); });
 }
 
 void FrontShell::sendNotices(TimePoint Now) {
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -1,5 +1,6 @@
 #include "front/relay.h"
 
+#include "core/guard.h"
 #include "core/logging.h"
 #include "core/metrics.h"
 #include "front/crash_notices.h"
@@ -29,6 +30,7 @@
 constexpr size_t MaxEventBytes = 256ULL * 1024;
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusClientClosed = 499; ///< For the log only.
+constexpr unsigned StatusInternalError = 500;
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
@@ -65,11 +67,23 @@
   dispatch();
 }
 
+/// Runs a step of the request. If it fails, the request ends, and with it all
+/// that the step may have left half done for it.
+template <class Function> void Relay::guard(Function Step) {
+  auto keepAlive = shared_from_this();
+  if (runGuarded(Core.Counts, "relay", Step) || IsOver)
+    return;
+  Request.Runs += Call != nullptr;
+  runGuarded(Core.Counts, "relay_end", [&] {
+    refuse({RefusalReason::EndpointFailed, {}});
+  });
+}
+
 void Relay::startDeadlineTimer(TimePoint At) {
   Timer.expires_after(At - Clock::now());
   Timer.async_wait([self = shared_from_this()](auto ec) {
     if (!ec && !self->IsOver)
-      self->handleDeadline();
+      self->guard([&] { self->handleDeadline(); });
   });
 }
 
@@ -100,7 +114,8 @@
 void Relay::dispatch() {
   if (IsOver || Call)
     return;
-  applyResult(decideDispatch(Core.State, Request, Clock::now()));
+  guard(
+      [&] { applyResult(decideDispatch(Core.State, Request, Clock::now())); });
 }
 
 void Relay::applyResult(const DispatchResult &Result) {
@@ -178,14 +193,14 @@
     return false;
   };
   callbacks.OnHead = [self](HttpResponseHead Head) {
-    self->handleHead(std::move(Head));
+    self->guard([&] { self->handleHead(std::move(Head)); });
   };
   callbacks.OnBody = [self](std::string_view Bytes) {
-    self->handleBody(Bytes);
+    self->guard([&] { self->handleBody(Bytes); });
   };
-  callbacks.OnEnd = [self] { self->handleEnd(); };
+  callbacks.OnEnd = [self] { self->guard([&] { self->handleEnd(); }); };
   callbacks.OnFailure = [self](HttpFailure CallFailure) {
-    self->handleFailure(CallFailure);
+    self->guard([&] { self->handleFailure(CallFailure); });
   };
   HttpCallOptions options{std::min(ConnectTimeout, left), left + ConnectTimeout,
                           Request.IsRepeatable ? MaxIdle
@@ -592,12 +607,19 @@
     Call.reset();
     recordExchangeEnd(Core.State, Request, Endpoint);
   }
-  bool isGone = Loss == HttpLoss::CallerGone;
-  if (isGone)
+  switch (Loss) {
+  case HttpLoss::CallerGone:
     Core.Counts.count("callers_gone_total", stage);
-  else
+    finish("caller_gone", StatusClientClosed);
+    return;
+  case HttpLoss::SlowReader:
     Core.Counts.count("slow_readers_total");
-  finish(isGone ? "caller_gone" : "slow_reader", StatusClientClosed);
+    finish("slow_reader", StatusClientClosed);
+    return;
+  case HttpLoss::Failed:
+    finish("internal_error", StatusInternalError);
+    return;
+  }
 }
 
 void Relay::finish(const std::string &Outcome, unsigned Status) {
--- a/front/relay.h
+++ b/front/relay.h
@@ -44,6 +44,7 @@
   void handleRoom();
 
 private:
+  template <class Function> void guard(Function Step);
   void startDeadlineTimer(TimePoint At);
   void handleDeadline();
   void applyResult(const DispatchResult &Result);
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "core/guard.h"
 #include "core/metrics.h"
 #include "core/time.h"
 #include "http/address.h"
@@ -48,6 +49,7 @@
 /// Limit of the bytes of a body's framing, such as a chunk's extensions, that
 /// are kept until they are complete.
 constexpr size_t MaxFramingBytes = 16ULL * 1024;
+constexpr unsigned StatusInternalError = 500;
 constexpr size_t BodyReadSize = 16ULL * 1024;
 /// Up to this size, the string of a body with a length is not moved as it
 /// grows.
@@ -162,6 +164,7 @@
   uint64_t inputBytes() const;
   bool hasAmbiguousFraming() const;
   void dispatchRequest();
+  void failRequest(HttpExchange &Failed);
   void watchForDisconnect();
   void handleReadable(uint64_t Number, beast::error_code Error);
   bool isDisconnected();
@@ -193,6 +196,7 @@
   bool IsHttp10 = false;
   bool KeepAlive = false;
   bool IsHeadRequest = false;
+  bool HasOutput = false;   ///< Of the current request.
   bool IsLingering = false; ///< The caller may still be sending.
   size_t LingerBytes = 0;
   std::weak_ptr<HttpExchange> Exchange;
@@ -317,7 +321,9 @@
           return;
         }
         self->Buffer.commit(n);
-        self->readHead();
+        if (!runGuarded(self->Server->Counts, "request_read",
+                        [&] { self->readHead(); }))
+          self->Stream.close();
       });
 }
 
@@ -342,10 +348,14 @@
       Buffer.prepare(Size),
       [self = shared_from_this()](beast::error_code ec, size_t n) {
         self->Buffer.commit(n);
-        if (ec)
-          self->handleReadError(ec);
-        else
-          self->parse();
+        bool isHandled = runGuarded(self->Server->Counts, "request_read", [&] {
+          if (ec)
+            self->handleReadError(ec);
+          else
+            self->parse();
+        });
+        if (!isHandled)
+          self->Stream.close();
       });
 }
 
@@ -489,6 +499,7 @@
   IsHttp10 = Parser->Version < 11;
   KeepAlive = Parser->keep_alive();
   IsHeadRequest = request.Method == "HEAD";
+  HasOutput = false;
   ++RequestNumber;
   IsResponding = true;
   IsEndQueued = false;
@@ -499,7 +510,25 @@
   Stream.expires_never();
   Server->Counts.count("http_requests_total");
   watchForDisconnect();
-  Server->Callbacks.OnRequest(std::move(request), std::move(exchange));
+  bool isHandled = runGuarded(Server->Counts, "request", [&] {
+    Server->Callbacks.OnRequest(std::move(request), exchange);
+  });
+  if (!isHandled)
+    failRequest(*exchange);
+}
+
+/// Ends a request whose handler failed. The handler may have passed it on, so
+/// that the response does not say that it did not run.
+void Session::failRequest(HttpExchange &Failed) {
+  runGuarded(Server->Counts, "request_failure",
+             [&] { Server->Callbacks.OnLoss(&Failed, HttpLoss::Failed); });
+  // Has no effect if the handler has responded before it failed.
+  if (HasOutput)
+    Failed.abort();
+  else
+    Failed.respond(StatusInternalError, {{"content-type", "application/json"}},
+                   R"({"error":{"reason":"internal_error","ran":"unknown"}})"
+                   "\n");
 }
 
 /// Detects a caller that disconnects before its response is complete.
@@ -579,6 +608,7 @@
   if (Number != RequestNumber || !IsResponding || IsEndQueued)
     return;
   IsEndQueued = IsEnd;
+  HasOutput = true;
   if (!Bytes.empty()) {
     OutputBytes += Bytes.size();
     Output.push_back(std::move(Bytes));
@@ -723,7 +753,9 @@
         Socket.set_option(Tcp::no_delay(true), ignored);
         ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                      &UserTimeoutMs, sizeof UserTimeoutMs);
-        std::make_shared<Session>(std::move(Socket), self)->waitForRequest();
+        runGuarded(self->Counts, "accept", [&] {
+          std::make_shared<Session>(std::move(Socket), self)->waitForRequest();
+        });
         self->accept();
       });
 }
--- a/http/server.h
+++ b/http/server.h
@@ -65,7 +65,11 @@
 };
 
 /// Why an exchange ended before its response was complete.
-enum class HttpLoss { CallerGone, SlowReader };
+enum class HttpLoss {
+  CallerGone,
+  SlowReader,
+  Failed, ///< The handler threw; the server responds.
+};
 
 class HttpServer {
 public:
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -2,6 +2,7 @@
 /// The daemon. Each process of a fleet runs the role that its settings select.
 #include "agent/agent_shell.h"
 #include "control/control_shell.h"
+#include "core/guard.h"
 #include "core/metrics.h"
 #include "engine_agent/engine_agent_shell.h"
 #include "entry/entry_shell.h"
@@ -241,7 +242,10 @@
   stopOnSignal(signals, *shell);
   SettingsWatcher watcher(io, Options.SettingsFile, *shell);
   watcher.start();
-  io.run();
+  // Each role ends what a failed handler was working on; an exception that gets
+  // here has left nothing open that the process knows of.
+  while (!runGuarded(counts, "event_loop", [&] { io.run(); }))
+    ;
   logEvent(LogLevel::Info, "stopped");
   return ExitOk;
 }
--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -12,6 +12,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
 #include <thread>
 
 using namespace sassafras;
@@ -31,7 +32,7 @@
 
 /// Server that responds with the method, target and body of the request. Target
 /// /stream gets a streamed response, /broken one that is aborted, /field the
-/// length of field x.
+/// length of field x; the handlers of /fails and /fails-late throw.
 class EchoServer {
 public:
   explicit EchoServer(const HttpLimits &Limits = smallLimits())
@@ -98,6 +99,12 @@
         Exchange->start(200, {});
         Exchange->write("one ");
         Exchange->abort();
+      } else if (Request.Target == "/fails") {
+        throw std::runtime_error("fails");
+      } else if (Request.Target == "/fails-late") {
+        Exchange->start(200, {});
+        Exchange->write("one ");
+        throw std::runtime_error("fails late");
       } else if (Request.Target == "/field") {
         Exchange->respond(200, {},
                           std::to_string(fieldOf(Request.Fields, "x").size()));
@@ -269,3 +276,21 @@
                             "\r\n\r\n"),
             "HTTP/1.1 431"));
 }
+
+TEST_CASE("handler that throws ends its own request only") {
+  EchoServer server;
+  for (int i = 0; i < 3; ++i) {
+    std::string response =
+        server.exchange("GET /fails HTTP/1.1\r\nHost: h\r\n\r\n");
+    INFO(response);
+    CHECK(has(response, "HTTP/1.1 500"));
+    CHECK(has(response, "\"ran\":\"unknown\""));
+    response = server.exchange("GET /fails-late HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(has(response, "4\r\none \r\n"));
+    CHECK_FALSE(has(response, "0\r\n\r\n"));
+    // The connection goes on after an answer, also after this one.
+    response = server.exchange("GET /fails HTTP/1.1\r\nHost: h\r\n\r\n"
+                               "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(has(response, "HTTP/1.1 200"));
+  }
+}
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -1,5 +1,6 @@
 #include "wire/link.h"
 
+#include "core/guard.h"
 #include "core/logging.h"
 #include "core/metrics.h"
 #include "core/time.h"
@@ -117,7 +118,7 @@
     refuseMessage(message, "unknown protocol version");
     return;
   }
-  OnMessage(std::move(message));
+  runGuarded(Counts, "peer_message", [&] { OnMessage(std::move(message)); });
 }
 
 void Link::Impl::refuseMessage(const wire::Envelope &Message,
