--- a/tests/wire/test_link.cpp
+++ b/tests/wire/test_link.cpp
@@ -7,6 +7,10 @@
 #include <catch2/catch.hpp>
 #include <zmq.hpp>
 
+#include <atomic>
+#include <csignal>
+#include <thread>
+
 using namespace sassafras;
 
 namespace {
@@ -103,3 +107,42 @@
   CHECK_FALSE(taken.start(problem));
   CHECK(problem.find(pair.A.address()) != std::string::npos);
 }
+
+// ZeroMQ allows 1,023 sockets; the next one ended the process.
+TEST_CASE("link to more peers than there are sockets goes on") {
+  constexpr int PeerCount = 1'100;
+  LinkPair pair("fleet", "fleet");
+  for (int i = 0; i < PeerCount; ++i)
+    pair.A.send("127.9." + std::to_string(i / 250) + "." +
+                    std::to_string(1 + i % 250) + ":9",
+                makeHeartbeat(1));
+  pair.A.send(pair.B.address(), makeHeartbeat(7));
+  REQUIRE(pair.runUntil([&] { return pair.AtB.size() == 1; }));
+  CHECK(pair.AtB[0].heartbeat().number() == 7);
+}
+
+// A signal that interrupted the receiving call ended the process.
+TEST_CASE("link receives while signals interrupt it") {
+  struct sigaction action {};
+  struct sigaction before {};
+  action.sa_handler = [](int) {};
+  sigaction(SIGUSR1, &action, &before);
+  LinkPair pair("fleet", "fleet");
+  std::atomic<bool> isOver{false};
+  pthread_t receiver = pthread_self();
+  std::thread interrupter([&] {
+    while (!isOver) {
+      pthread_kill(receiver, SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::microseconds(20));
+    }
+  });
+  size_t sent = 0;
+  for (int round = 0; round < 40; ++round) {
+    for (int i = 0; i < 500; ++i, ++sent)
+      pair.A.send(pair.B.address(), makeHeartbeat(sent));
+    CHECK(pair.runUntil([&] { return pair.AtB.size() == sent; }));
+  }
+  isOver = true;
+  interrupter.join();
+  sigaction(SIGUSR1, &before, nullptr);
+}
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <zmq.hpp>
 
+#include <algorithm>
+#include <cerrno>
 #include <map>
 
 namespace sassafras {
@@ -35,6 +37,14 @@
 /// A peer's socket is closed if nothing was sent to it for this long, which is
 /// checked at the same interval. An open socket costs heartbeats.
 constexpr std::chrono::seconds PeerIdleTimeout{10};
+/// Peers with an open socket; beyond it the one that was unused for longest is
+/// closed.
+constexpr size_t MaxPeers = 900;
+/// Limit of ZeroMQ's sockets. A closed one counts until its queued messages are
+/// sent.
+constexpr int MaxSockets = 4096;
+/// Delay before messages are received again after an unexpected error.
+constexpr Millis ReceiveRetryDelay{20};
 /// Maximum number of messages received before other work of the thread runs.
 constexpr int ReceiveBatch = 256;
 
@@ -43,16 +53,23 @@
   TimePoint LastUse;
 };
 
+bool isInterrupted(const zmq::error_t &Error) { return Error.num() == EINTR; }
+
 } // namespace
 
 struct Link::Impl : std::enable_shared_from_this<Link::Impl> {
   Impl(asio::io_context &Io, LinkSelf Self, Metrics &Counts, Handler OnMessage)
       : Io(Io), Self(std::move(Self)), Counts(Counts),
-        OnMessage(std::move(OnMessage)), Context(1),
-        Inbox(Context, zmq::socket_type::pull), Descriptor(Io), Timer(Io) {}
+        OnMessage(std::move(OnMessage)), Context(1, MaxSockets),
+        Inbox(Context, zmq::socket_type::pull), Descriptor(Io), Timer(Io),
+        ReceiveTimer(Io) {}
 
   void waitReadable();
   void receiveBatch();
+  bool receive(zmq::message_t &Bytes);
+  void retryReceive();
+  Peer *findPeer(const std::string &Address);
+  void closeOldestPeer();
   void handleMessage(const zmq::message_t &Bytes);
   void refuseMessage(const wire::Envelope &Message, const std::string &Reason);
   void deliver(const std::string &Address, wire::Envelope &Message);
@@ -67,6 +84,7 @@
   zmq::socket_t Inbox;
   asio::posix::stream_descriptor Descriptor;
   asio::steady_timer Timer;
+  asio::steady_timer ReceiveTimer;
   std::map<std::string, Peer> Peers;
   bool IsClosed = false;
 };
@@ -79,11 +97,38 @@
                         });
 }
 
+/// Receives the next message. False if there is none. A signal may interrupt
+/// the call at any time.
+bool Link::Impl::receive(zmq::message_t &Bytes) {
+  for (;;) {
+    try {
+      return Inbox.recv(Bytes, zmq::recv_flags::dontwait).has_value();
+    } catch (const zmq::error_t &error) {
+      if (!isInterrupted(error))
+        throw;
+    }
+  }
+}
+
+/// Receives again later, as the descriptor reports a message only once.
+void Link::Impl::retryReceive() {
+  ReceiveTimer.expires_after(ReceiveRetryDelay);
+  ReceiveTimer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec && !self->IsClosed)
+      self->receiveBatch();
+  });
+}
+
 void Link::Impl::receiveBatch() {
   for (int i = 0; i < ReceiveBatch; ++i) {
     zmq::message_t bytes;
-    auto n = Inbox.recv(bytes, zmq::recv_flags::dontwait);
-    if (!n) {
+    bool hasMessage = false;
+    if (!runGuarded(Counts, "peer_receive",
+                    [&] { hasMessage = receive(bytes); })) {
+      retryReceive();
+      return;
+    }
+    if (!hasMessage) {
       waitReadable();
       return;
     }
@@ -133,11 +178,25 @@
   deliver(Message.reply_address(), refusal);
 }
 
-void Link::Impl::deliver(const std::string &Address, wire::Envelope &Message) {
-  if (IsClosed || Address.empty())
+void Link::Impl::closeOldestPeer() {
+  auto oldest = std::min_element(Peers.begin(), Peers.end(),
+                                 [](const auto &A, const auto &B) {
+                                   return A.second.LastUse < B.second.LastUse;
+                                 });
+  if (oldest == Peers.end())
     return;
+  Peers.erase(oldest);
+  Counts.count("link_peers_closed_total", "reason=\"limit\"");
+}
+
+/// The peer at \p Address, connected if it is new. Null if that fails.
+Peer *Link::Impl::findPeer(const std::string &Address) {
   auto it = Peers.find(Address);
-  if (it == Peers.end()) {
+  if (it != Peers.end())
+    return &it->second;
+  if (Peers.size() >= MaxPeers)
+    closeOldestPeer();
+  try {
     zmq::socket_t socket(Context, zmq::socket_type::push);
     socket.set(zmq::sockopt::sndhwm, QueueLimit);
     socket.set(zmq::sockopt::linger, LingerMs);
@@ -146,15 +205,27 @@
     socket.set(zmq::sockopt::connect_timeout, ConnectTimeoutMs);
     socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatMs);
     socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMs);
-    try {
-      socket.connect("tcp://" + Address);
-    } catch (const zmq::error_t &) {
-      Counts.count("link_dropped_total", "reason=\"bad_address\"");
-      return;
-    }
-    it = Peers.emplace(Address, Peer{std::move(socket), Clock::now()}).first;
+    socket.connect("tcp://" + Address);
+    Peer peer{std::move(socket), Clock::now()};
+    return &Peers.emplace(Address, std::move(peer)).first->second;
+  } catch (const zmq::error_t &error) {
+    // The address is not one, or sockets or descriptors are used up.
+    bool isShort = error.num() == EMFILE || error.num() == ENFILE;
+    Counts.count("link_dropped_total",
+                 isShort ? "reason=\"no_socket\"" : "reason=\"bad_address\"");
+    if (isShort)
+      closeOldestPeer();
+    return nullptr;
   }
-  it->second.LastUse = Clock::now();
+}
+
+void Link::Impl::deliver(const std::string &Address, wire::Envelope &Message) {
+  if (IsClosed || Address.empty())
+    return;
+  Peer *peer = findPeer(Address);
+  if (!peer)
+    return;
+  peer->LastUse = Clock::now();
   Message.set_fleet(Self.Fleet);
   Message.set_version(ProtocolVersion);
   Message.set_from(Self.Node);
@@ -165,10 +236,20 @@
   Counts.count("link_sent_bytes_total",
                "kind=\"" + std::to_string(Message.body_case()) + "\"",
                bytes.size());
-  auto n =
-      it->second.Socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-  if (!n)
-    Counts.count("link_dropped_total", "reason=\"queue_full\"");
+  for (;;) {
+    try {
+      if (!peer->Socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
+        Counts.count("link_dropped_total", "reason=\"queue_full\"");
+      return;
+    } catch (const zmq::error_t &error) {
+      if (isInterrupted(error))
+        continue;
+      Counts.count("link_dropped_total", "reason=\"send_failed\"");
+      logEvent(LogLevel::Warning, "peer_send_failed",
+               {{"address", Address}, {"reason", error.what()}});
+      return;
+    }
+  }
 }
 
 void Link::Impl::closeIdlePeers() {
@@ -229,6 +310,7 @@
     return;
   data.IsClosed = true;
   data.Timer.cancel();
+  data.ReceiveTimer.cancel();
   if (data.Descriptor.is_open())
     data.Descriptor.release();
   data.Peers.clear();
