--- a/main/main.cpp
+++ b/main/main.cpp
@@ -18,10 +18,8 @@
 #include <cinttypes>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <getopt.h>
 #include <malloc.h>
-#include <sstream>
 
 namespace sassafras {
 
@@ -139,22 +137,16 @@
 /// since it may be replaced without a signal.
 constexpr Millis SettingsPollInterval{1'000};
 
-std::string readFile(const std::string &File) {
-  std::ifstream in(File, std::ios::binary);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 /// Reloads the settings file when its content changes. An empty or unreadable
 /// file is ignored; an invalid one is logged. In both cases the current
 /// settings stay in effect.
 class SettingsWatcher {
 public:
+  /// \p Text: content of \p File that the role has started with.
   SettingsWatcher(boost::asio::io_context &Io, std::string File,
-                  RoleShell &Shell)
+                  std::string Text, RoleShell &Shell)
       : File(std::move(File)), Shell(Shell), Timer(Io), Signals(Io, SIGHUP),
-        LastText(readFile(this->File)) {}
+        LastText(std::move(Text)) {}
 
   void start() {
     scheduleCheck();
@@ -182,12 +174,12 @@
   }
 
   void reloadIfChanged() {
-    std::string text = readFile(File);
+    std::string text = readTextFile(File).value_or("");
     if (text == LastText || text.empty())
       return;
     LastText = text;
     SettingsProblem problem;
-    auto settings = readSettings(File, problem);
+    auto settings = parseSettings(text, File, problem);
     if (!settings) {
       logEvent(LogLevel::Error, "reload_refused",
                {{"reason", describe(problem)}});
@@ -221,7 +213,8 @@
 }
 
 /// Runs the role until it has stopped gracefully. Returns the exit code.
-int runRole(const Settings &Settings, const Options &Options) {
+int runRole(const Settings &Settings, const std::string &SettingsText,
+            const Options &Options) {
   Metrics counts;
   boost::asio::io_context io;
   caf::actor_system_config config;
@@ -240,7 +233,7 @@
   logEvent(LogLevel::Info, "started", {{"version", VersionText}});
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   stopOnSignal(signals, *shell);
-  SettingsWatcher watcher(io, Options.SettingsFile, *shell);
+  SettingsWatcher watcher(io, Options.SettingsFile, SettingsText, *shell);
   watcher.start();
   // Each role ends what a failed handler was working on; an exception that gets
   // here has left nothing open that the process knows of.
@@ -254,8 +247,12 @@
   Options options;
   if (auto code = readOptions(Argc, Argv, options))
     return *code;
+  // Its handler is installed once the role runs. Until then it means nothing,
+  // as the watcher compares the file with the text that is read here.
   SettingsProblem problem;
-  auto settings = readSettings(options.SettingsFile, problem);
+  auto text = readTextFile(options.SettingsFile);
+  auto settings = text ? parseSettings(*text, options.SettingsFile, problem)
+                       : readSettings(options.SettingsFile, problem);
   if (!settings) {
     std::fprintf(stderr, "sassafrasd: %s\n", describe(problem).c_str());
     return ExitUsage;
@@ -267,7 +264,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   startLogging(settings->Level, settings->Node);
   configureAllocator();
-  return runRole(*settings, options);
+  return runRole(*settings, *text, options);
 }
 
 } // namespace
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -4,7 +4,9 @@
 
 #include <toml++/toml.h>
 
+#include <fstream>
 #include <set>
+#include <sstream>
 
 namespace sassafras {
 
@@ -300,12 +302,33 @@
   return text + ": " + Problem.Reason;
 }
 
+std::optional<std::string> readTextFile(const std::string &File) {
+  std::ifstream in(File, std::ios::binary);
+  if (!in)
+    return std::nullopt;
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
 std::optional<Settings> readSettings(const std::string &File,
                                      SettingsProblem &Problem) {
   Problem.File = File;
+  auto text = readTextFile(File);
+  if (!text) {
+    Problem.Reason = "cannot be read";
+    return std::nullopt;
+  }
+  return parseSettings(*text, File, Problem);
+}
+
+std::optional<Settings> parseSettings(const std::string &Text,
+                                      const std::string &File,
+                                      SettingsProblem &Problem) {
+  Problem.File = File;
   toml::table table;
   try {
-    table = toml::parse_file(File);
+    table = toml::parse(Text, File);
   } catch (const toml::parse_error &error) {
     Problem.Line = error.source().begin.line;
     Problem.Reason = std::string(error.description());
--- a/main/settings_file.h
+++ b/main/settings_file.h
@@ -27,6 +27,13 @@
 /// Thread safe.
 std::optional<Settings> readSettings(const std::string &File,
                                      SettingsProblem &Problem);
+/// The same for the content \p Text of \p File, which is only named in
+/// \p Problem. Thread safe.
+std::optional<Settings> parseSettings(const std::string &Text,
+                                      const std::string &File,
+                                      SettingsProblem &Problem);
+/// Content of \p File; nothing if it cannot be read. Thread safe.
+std::optional<std::string> readTextFile(const std::string &File);
 
 } // namespace sassafras
 
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -9,7 +9,9 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/stat.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace sassafras {
@@ -75,14 +77,36 @@
   spawn(name, toml.str());
 }
 
-void FrontFleet::startAgent(int Host, const std::string &Engine) {
+std::string FrontFleet::agentSettings(int Host,
+                                      const std::string &Engine) const {
   std::ostringstream toml;
   toml << "role = \"engine_agent\"\nfleet = \"test\"\nnode = \"agent-" << Host
        << "\"\nzone = \"a\"\nlisten = \"" << addressOf(Host, 0)
        << "\"\nhttp = \"" << addressOf(Host, 1)
        << "\"\n[engine_agent_role]\nengine = \"" << Engine << "\"\nseeds = [\""
        << controlAddress(1) << "\"]\n";
-  spawn(agentName(Host), toml.str());
+  return toml.str();
+}
+
+void FrontFleet::startAgent(int Host, const std::string &Engine) {
+  spawn(agentName(Host), agentSettings(Host, Engine));
+}
+
+bool FrontFleet::startAgentWithEarlySignal(int Host, int Signal) {
+  std::string name = agentName(Host);
+  std::string path = settingsPathOf(name);
+  ::mkfifo(path.c_str(), 0600);
+  launch(name);
+  // Blocks until the process reads.
+  std::ofstream pipe(path);
+  signal(name, Signal);
+  std::this_thread::sleep_for(Millis(50));
+  std::string toml = agentSettings(Host, addressOf(Host, 7));
+  std::ofstream(path + ".new") << toml;
+  files::rename(path + ".new", path);
+  pipe << toml;
+  pipe.close();
+  return isRunning(name) && waitForStart(name, 0);
 }
 
 void FrontFleet::signal(const std::string &Process, int Signal) {
@@ -199,8 +223,17 @@
 void FrontFleet::spawn(const std::string &Process, const std::string &Toml) {
   std::string path = settingsPathOf(Process);
   std::ofstream(path) << Toml;
-  std::string output = logPathOf(Process);
   size_t logStart = log(Process).size();
+  launch(Process);
+  if (!waitForStart(Process, logStart))
+    throw std::runtime_error(Process +
+                             " did not start within 10 s; log output: " +
+                             log(Process).substr(logStart));
+}
+
+void FrontFleet::launch(const std::string &Process) {
+  std::string path = settingsPathOf(Process);
+  std::string output = logPathOf(Process);
   std::string program = DAEMON_PROGRAM;
   std::string flag = "--settings";
   char *arguments[] = {program.data(), flag.data(), path.data(), nullptr};
@@ -212,13 +245,12 @@
   posix_spawn(&pid, arguments[0], &actions, nullptr, arguments, environ);
   posix_spawn_file_actions_destroy(&actions);
   Processes[Process] = pid;
-  bool isStarted = waitUntil(seconds(10), [&] {
-    return log(Process).find("event=started ", logStart) != std::string::npos;
+}
+
+bool FrontFleet::waitForStart(const std::string &Process, size_t LogStart) {
+  return waitUntil(seconds(10), [&] {
+    return log(Process).find("event=started ", LogStart) != std::string::npos;
   });
-  if (!isStarted)
-    throw std::runtime_error(Process +
-                             " did not start within 10 s; log output: " +
-                             log(Process).substr(logStart));
 }
 
 std::string tableText(int Version, const std::string &Prefix,
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -41,6 +41,9 @@
 
   /// Starts a front. \p IsNew lets it form a new group (setting may_form).
   void start(int Host, bool IsNew);
+  /// Starts an agent whose settings file is a pipe, sends it \p Signal while it
+  /// reads the settings, and returns whether it starts nevertheless.
+  bool startAgentWithEarlySignal(int Host, int Signal);
   void startAgent(int Host, const std::string &Engine);
   void signal(const std::string &Process, int Signal);
   /// Returns the exit code, -1 if the process is unknown or still runs after
@@ -74,7 +77,10 @@
   static std::string agentName(int Host);
 
 private:
+  std::string agentSettings(int Host, const std::string &Engine) const;
   void spawn(const std::string &Process, const std::string &Toml);
+  void launch(const std::string &Process);
+  bool waitForStart(const std::string &Process, size_t LogStart);
 
   FrontFleetSize Size;
   std::string Folder;
--- a/tests/process/test_fronts.cpp
+++ b/tests/process/test_fronts.cpp
@@ -265,3 +265,8 @@
   std::this_thread::sleep_for(seconds(2));
   checkAll("after a restart");
 }
+
+TEST_CASE("SIGHUP while the settings are read does not end the process") {
+  FrontFleet fleet;
+  CHECK(fleet.startAgentWithEarlySignal(50, SIGHUP));
+}
