--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -10,6 +10,7 @@
 #include <boost/make_shared.hpp>
 
 #include <chrono>
+#include <climits>
 #include <cstdint>
 #include <poll.h>
 #include <unistd.h>
@@ -54,7 +55,11 @@
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
     if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
       return false;
-    std::string text = Line + '\n';
+    std::string text = Line;
+    // A pipe that is writable takes this many bytes without blocking.
+    if (text.size() >= PIPE_BUF)
+      text.resize(PIPE_BUF - 1);
+    text += '\n';
     return ::write(STDOUT_FILENO, text.data(), text.size()) ==
            static_cast<ssize_t>(text.size());
   }
