--- a/main/main.cpp
+++ b/main/main.cpp
@@ -249,6 +249,7 @@
     return *code;
   // Its handler is installed once the role runs. Until then it means nothing,
   // as the watcher compares the file with the text that is read here.
+  std::signal(SIGHUP, SIG_IGN);
   SettingsProblem problem;
   auto text = readTextFile(options.SettingsFile);
   auto settings = text ? parseSettings(*text, options.SettingsFile, problem)
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -101,12 +101,14 @@
   std::ofstream pipe(path);
   signal(name, Signal);
   std::this_thread::sleep_for(Millis(50));
+  if (!isRunning(name))
+    return false;
   std::string toml = agentSettings(Host, addressOf(Host, 7));
   std::ofstream(path + ".new") << toml;
   files::rename(path + ".new", path);
   pipe << toml;
   pipe.close();
-  return isRunning(name) && waitForStart(name, 0);
+  return waitForStart(name, 0);
 }
 
 void FrontFleet::signal(const std::string &Process, int Signal) {
