--- a/main/main.cpp
+++ b/main/main.cpp
@@ -196,12 +196,13 @@
   std::string LastText;
 };
 
-/// Freed memory is returned to the system at once, so that the process stays
-/// within its limit after a burst of large messages.
+/// Freed memory is returned to the system, so that the process stays within its
+/// limit after a burst of large messages.
 void configureAllocator() {
-  constexpr int LargeBlockBytes = 128 * 1024;
+  constexpr int LargeBlockBytes = 1024 * 1024;
+  constexpr int MaxUnusedBytes = 8 * LargeBlockBytes;
   mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
-  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, MaxUnusedBytes);
   mallopt(M_ARENA_MAX, 2);
 }
 
