--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -643,13 +643,8 @@
 void FrontShell::tick() {
   if (IsExiting)
     return;
-  // The next tick comes also if a task of this one fails. Each task is run by
-  // itself, so that one that always fails does not keep the others from it.
-  Timer.expires_after(TickPeriod);
-  Timer.async_wait([self = shared_from_this()](auto ec) {
-    if (!ec)
-      self->tick();
-  });
+  // Each task is guarded by itself, so that one that always fails does not keep
+  // the others and the next tick from running.
   TimePoint now = Clock::now();
   auto run = [&](const char *Task, auto Act) {
     runGuarded(Counts, Task, [&] { Act(now); });
@@ -672,6 +667,13 @@
     run("statistics", [&](TimePoint Now) { logStatistics(Now); });
   if (Core.State.IsStopping)
     run("stop", [&](TimePoint Now) { stopIfDone(Now); });
+  if (IsExiting)
+    return;
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec)
+      self->tick();
+  });
 }
 
 /// Drops what has expired.
