Stops: one owner for a role's actor, which the process waits for

Callers saw: a front that was ended by a signal in a planned stop beside a slow disk, and fronts and control members that never ended while the disk hung, until they were killed.

Cause: FrontShell::exit closed the group without waiting for the handler that was running. The group sends through the shell's link, which was destroyed before the actor system. With a disk that hangs, the actor system's destructor waited for the actor without limit; a control member did not even take its stop, which is an event of that actor.

Ruled out: load (the unit test holds the handler by a pipe and fails without any); the link itself (its state is shared with what is posted).

Fix: RoleActor (core/role_actor.h) owns the actor in all four roles that have one. close() drops what is queued and reports on the I/O thread after all that the running handler has posted, so that its messages and results go out before the links close; at the deadline (2 s, in a front the end of its grace) the handler is abandoned with the log line handler_abandoned. Its destructor waits, so that a path that skips close() is safe too; main leaves without teardown (exit_without_teardown) where it would wait. Writes that are queued at the end are refused instead of being forgotten. The I/O context is destroyed before the actor system, as its queued handlers may keep a shell. A control member exits at most 6 s after the signal while its disk hangs. The engine agent has no actor.

Same cause elsewhere: control, agent and entry closed their links beside a running handler, and kept their shells through the actor; they use RoleActor now. Calls of Link are posted to the I/O thread and need no more.

--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -39,13 +39,15 @@
                    public std::enable_shared_from_this<AgentShell> {
 public:
   explicit AgentShell(const ShellParts &Parts)
-      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), Memory(Parts.Memory), ProbeTimer(Io) {}
+      : Io(Parts.Io), Options(Parts.Options), Counts(Parts.Counts),
+        Memory(Parts.Memory), ExitTimer(Io), ProbeTimer(Io),
+        Role(Io, Parts.System, "agent") {}
   AgentShell(const AgentShell &) = delete;
   AgentShell &operator=(const AgentShell &) = delete;
 
   bool start(std::string &Problem) override;
   void stop() override;
+  bool isClosed() const override { return Role.isClosed(); }
 
 private:
   bool startHttp(std::string &Problem);
@@ -58,26 +60,25 @@
   void probe(int RetriesLeft);
   void scheduleProbeRetry(int RetriesLeft);
   void exit();
-  void post(AgentEvent Event) { sendEvent(Role, std::move(Event)); }
+  void post(AgentEvent Event) { Role.post(std::move(Event)); }
 
   boost::asio::io_context &Io;
-  caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
   MemoryBudgetPtr Memory;
   AgentState State; ///< Used by the actor only, once it runs.
   std::unique_ptr<Link> Peers;
   std::unique_ptr<HttpServer> Server;
-  std::unique_ptr<boost::asio::steady_timer> ExitTimer;
+  boost::asio::steady_timer ExitTimer;
   boost::asio::steady_timer ProbeTimer;
-  caf::actor Role;
   std::atomic<bool> IsReady{false};
-  bool IsExiting = false;
+  bool HasLeft = false; ///< Used by the actor only.
   // Used on the io_context's thread only.
   std::string EndpointAddress;
   TimePoint LastAnnounce;
   bool IsProbing = false;
   std::map<AttemptKey, std::shared_ptr<HttpCall>> Calls;
+  RoleActor<AgentEvent> Role; ///< Destroyed first.
 };
 
 bool AgentShell::startHttp(std::string &Problem) {
@@ -230,7 +231,8 @@
     return;
   }
   if (std::holds_alternative<AgentExit>(Effect)) {
-    exit();
+    HasLeft = true;
+    boost::asio::post(Io, [self = shared_from_this()] { self->exit(); });
     return;
   }
   boost::asio::post(
@@ -252,7 +254,7 @@
 }
 
 void AgentShell::handleEvent(const AgentEvent &Event) {
-  if (IsExiting)
+  if (HasLeft)
     return;
   if (const auto *failure = std::get_if<ExchangeFailed>(&Event))
     logEvent(LogLevel::Warning, "endpoint_broke",
@@ -271,16 +273,11 @@
 }
 
 void AgentShell::exit() {
-  IsExiting = true;
-  boost::asio::post(Io, [self = shared_from_this()] {
-    self->ProbeTimer.cancel();
-    self->ExitTimer =
-        std::make_unique<boost::asio::steady_timer>(self->Io, ExitDelay);
-    self->ExitTimer->async_wait([self](auto) {
+  ProbeTimer.cancel();
+  Role.close(Clock::now() + HandlerTimeout, [self = shared_from_this()](bool) {
+    self->ExitTimer.expires_after(ExitDelay);
+    self->ExitTimer.async_wait([self](auto) {
       self->Peers->close();
-      // The actor holds a reference to the shell and would keep the process
-      // running.
-      caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
       self->Io.stop();
     });
   });
@@ -303,17 +300,15 @@
                    Options.AgentRole.Service};
   State.View.ControlAddresses = Options.Control;
   State.View.NextNumber = incarnation;
-  std::function<void(AgentEvent &)> handleEvent =
-      [self = shared_from_this()](AgentEvent &it) {
-        runGuarded(self->Counts, "agent_event", [&] { self->handleEvent(it); });
-      };
-  Role = System.spawn(makeRoleBehavior<AgentEvent>, handleEvent,
-                      AgentEvent(AgentTick{}), TickPeriod);
+  auto handleEvent = [this](AgentEvent &it) {
+    runGuarded(Counts, "agent_event", [&] { this->handleEvent(it); });
+  };
+  Role.start(handleEvent, AgentEvent(AgentTick{}), TickPeriod);
   scheduleSilenceProbe();
   return true;
 }
 
-void AgentShell::stop() { sendEvent<AgentEvent>(Role, AgentStop{}); }
+void AgentShell::stop() { post(AgentStop{}); }
 
 } // namespace
 
--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -24,6 +24,8 @@
 constexpr Millis TickPeriod{25};
 /// Delay before the process exits, so that the last messages are sent.
 constexpr Millis ExitDelay{200};
+/// The process exits this long after a stop signal even if its disk hangs.
+constexpr Millis StopTimeout{6'000};
 
 ControlOptions makeOptions(const ControlSettings &Settings) {
   ControlOptions options;
@@ -39,14 +41,15 @@
                      public std::enable_shared_from_this<ControlShell> {
 public:
   explicit ControlShell(const ShellParts &Parts)
-      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), Memory(Parts.Memory),
-        Disk(Options.ControlRole.DataFolder) {}
+      : Io(Parts.Io), Options(Parts.Options), Counts(Parts.Counts),
+        Memory(Parts.Memory), Disk(Options.ControlRole.DataFolder),
+        StopTimer(Io), Role(Io, Parts.System, "control") {}
   ControlShell(const ControlShell &) = delete;
   ControlShell &operator=(const ControlShell &) = delete;
 
   bool start(std::string &Problem) override;
   void stop() override;
+  bool isClosed() const override { return Role.isClosed(); }
 
 private:
   bool restore(std::string &Problem);
@@ -58,7 +61,6 @@
   void exit();
 
   boost::asio::io_context &Io;
-  caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
   MemoryBudgetPtr Memory;
@@ -66,12 +68,16 @@
   ControlState State; ///< Used by the actor only, once it runs.
   std::unique_ptr<Link> Peers;
   std::unique_ptr<HttpServer> Server;
-  std::unique_ptr<boost::asio::steady_timer> ExitTimer;
-  caf::actor Role;
+  boost::asio::steady_timer StopTimer;
   std::atomic<bool> IsReady{false};
-  bool IsExiting = false;
+  // Used by the actor only.
+  bool HasLeft = false;
   RaftRole LastRole = RaftRole::Blank;
   uint64_t LastTerm = 0;
+  // Used on the io_context's thread only.
+  bool IsStopping = false;
+  bool IsExiting = false;
+  RoleActor<ControlEvent> Role; ///< Destroyed first.
 };
 
 bool ControlShell::restore(std::string &Problem) {
@@ -135,12 +141,13 @@
     abortOnDiskFailure(Disk.sync());
     Peers->send(message->Address, std::move(message->Message));
   } else {
-    exit();
+    HasLeft = true;
+    boost::asio::post(Io, [self = shared_from_this()] { self->exit(); });
   }
 }
 
 void ControlShell::handleEvent(const ControlEvent &Event) {
-  if (IsExiting)
+  if (HasLeft)
     return;
   // The clock is read here, not when the event was queued, so that a process
   // that was paused finds its leases expired.
@@ -168,15 +175,13 @@
 }
 
 void ControlShell::exit() {
+  if (IsExiting)
+    return;
   IsExiting = true;
-  boost::asio::post(Io, [self = shared_from_this()] {
-    self->ExitTimer =
-        std::make_unique<boost::asio::steady_timer>(self->Io, ExitDelay);
-    self->ExitTimer->async_wait([self](auto) {
+  Role.close(Clock::now() + HandlerTimeout, [self = shared_from_this()](bool) {
+    self->StopTimer.expires_after(ExitDelay);
+    self->StopTimer.async_wait([self](auto) {
       self->Peers->close();
-      // The actor holds a reference to the shell and would keep the process
-      // running.
-      caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
       self->Io.stop();
     });
   });
@@ -187,23 +192,34 @@
       Io,
       LinkSelf{Options.Fleet, Options.Node, makeIncarnation(), Options.Listen},
       Counts, [this](wire::Envelope Message) {
-        sendEvent<ControlEvent>(Role, ControlReceived{std::move(Message)});
+        Role.post(ControlReceived{std::move(Message)});
       });
   if (!Peers->start(Problem) || !restore(Problem) || !startHttp(Problem))
     return false;
-  std::function<void(ControlEvent &)> handleEvent =
-      [self = shared_from_this()](ControlEvent &it) {
-        // A member whose state may be half changed must not vote or reply.
-        if (!runGuarded(self->Counts, "control_event",
-                        [&] { self->handleEvent(it); }))
-          std::abort();
-      };
-  Role = System.spawn(makeRoleBehavior<ControlEvent>, handleEvent,
-                      ControlEvent(ControlTick{}), TickPeriod);
+  auto handleEvent = [this](ControlEvent &it) {
+    // A member whose state may be half changed must not vote or reply.
+    if (!runGuarded(Counts, "control_event", [&] { this->handleEvent(it); }))
+      std::abort();
+  };
+  Role.start(handleEvent, ControlEvent(ControlTick{}), TickPeriod);
   return true;
 }
 
-void ControlShell::stop() { sendEvent<ControlEvent>(Role, ControlStop{}); }
+void ControlShell::stop() {
+  boost::asio::post(Io, [self = shared_from_this()] {
+    if (self->IsStopping)
+      return;
+    self->IsStopping = true;
+    self->Role.post(ControlStop{});
+    self->StopTimer.expires_after(StopTimeout - HandlerTimeout - ExitDelay);
+    self->StopTimer.async_wait([self](auto ec) {
+      if (ec || self->IsExiting)
+        return;
+      logEvent(LogLevel::Warning, "stop_timed_out");
+      self->exit();
+    });
+  });
+}
 
 } // namespace
 
--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -30,11 +30,10 @@
 } // namespace
 
 struct ServingGroup::Impl : std::enable_shared_from_this<ServingGroup::Impl> {
-  Impl(boost::asio::io_context &Io, caf::actor_system &System, Link &Peers,
-       Metrics &Counts, ServingGroupOptions Options,
-       ServingGroupCallbacks Callbacks)
-      : Io(Io), System(System), Peers(Peers), Counts(Counts),
-        Options(std::move(Options)), Callbacks(std::move(Callbacks)) {}
+  Impl(boost::asio::io_context &Io, Link &Peers, Metrics &Counts,
+       ServingGroupOptions Options, ServingGroupCallbacks Callbacks)
+      : Io(Io), Peers(Peers), Counts(Counts), Options(std::move(Options)),
+        Callbacks(std::move(Callbacks)) {}
 
   void handleEvent(const StoreEvent &Event);
   bool openStore();
@@ -47,13 +46,11 @@
   void publishView();
 
   boost::asio::io_context &Io;
-  caf::actor_system &System;
   Link &Peers;
   Metrics &Counts;
   ServingGroupOptions Options;
   ServingGroupCallbacks Callbacks;
-  caf::actor Role;
-  std::atomic<bool> IsClosed{false};
+  std::atomic<bool> IsDestroyed{false}; ///< The callbacks must not be called.
   // Used by the actor only.
   std::unique_ptr<DiskLog> Disk;
   std::optional<ServingStore> Store;
@@ -151,8 +148,6 @@
 }
 
 void ServingGroup::Impl::handleEvent(const StoreEvent &Event) {
-  if (IsClosed)
-    return;
   if (auto *join = std::get_if<StoreJoinAddresses>(&Event))
     JoinAddresses = join->Addresses;
   if (!Store && !openStore()) {
@@ -177,7 +172,7 @@
 void ServingGroup::Impl::postResult(StoreResult Result) {
   boost::asio::post(
       Io, [self = shared_from_this(), result = std::move(Result)]() mutable {
-        if (!self->IsClosed)
+        if (!self->IsDestroyed)
           self->Callbacks.OnResult(std::move(result));
       });
 }
@@ -185,7 +180,7 @@
 void ServingGroup::Impl::publishTable(StorePublish Table) {
   boost::asio::post(
       Io, [self = shared_from_this(), table = std::move(Table)]() mutable {
-        if (!self->IsClosed)
+        if (!self->IsDestroyed)
           self->Callbacks.OnPublish(std::move(table));
       });
 }
@@ -202,7 +197,7 @@
             {"voters", std::to_string(view.Voters)},
             {"members", std::to_string(view.Members)}});
   boost::asio::post(Io, [self = shared_from_this(), view] {
-    if (!self->IsClosed)
+    if (!self->IsDestroyed)
       self->Callbacks.OnView(view);
   });
 }
@@ -211,35 +206,33 @@
                            caf::actor_system &System, Link &Peers,
                            Metrics &Counts, ServingGroupOptions Options,
                            ServingGroupCallbacks Callbacks)
-    : Data(std::make_shared<Impl>(Io, System, Peers, Counts, std::move(Options),
-                                  std::move(Callbacks))) {}
+    : Data(std::make_shared<Impl>(Io, Peers, Counts, std::move(Options),
+                                  std::move(Callbacks))),
+      Role(Io, System, "group") {}
 
-ServingGroup::~ServingGroup() { close(); }
+ServingGroup::~ServingGroup() { Data->IsDestroyed = true; }
 
 void ServingGroup::start() {
-  std::function<void(StoreEvent &)> handleEvent = [data =
-                                                       Data](StoreEvent &it) {
+  // The owner of the actor waits for the handler, so that the state outlives
+  // it.
+  auto handleEvent = [&data = *Data](StoreEvent &it) {
     // The state may be half changed: it is read from the disk again.
-    if (!runGuarded(data->Counts, "group", [&] { data->handleEvent(it); })) {
-      data->reportUnavailable(it);
-      data->closeStore();
+    if (!runGuarded(data.Counts, "group", [&] { data.handleEvent(it); })) {
+      data.reportUnavailable(it);
+      data.closeStore();
     }
   };
-  Data->Role = Data->System.spawn(makeRoleBehavior<StoreEvent>, handleEvent,
-                                  StoreEvent(StoreTick{}), TickPeriod);
+  Role.start(handleEvent, StoreEvent(StoreTick{}), TickPeriod,
+             [&data = *Data](StoreEvent &it) { data.reportUnavailable(it); });
 }
 
-void ServingGroup::post(StoreEvent Event) {
-  sendEvent<StoreEvent>(Data->Role, std::move(Event));
-}
+void ServingGroup::post(StoreEvent Event) { Role.post(std::move(Event)); }
 
-void ServingGroup::close() {
-  if (Data->IsClosed.exchange(true) || !Data->Role)
-    return;
-  // The actor holds a reference to the member and would keep the process
-  // running.
-  caf::anon_send_exit(Data->Role, caf::exit_reason::user_shutdown);
-  Data->Role = nullptr;
+void ServingGroup::close(TimePoint Deadline,
+                         std::function<void(bool)> OnClosed) {
+  Role.close(Deadline, std::move(OnClosed));
 }
 
+bool ServingGroup::isClosed() const { return Role.isClosed(); }
+
 } // namespace sassafras
--- a/control/serving_group.h
+++ b/control/serving_group.h
@@ -6,6 +6,7 @@
 #define SASSAFRAS_CONTROL_SERVING_GROUP_H
 
 #include "control/serving_store.h"
+#include "core/role_actor.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -14,10 +15,6 @@
 #include <string>
 #include <vector>
 
-namespace caf {
-class actor_system;
-} // namespace caf
-
 namespace sassafras {
 
 class Link;
@@ -30,7 +27,7 @@
   bool MayForm = false; ///< May form a new group; first start of a fleet only.
 };
 
-/// Called on the io_context's thread. Pending calls are dropped after close.
+/// Called on the io_context's thread, and not after the group is destroyed.
 struct ServingGroupCallbacks {
   std::function<void(StorePublish)> OnPublish; ///< A newer table is committed.
   std::function<void(StoreResult)> OnResult;
@@ -45,6 +42,7 @@
   ServingGroup(boost::asio::io_context &Io, caf::actor_system &System,
                Link &Peers, Metrics &Counts, ServingGroupOptions Options,
                ServingGroupCallbacks Callbacks);
+  /// Waits for a running handler, unless the group is closed.
   ~ServingGroup();
   ServingGroup(const ServingGroup &) = delete;
   ServingGroup &operator=(const ServingGroup &) = delete;
@@ -54,12 +52,15 @@
   /// Queues an event. Results of StoreWrite and StoreRead come through
   /// OnResult; they are Unavailable while the data folder cannot be used.
   void post(StoreEvent Event);
-  /// Stops the actor. Call before the link is closed.
-  void close();
+  /// Stops the actor as RoleActor::close does. Call before the link is closed.
+  void close(TimePoint Deadline, std::function<void(bool)> OnClosed);
+  /// True when the group uses neither its disk nor the link any more.
+  bool isClosed() const;
 
 private:
   struct Impl;
   std::shared_ptr<Impl> Data;
+  RoleActor<StoreEvent> Role;
 };
 
 } // namespace sassafras
--- a/core/role_shell.h
+++ b/core/role_shell.h
@@ -42,6 +42,9 @@
   /// Applies changed settings. Settings that the role cannot change while it
   /// runs keep their values. Call on the I/O context's thread.
   virtual void reload(const Settings &) {}
+  /// True when no handler of the role runs on another thread. The shell must
+  /// not be destroyed before. Call on the I/O context's thread.
+  virtual bool isClosed() const { return true; }
 };
 
 } // namespace sassafras
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -39,13 +39,14 @@
                    public std::enable_shared_from_this<EntryShell> {
 public:
   explicit EntryShell(const ShellParts &Parts)
-      : Io(Parts.Io), System(Parts.System), Options(Parts.Options),
-        Counts(Parts.Counts), Memory(Parts.Memory), StopTimer(Io) {}
+      : Io(Parts.Io), Options(Parts.Options), Counts(Parts.Counts),
+        Memory(Parts.Memory), StopTimer(Io), Role(Io, Parts.System, "entry") {}
   EntryShell(const EntryShell &) = delete;
   EntryShell &operator=(const EntryShell &) = delete;
 
   bool start(std::string &Problem) override;
   void stop() override;
+  bool isClosed() const override { return Role.isClosed(); }
 
 private:
   bool startHttp(std::string &Problem);
@@ -59,12 +60,12 @@
   void publish(TimePoint Now);
   void beginStop();
   void waitForOpenRequests();
+  void exit();
   std::shared_ptr<HttpExchange> findExchange(const std::string &Id);
   std::shared_ptr<HttpExchange> removeExchange(const std::string &Id);
-  void post(EntryEvent Event) { sendEvent(Role, std::move(Event)); }
+  void post(EntryEvent Event) { Role.post(std::move(Event)); }
 
   boost::asio::io_context &Io;
-  caf::actor_system &System;
   Settings Options;
   Metrics &Counts;
   MemoryBudgetPtr Memory;
@@ -73,7 +74,6 @@
   std::unique_ptr<Link> Peers;
   std::unique_ptr<HttpServer> Server;
   boost::asio::steady_timer StopTimer;
-  caf::actor Role;
   std::atomic<bool> IsReady{false};
   std::atomic<bool> IsLeaving{false};
   std::atomic<bool> IsDone{false};
@@ -84,6 +84,7 @@
   std::map<const HttpExchange *, std::string> IdByExchange;
   std::string ModelList; ///< Response body of /v1/models.
   uint64_t ModelListVersion = 0;
+  RoleActor<EntryEvent> Role; ///< Destroyed first.
 };
 
 std::shared_ptr<HttpExchange> EntryShell::findExchange(const std::string &Id) {
@@ -284,19 +285,24 @@
 
 void EntryShell::waitForOpenRequests() {
   bool isEmpty = Server->countOpenExchanges() == 0;
+  if (isEmpty && IsDone) {
+    exit();
+    return;
+  }
   if (isEmpty)
     post(EntryStop{});
-  StopTimer.expires_after(isEmpty && IsDone ? ExitDelay : ExitPollInterval);
-  StopTimer.async_wait([self = shared_from_this(), isEmpty](auto) {
-    if (!isEmpty || !self->IsDone) {
-      self->waitForOpenRequests();
-      return;
-    }
-    self->Peers->close();
-    // The actor holds a reference to the shell and would keep the process
-    // alive.
-    caf::anon_send_exit(self->Role, caf::exit_reason::user_shutdown);
-    self->Io.stop();
+  StopTimer.expires_after(ExitPollInterval);
+  StopTimer.async_wait(
+      [self = shared_from_this()](auto) { self->waitForOpenRequests(); });
+}
+
+void EntryShell::exit() {
+  Role.close(Clock::now() + HandlerTimeout, [self = shared_from_this()](bool) {
+    self->StopTimer.expires_after(ExitDelay);
+    self->StopTimer.async_wait([self](auto) {
+      self->Peers->close();
+      self->Io.stop();
+    });
   });
 }
 
@@ -313,12 +319,10 @@
   State.View.ControlAddresses = Options.Control;
   State.View.NextNumber = Incarnation;
   State.Tokens.NextNumber = Incarnation;
-  std::function<void(EntryEvent &)> handleEvent =
-      [self = shared_from_this()](EntryEvent &it) {
-        runGuarded(self->Counts, "entry_event", [&] { self->handleEvent(it); });
-      };
-  Role = System.spawn(makeRoleBehavior<EntryEvent>, handleEvent,
-                      EntryEvent(EntryTick{}), TickPeriod);
+  auto handleEvent = [this](EntryEvent &it) {
+    runGuarded(Counts, "entry_event", [&] { this->handleEvent(it); });
+  };
+  Role.start(handleEvent, EntryEvent(EntryTick{}), TickPeriod);
   return true;
 }
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -75,6 +75,7 @@
   bool start(std::string &Problem) override;
   void stop() override;
   void reload(const Settings &Settings) override;
+  bool isClosed() const override { return !Group || Group->isClosed(); }
 
 private:
   bool startServers(std::string &Problem);
@@ -820,13 +821,20 @@
 
 void FrontShell::exit() {
   IsExiting = true;
-  if (Group)
-    Group->close();
-  Timer.expires_after(ExitDelay);
-  Timer.async_wait([self = shared_from_this()](auto) {
-    self->Peers->close();
-    self->Io.stop();
-  });
+  auto closeLinks = [self = shared_from_this()](bool) {
+    self->Timer.expires_after(ExitDelay);
+    self->Timer.async_wait([self](auto) {
+      self->Peers->close();
+      self->Io.stop();
+    });
+  };
+  if (!Group) {
+    closeLinks(true);
+    return;
+  }
+  Group->close(std::min(Clock::now() + HandlerTimeout,
+                        StopDeadline + StopMargin - ExitDelay),
+               closeLinks);
 }
 
 void FrontShell::stop() {
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -18,6 +18,7 @@
 #include <cinttypes>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <getopt.h>
 #include <malloc.h>
 
@@ -221,19 +222,28 @@
 int runRole(const Settings &Settings, const std::string &SettingsText,
             const Options &Options) {
   Metrics counts;
-  boost::asio::io_context io;
   caf::actor_system_config config;
   config.set("scheduler.max-threads", 1);
   // With a single actor there is no work to steal, but the default
   // work-stealing policy would still poll for it.
   config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system system(config);
+  // Handlers that are still queued keep the shell, and with it the owner of an
+  // actor, until the context is destroyed, which must precede the system.
+  boost::asio::io_context io;
   auto shell = makeShell(
       {io, system, Settings, counts, makeMemoryBudget(Options.MemoryMb)});
   int code = ExitFailed;
   runGuarded(counts, "role", [&] {
     code = runShell(*shell, io, counts, SettingsText, Options);
   });
+  if (!shell->isClosed()) {
+    // The handler, which the disk holds up, uses the shell and may never
+    // return. The kernel releases everything.
+    logEvent(LogLevel::Error, "exit_without_teardown",
+             {{"code", std::to_string(code)}});
+    std::_Exit(code);
+  }
   return code;
 }
 
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/harness/front_fleet.h"
 
 #include "tests/harness/free_ports.h"
+#include "tests/harness/slow_disk.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -135,6 +136,10 @@
   waitForExit(Process, seconds(5));
 }
 
+void FrontFleet::delayDisks(Millis Delay) const {
+  setDiskDelay(Folder + "/disk-delay", Delay);
+}
+
 void FrontFleet::loseDisk(int Host) {
   files::remove_all(Folder + "/" + frontName(Host) + "-data");
 }
@@ -243,8 +248,16 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  std::vector<std::string> variables =
+      Size.HasSlowDisks ? makeSlowDiskEnvironment(Folder + "/disk-delay")
+                        : copyEnvironment();
+  std::vector<char *> environment;
+  for (std::string &it : variables)
+    environment.push_back(it.data());
+  environment.push_back(nullptr);
   pid_t pid = 0;
-  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments, environ);
+  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments,
+              environment.data());
   posix_spawn_file_actions_destroy(&actions);
   Processes[Process] = pid;
 }
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -19,6 +19,7 @@
 struct FrontFleetSize {
   int Fronts = 4;
   int Disks = 3;
+  bool HasSlowDisks = false; ///< delayDisks applies to the processes.
 };
 
 class FrontFleet {
@@ -51,6 +52,8 @@
   int waitForExit(const std::string &Process, std::chrono::seconds Limit);
   /// Sends SIGKILL and waits up to 5 s for the process to end.
   void kill(const std::string &Process);
+  /// From now on each synchronous write of a process takes \p Delay longer.
+  void delayDisks(Millis Delay) const;
   /// Deletes the data folder of a front, which must not be running.
   void loseDisk(int Host);
 
--- a/tests/harness/process_fleet.cpp
+++ b/tests/harness/process_fleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/harness/process_fleet.h"
 
 #include "tests/harness/free_ports.h"
+#include "tests/harness/slow_disk.h"
 
 #include "http/address.h"
 
@@ -138,8 +139,8 @@
   return "engine-" + std::to_string(Number);
 }
 
-ProcessFleet::ProcessFleet(Deployment Kind, Millis LoadTime)
-    : Kind(std::move(Kind)) {
+ProcessFleet::ProcessFleet(Deployment Kind, Millis LoadTime, DiskKind Disk)
+    : Kind(std::move(Kind)), Disk(Disk) {
   std::string pattern =
       (files::temp_directory_path() / "sassafras-XXXXXX").string();
   Folder = mkdtemp(pattern.data());
@@ -168,13 +169,21 @@
     arguments.push_back(it.data());
   arguments.push_back(nullptr);
   std::string output = Folder + "/" + Process + ".log";
+  std::vector<std::string> variables =
+      Disk == DiskKind::Slow ? makeSlowDiskEnvironment(Folder + "/disk-delay")
+                             : copyEnvironment();
+  std::vector<char *> environment;
+  for (std::string &it : variables)
+    environment.push_back(it.data());
+  environment.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   pid_t pid = 0;
-  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
+              environment.data());
   posix_spawn_file_actions_destroy(&actions);
   Processes[Process] = pid;
 }
@@ -322,6 +331,10 @@
   files::rename(data + "-hidden", data);
 }
 
+void ProcessFleet::delayDisks(Millis Delay) const {
+  setDiskDelay(Folder + "/disk-delay", Delay);
+}
+
 void ProcessFleet::signal(const std::string &Process, int Signal) {
   if (Processes.contains(Process))
     ::kill(Processes[Process], Signal);
--- a/tests/harness/process_fleet.h
+++ b/tests/harness/process_fleet.h
@@ -50,10 +50,14 @@
   int TokenMs = 5; ///< Time to generate one token.
 };
 
+/// Whether ProcessFleet::delayDisks applies to the processes.
+enum class DiskKind { Normal, Slow };
+
 class ProcessFleet {
 public:
   /// Starts the fake store, which takes \p LoadTime for one load.
-  ProcessFleet(Deployment Kind, Millis LoadTime);
+  ProcessFleet(Deployment Kind, Millis LoadTime,
+               DiskKind Disk = DiskKind::Normal);
   /// Kills the remaining processes and removes the folder, unless
   /// KEEP_FLEET_FOLDER is set.
   ~ProcessFleet();
@@ -74,6 +78,9 @@
   void detachDisk(int Number);
   void reattachDisk(int Number);
 
+  /// From now on each synchronous write of a process takes \p Delay longer.
+  void delayDisks(Millis Delay) const;
+
   void signal(const std::string &Process, int Signal);
   /// Returns the exit code of a process, 128 plus the signal that terminated
   /// it, or -1 if it is unknown or still runs after \p Limit.
@@ -120,6 +127,7 @@
   void startDaemon(const std::string &Process);
 
   Deployment Kind;
+  DiskKind Disk;
   std::string Folder;
   std::string StoreAddress;
   std::vector<std::string> ControlAddresses;
