Answer requests that have arrived when a server stops

Callers of a stopping process got a reset or the end of their connection for a request that had reached its host.

Cause: HttpServer::stopAccepting closed the listening socket with connections in its backlog, which the kernel resets, and dropped a connection whose accept had completed but not been handled. closeIdle closed a connection whose request had been read by a read that had not been handled yet, as nothing was left in the socket.

The backlog is accepted until it is empty, directly before the close; a handshake that completes between these two calls is still reset. The wait of an idle connection is cancelled in place of a close, so that a read that has completed is handled.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "core/guard.h"
+#include "core/logging.h"
 #include "core/metrics.h"
 #include "core/time.h"
 #include "http/address.h"
@@ -109,6 +110,8 @@
         Acceptor(Io), AcceptRetryTimer(Io) {}
 
   void accept();
+  void acceptBacklog();
+  void startSession(Tcp::socket Socket);
 
   asio::io_context &Io;
   std::string Listen;
@@ -156,6 +159,8 @@
   HttpLimits limits() const { return Server->Limits; }
 
 private:
+  void readFirstBytes();
+  bool hasUnreadInput();
   void readHead();
   void readMore(size_t Size);
   void parse();
@@ -299,7 +304,7 @@
 } // namespace
 
 void Session::waitForRequest() {
-  if (Server->IsStopping) {
+  if (Server->IsStopping && !hasUnreadInput()) {
     Stream.close();
     return;
   }
@@ -310,12 +315,20 @@
   if (Buffer.capacity() > ReadBufferSize)
     Buffer.shrink_to_fit();
   InputCharge.set(0);
+  readFirstBytes();
+}
+
+void Session::readFirstBytes() {
   Server->Idle.insert(this);
   Stream.expires_after(Server->Limits.IdleTimeout);
   Stream.async_read_some(
       Buffer.prepare(ReadBufferSize),
       [self = shared_from_this()](beast::error_code ec, size_t n) {
         self->Server->Idle.erase(self.get());
+        if (ec == asio::error::operation_aborted && self->hasUnreadInput()) {
+          self->readFirstBytes();
+          return;
+        }
         if (ec) {
           self->Stream.close();
           return;
@@ -327,12 +340,14 @@
       });
 }
 
-void Session::closeIdle() {
+/// Ends the wait for a request, and with it the connection, unless bytes of a
+/// request have arrived. They may have been read already, by a read whose
+/// handler has not run yet.
+void Session::closeIdle() { Stream.cancel(); }
+
+bool Session::hasUnreadInput() {
   boost::system::error_code ec;
-  // A request has arrived and is about to be read.
-  if (Stream.socket().available(ec) > 0 && !ec)
-    return;
-  Stream.close();
+  return Stream.socket().available(ec) > 0 && !ec;
 }
 
 void Session::readHead() {
@@ -738,6 +753,8 @@
 void HttpServer::Impl::accept() {
   Acceptor.async_accept(
       [self = shared_from_this()](auto ec, Tcp::socket Socket) {
+        if (!ec)
+          self->startSession(std::move(Socket));
         if (self->IsStopping)
           return;
         if (ec) {
@@ -749,17 +766,40 @@
           });
           return;
         }
-        boost::system::error_code ignored;
-        Socket.set_option(Tcp::no_delay(true), ignored);
-        ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                     &UserTimeoutMs, sizeof UserTimeoutMs);
-        runGuarded(self->Counts, "accept", [&] {
-          std::make_shared<Session>(std::move(Socket), self)->waitForRequest();
-        });
         self->accept();
       });
 }
 
+/// Accepts what the operating system has accepted already. Closing the acceptor
+/// would reset these connections, on which requests may have arrived.
+void HttpServer::Impl::acceptBacklog() {
+  boost::system::error_code ec;
+  Acceptor.non_blocking(true, ec);
+  size_t count = 0;
+  while (!ec) {
+    Tcp::socket socket(Io);
+    Acceptor.accept(socket, ec);
+    if (ec)
+      break;
+    ++count;
+    startSession(std::move(socket));
+  }
+  if (count > 0 || ec != asio::error::would_block)
+    logEvent(LogLevel::Info, "backlog_accepted",
+             {{"count", std::to_string(count)}, {"end", ec.message()}});
+}
+
+void HttpServer::Impl::startSession(Tcp::socket Socket) {
+  boost::system::error_code ignored;
+  Socket.set_option(Tcp::no_delay(true), ignored);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UserTimeoutMs, sizeof UserTimeoutMs);
+  runGuarded(Counts, "accept", [&] {
+    std::make_shared<Session>(std::move(Socket), shared_from_this())
+        ->waitForRequest();
+  });
+}
+
 HttpServer::HttpServer(asio::io_context &Io, std::string Listen,
                        HttpLimits Limits, Metrics &Counts,
                        MemoryBudgetPtr Memory, Handlers Callbacks)
@@ -799,6 +839,8 @@
 const std::string &HttpServer::address() const { return Data->Address; }
 
 void HttpServer::stopAccepting() {
+  if (Data->Acceptor.is_open())
+    Data->acceptBacklog();
   Data->IsStopping = true;
   boost::system::error_code ec;
   Data->Acceptor.close(ec);
--- /dev/null
+++ b/tests/process/test_closing_connections.cpp
@@ -0,0 +1,210 @@
+/// \file
+/// Ends of callers' connections on real sockets: no request that the server
+/// has to answer goes down with one, and no response that it has sent.
+#include "core/metrics.h"
+#include "http/address.h"
+#include "http/server.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace sassafras;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr uint64_t MemoryBytes = 100'000'000;
+/// More than the buffers of two sockets on loopback hold.
+constexpr size_t LargeBodyBytes = 16'000'000;
+/// Time in which the server notices anything that is already at its host.
+constexpr Millis NoticeTime{50};
+
+HttpLimits callerLimits() {
+  HttpLimits limits;
+  limits.CancelsOnDisconnect = true;
+  return limits;
+}
+
+/// Server on loopback. Target /large gets a large response, /held one that
+/// starts at once and ends with finishHeld, /broken one that is aborted after
+/// its first part.
+class LoopbackServer {
+public:
+  explicit LoopbackServer(const HttpLimits &Limits = callerLimits())
+      : Server(Io, "127.0.0.1:0", Limits, Counts,
+               std::make_shared<MemoryBudget>(MemoryBytes), handlers()) {
+    std::string problem;
+    REQUIRE(Server.start(problem));
+    Runner = std::thread([this] { Io.run(); });
+  }
+  ~LoopbackServer() {
+    Io.stop();
+    Runner.join();
+  }
+  LoopbackServer(const LoopbackServer &) = delete;
+  LoopbackServer &operator=(const LoopbackServer &) = delete;
+
+  Tcp::socket connect() {
+    auto address = parseAddress(Server.address());
+    Tcp::socket socket(CallerIo);
+    socket.connect({asio::ip::make_address(address->Ip), address->Port});
+    return socket;
+  }
+
+  /// Runs \p Act on the server's thread, which handles nothing else meanwhile.
+  void occupy(const std::function<void()> &Act) {
+    std::promise<void> done;
+    asio::post(Io, [&] {
+      Act();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void drain() {
+    occupy([&] { Server.drain(); });
+  }
+  void stopAccepting() {
+    occupy([&] { Server.stopAccepting(); });
+  }
+  void finishHeld() {
+    occupy([&] {
+      for (auto &it : Held)
+        it->finish();
+      Held.clear();
+    });
+  }
+  size_t countHeld() {
+    size_t n = 0;
+    occupy([&] { n = Held.size(); });
+    return n;
+  }
+
+  HttpServer &server() { return Server; }
+
+private:
+  HttpServer::Handlers handlers() {
+    HttpServer::Handlers out;
+    out.OnRequest = [this](const HttpRequest &Request,
+                           const std::shared_ptr<HttpExchange> &Exchange) {
+      if (Request.Target == "/large") {
+        Exchange->respond(200, {}, std::string(LargeBodyBytes, 'x'));
+      } else if (Request.Target == "/held") {
+        Exchange->start(200, {});
+        Exchange->write("first");
+        Held.push_back(Exchange);
+      } else if (Request.Target == "/broken") {
+        Exchange->start(200, {});
+        Exchange->write(std::string(LargeBodyBytes / 16, 'x'));
+        Exchange->abort();
+      } else {
+        Exchange->respond(200, {}, "answer to " + Request.Target);
+      }
+    };
+    out.OnLoss = [](const HttpExchange *, HttpLoss) {};
+    return out;
+  }
+
+  asio::io_context Io;
+  asio::io_context CallerIo;
+  Metrics Counts;
+  HttpServer Server;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+  std::thread Runner;
+};
+
+std::string requestFor(const std::string &Target,
+                       const std::string &Fields = "") {
+  return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n" + Fields + "\r\n";
+}
+
+void send(Tcp::socket &Socket, const std::string &Text) {
+  boost::system::error_code ec;
+  asio::write(Socket, asio::buffer(Text), ec);
+}
+
+/// All bytes until the connection ends, and how it ends.
+struct Received {
+  std::string Bytes;
+  boost::system::error_code End;
+
+  bool has(const std::string &Text) const {
+    return Bytes.find(Text) != std::string::npos;
+  }
+  bool isClosedInOrder() const { return End == asio::error::eof; }
+};
+
+Received readAll(Tcp::socket &Socket) {
+  Received out;
+  asio::read(Socket, asio::dynamic_buffer(out.Bytes), out.End);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("requests on connections that are not accepted yet survive a stop") {
+  constexpr int Rounds = 20;
+  constexpr int Callers = 10;
+  int answered = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    LoopbackServer server;
+    std::vector<Tcp::socket> callers;
+    server.occupy([&] {
+      for (int i = 0; i < Callers; ++i) {
+        callers.push_back(server.connect());
+        send(callers.back(), requestFor("/late"));
+      }
+      server.server().stopAccepting();
+    });
+    for (Tcp::socket &it : callers)
+      answered += readAll(it).has("answer to /late");
+  }
+  CHECK(answered == Rounds * Callers);
+}
+
+TEST_CASE("idle connection is closed in order in a stop") {
+  constexpr int Rounds = 20;
+  int inOrder = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    LoopbackServer server;
+    Tcp::socket caller = server.connect();
+    send(caller, requestFor("/a"));
+    std::string head;
+    asio::read_until(caller, asio::dynamic_buffer(head), "answer to /a");
+    server.stopAccepting();
+    // Crosses the close.
+    send(caller, requestFor("/b"));
+    std::this_thread::sleep_for(NoticeTime);
+    inOrder += readAll(caller).isClosedInOrder();
+  }
+  CHECK(inOrder == Rounds);
+}
+
+TEST_CASE("request that has arrived when its connection expires is answered") {
+  constexpr int Rounds = 20;
+  HttpLimits limits = callerLimits();
+  limits.IdleTimeout = Millis(100);
+  int answered = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    LoopbackServer server(limits);
+    Tcp::socket caller = server.connect();
+    std::this_thread::sleep_for(Millis(10));
+    server.occupy([&] {
+      std::this_thread::sleep_for(Millis(60));
+      send(caller, requestFor("/late"));
+      std::this_thread::sleep_for(Millis(80));
+    });
+    answered += readAll(caller).has("answer to /late");
+  }
+  CHECK(answered == Rounds);
+}
