Close connections of callers in order behind every response

Callers lost the end of a response, or all of it, and saw a reset.

Cause: Linux resets a connection that is closed with unread bytes and drops what it has not sent or the peer has not read yet. Only connections of refused requests were closed in order; behind other last responses, and behind the sent part of a broken one, the close came at once. Unread bytes are an empty line after a body, a next request that was sent early, or a body that goes on after an early response.

Each last response is followed by the end of the sending side; what the caller still sends is read and dropped until it closes its side, for 1 s or 16 MB at most. The same way was looked for at the other closes: handleLoss (the caller has left, or is given up), time-outs before a request, and the client, whose cancelled exchanges are meant to be reset.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -59,9 +59,9 @@
 /// same while the process is short of memory.
 constexpr size_t RoomyUnsentBytes = 256ULL * 1024;
 constexpr size_t ScarceUnsentBytes = 16ULL * 1024;
-/// A caller whose request was refused while it was sent may go on sending for
-/// this time and size. A connection that is closed earlier is reset, and the
-/// caller might lose the response.
+/// After the last response on a connection, the caller may go on sending for
+/// this time and size. Bytes that are unread at the close, or arrive after it,
+/// reset the connection, and the caller might lose the response.
 constexpr Millis LingerTime{1'000};
 constexpr size_t MaxLingerBytes = 16ULL * 1024 * 1024;
 /// Retry-After of a request for which there is no memory, in seconds. Another
@@ -179,6 +179,7 @@
   void writeNext();
   void reportRoom();
   void finishResponse();
+  void closeInOrder();
   void discardInput();
   void abortConnection();
   void handleLoss(HttpLoss Loss);
@@ -201,8 +202,7 @@
   bool IsHttp10 = false;
   bool KeepAlive = false;
   bool IsHeadRequest = false;
-  bool HasOutput = false;   ///< Of the current request.
-  bool IsLingering = false; ///< The caller may still be sending.
+  bool HasOutput = false; ///< Of the current request.
   size_t LingerBytes = 0;
   std::weak_ptr<HttpExchange> Exchange;
 };
@@ -601,7 +601,6 @@
                        "reason=\"" + std::string(Reason) + "\"");
   // The rest of a malformed request cannot be told apart from a next request.
   KeepAlive = false;
-  IsLingering = true;
   ++RequestNumber;
   IsResponding = true;
   IsEndQueued = false;
@@ -693,12 +692,15 @@
     waitForRequest();
     return;
   }
+  closeInOrder();
+}
+
+/// Closes the sending side now, and the connection once the caller has closed
+/// its side.
+void Session::closeInOrder() {
   beast::error_code ec;
   Stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
-  if (!IsLingering) {
-    Stream.close();
-    return;
-  }
+  InputCharge.set(0);
   Stream.expires_after(LingerTime);
   discardInput();
 }
@@ -744,9 +746,12 @@
   --Server->OpenCount;
   // With HTTP/1.0 the end of the connection ends the body; a reset tells the
   // caller that the response is incomplete.
+  if (!IsHttp10) {
+    closeInOrder();
+    return;
+  }
   beast::error_code ec;
-  if (IsHttp10)
-    Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
   Stream.close();
 }
 
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -150,6 +150,11 @@
   return out;
 }
 
+size_t bodySize(const std::string &Response) {
+  size_t at = Response.find("\r\n\r\n");
+  return at == std::string::npos ? 0 : Response.size() - at - 4;
+}
+
 } // namespace
 
 TEST_CASE("requests on connections that are not accepted yet survive a stop") {
@@ -172,6 +177,52 @@
   CHECK(answered == Rounds * Callers);
 }
 
+TEST_CASE("bytes behind the last request do not cost its response") {
+  constexpr int Rounds = 5;
+  for (bool isWatched : {true, false})
+    for (const std::string &extra :
+         {std::string("\r\n"), requestFor("/next"), std::string(200'000, 'x')})
+      for (Millis delay : {Millis(0), NoticeTime}) {
+        HttpLimits limits;
+        limits.CancelsOnDisconnect = isWatched;
+        LoopbackServer server(limits);
+        int complete = 0;
+        int inOrder = 0;
+        for (int round = 0; round < Rounds; ++round) {
+          Tcp::socket caller = server.connect();
+          send(caller, requestFor("/large", "Connection: close\r\n") +
+                           (delay == Millis(0) ? extra : ""));
+          std::this_thread::sleep_for(delay);
+          if (delay > Millis(0))
+            send(caller, extra);
+          std::this_thread::sleep_for(NoticeTime);
+          Received response = readAll(caller);
+          complete += bodySize(response.Bytes) == LargeBodyBytes;
+          inOrder += response.isClosedInOrder();
+        }
+        INFO("watched " << isWatched << ", extra bytes " << extra.size()
+                        << ", delay in ms " << delay.count());
+        CHECK(complete == Rounds);
+        CHECK(inOrder == Rounds);
+      }
+}
+
+TEST_CASE("sent part of a broken response arrives behind unread input") {
+  constexpr int Rounds = 20;
+  HttpLimits limits;
+  LoopbackServer server(limits);
+  int arrived = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    Tcp::socket caller = server.connect();
+    send(caller, requestFor("/broken") + std::string(20'000, 'x'));
+    std::this_thread::sleep_for(NoticeTime);
+    Received response = readAll(caller);
+    arrived += bodySize(response.Bytes) > LargeBodyBytes / 16;
+    CHECK_FALSE(response.Bytes.ends_with("0\r\n\r\n"));
+  }
+  CHECK(arrived == Rounds);
+}
+
 TEST_CASE("idle connection is closed in order in a stop") {
   constexpr int Rounds = 20;
   int inOrder = 0;
