Keep a connection until its caller has been told that it ends

Callers whose stream had begun before a SIGTERM sent their next request on the connection and found it closed; HTTP/1.0 callers that ask for a kept connection waited for the end of a stream until the idle timeout.

Cause: whether a connection is closed behind a response was decided anew at its end, from the state of the server, and not from what the head had said. A response that began with "Keep-Alive" was followed by a close when the server had begun to drain meanwhile, and one that ends with its connection by none.

The head decides. In a drain, a kept connection gets its "Connection: close" with the next response.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -273,6 +273,8 @@
       if (!isHopByHopField(it.Name))
         head.add(it.Name, it.Value);
     bool isKept = MayKeepAlive && Owner->keepsAlive();
+    if (!isKept)
+      Owner->closeAfterResponse();
     if (isKept != !IsHttp10)
       head.add("Connection", isKept ? "keep-alive" : "close");
     if (isKept)
@@ -688,11 +690,11 @@
 void Session::finishResponse() {
   IsResponding = false;
   --Server->OpenCount;
-  if (keepsAlive()) {
+  // Also in a stop, a caller that was not told of the close may send on.
+  if (KeepAlive)
     waitForRequest();
-    return;
-  }
-  closeInOrder();
+  else
+    closeInOrder();
 }
 
 /// Closes the sending side now, and the connection once the caller has closed
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -223,6 +223,26 @@
   CHECK(arrived == Rounds);
 }
 
+TEST_CASE("request behind a response with keep-alive is answered in a drain") {
+  constexpr int Rounds = 20;
+  int answered = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    LoopbackServer server;
+    Tcp::socket caller = server.connect();
+    send(caller, requestFor("/held"));
+    std::string head;
+    asio::read_until(caller, asio::dynamic_buffer(head), "first");
+    REQUIRE(head.find("Connection: close") == std::string::npos);
+    server.drain();
+    server.finishHeld();
+    asio::read_until(caller, asio::dynamic_buffer(head), "0\r\n\r\n");
+    send(caller, requestFor("/next"));
+    Received rest = readAll(caller);
+    answered += rest.has("answer to /next") && rest.has("Connection: close");
+  }
+  CHECK(answered == Rounds);
+}
+
 TEST_CASE("idle connection is closed in order in a stop") {
   constexpr int Rounds = 20;
   int inOrder = 0;
@@ -259,3 +279,15 @@
   }
   CHECK(answered == Rounds);
 }
+
+TEST_CASE("HTTP/1.0 stream ends with its connection also when it is kept") {
+  LoopbackServer server;
+  Tcp::socket caller = server.connect();
+  send(caller, "GET /held HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  while (server.countHeld() == 0)
+    std::this_thread::sleep_for(Millis(1));
+  server.finishHeld();
+  std::this_thread::sleep_for(NoticeTime);
+  caller.non_blocking(true);
+  CHECK(readAll(caller).isClosedInOrder());
+}
