Answer the next request of a caller in a stop, also behind an empty line

Callers that send their next request before they have the response to the one before lost it in a stop, though the process had read it; one with an empty line before it was refused with 400 at any time.

Cause: a stopping server closed a connection behind its response without looking at the bytes that it had read ahead. The parser takes an empty line for the start of a malformed request; some callers send one behind a body (RFC 9112, 2.2). It also counted as the begin of a request, so that a stop waited for the rest until the header's time-out.

Empty lines are dropped before a request.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -161,6 +161,7 @@
 private:
   void readFirstBytes();
   bool hasUnreadInput();
+  void skipEmptyLines();
   void readHead();
   void readMore(size_t Size);
   void parse();
@@ -306,14 +307,15 @@
 } // namespace
 
 void Session::waitForRequest() {
-  if (Server->IsStopping && !hasUnreadInput()) {
-    Stream.close();
-    return;
-  }
+  skipEmptyLines();
   if (Buffer.size() > 0) {
     readHead();
     return;
   }
+  if (Server->IsStopping && !hasUnreadInput()) {
+    closeInOrder();
+    return;
+  }
   if (Buffer.capacity() > ReadBufferSize)
     Buffer.shrink_to_fit();
   InputCharge.set(0);
@@ -337,7 +339,7 @@
         }
         self->Buffer.commit(n);
         if (!runGuarded(self->Server->Counts, "request_read",
-                        [&] { self->readHead(); }))
+                        [&] { self->waitForRequest(); }))
           self->Stream.close();
       });
 }
@@ -347,6 +349,13 @@
 /// handler has not run yet.
 void Session::closeIdle() { Stream.cancel(); }
 
+/// Drops empty lines before a request, which some callers send behind a body.
+void Session::skipEmptyLines() {
+  auto bytes = Buffer.data();
+  std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
+  Buffer.consume(std::min(text.find_first_not_of("\r\n"), text.size()));
+}
+
 bool Session::hasUnreadInput() {
   boost::system::error_code ec;
   return Stream.socket().available(ec) > 0 && !ec;
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -243,6 +243,24 @@
   CHECK(answered == Rounds);
 }
 
+TEST_CASE("request that was sent early is answered in a stop") {
+  constexpr int Rounds = 20;
+  int answered = 0;
+  for (int round = 0; round < Rounds; ++round) {
+    LoopbackServer server;
+    Tcp::socket caller = server.connect();
+    send(caller, requestFor("/held") + requestFor("/next"));
+    while (server.countHeld() == 0)
+      std::this_thread::sleep_for(Millis(1));
+    std::this_thread::sleep_for(Millis(5));
+    server.stopAccepting();
+    server.finishHeld();
+    Received response = readAll(caller);
+    answered += response.has("answer to /next");
+  }
+  CHECK(answered == Rounds);
+}
+
 TEST_CASE("idle connection is closed in order in a stop") {
   constexpr int Rounds = 20;
   int inOrder = 0;
@@ -280,6 +298,37 @@
   CHECK(answered == Rounds);
 }
 
+TEST_CASE("empty line between two requests does not cost the second") {
+  LoopbackServer server;
+  for (const char *gap : {"", "\r\n", "\r\n\r\n"})
+    for (bool isPaused : {false, true}) {
+      INFO("bytes between " << std::string(gap).size() << ", paused "
+                            << isPaused);
+      Tcp::socket caller = server.connect();
+      std::string end = requestFor("/b", "Connection: close\r\n");
+      if (isPaused) {
+        send(caller, requestFor("/a") + gap);
+        std::this_thread::sleep_for(NoticeTime);
+        send(caller, end);
+      } else {
+        send(caller, requestFor("/a") + gap + end);
+      }
+      Received response = readAll(caller);
+      CHECK(response.has("answer to /a"));
+      CHECK(response.has("answer to /b"));
+    }
+}
+
+TEST_CASE("empty line behind a request does not hold up a stop") {
+  LoopbackServer server;
+  Tcp::socket caller = server.connect();
+  send(caller, requestFor("/a") + "\r\n");
+  std::this_thread::sleep_for(NoticeTime);
+  server.stopAccepting();
+  std::this_thread::sleep_for(NoticeTime);
+  CHECK(server.server().countConnections() == 0);
+}
+
 TEST_CASE("HTTP/1.0 stream ends with its connection also when it is kept") {
   LoopbackServer server;
   Tcp::socket caller = server.connect();
