Deliver a response that is ready to a caller that closed its sending side

A caller that sends its request, closes its sending side and reads on lost the rest of a response that had been handed over for sending whole.

Cause: any end of the caller's side cut the exchange, also where nothing was left to do but to send. Behind the end of the response there is no work to save, and a caller that is gone answers the next bytes with a reset.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -572,7 +572,10 @@
   if (Error || Number != RequestNumber || !IsResponding)
     return;
   if (isDisconnected()) {
-    handleLoss(HttpLoss::CallerGone);
+    // A response that is ready saves no work by its end, and the caller may
+    // have closed its sending side only.
+    if (!IsEndQueued)
+      handleLoss(HttpLoss::CallerGone);
     return;
   }
   if (Buffer.size() < MaxReadAheadBytes) {
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -340,3 +340,14 @@
   caller.non_blocking(true);
   CHECK(readAll(caller).isClosedInOrder());
 }
+
+TEST_CASE("caller that closes its sending side gets a response that is ready") {
+  LoopbackServer server;
+  Tcp::socket caller = server.connect();
+  send(caller, requestFor("/large", "Connection: close\r\n"));
+  std::this_thread::sleep_for(NoticeTime);
+  caller.shutdown(Tcp::socket::shutdown_send);
+  std::this_thread::sleep_for(NoticeTime);
+  Received response = readAll(caller);
+  CHECK(bodySize(response.Bytes) == LargeBodyBytes);
+}
