Do not give up callers that read nothing for 10 s

A caller that paused while it read a long response was cut off after 10 s; the time meant for slow readers is 30 s (WriteTimeout).

Cause: TCP_USER_TIMEOUT, set to find callers whose host has failed, also ends a connection whose peer answers all window probes but reads nothing.

Evidence: "caller that pauses for 12 s while it reads gets the whole response": 128,448 of 16,000,000 bytes and a reset before, all now.

Both times are the same now. A caller whose host fails without a reset is found 20 s later than before, or at the deadline of its request, whichever is first.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -35,9 +35,9 @@
 
 constexpr std::chrono::seconds WriteTimeout{30};
 /// A connection is closed when sent bytes stay unacknowledged this long, as
-/// they do when the caller's host has failed. Allows for a few lost packets at
-/// the network delays of the platform.
-constexpr int UserTimeoutMs = 10'000;
+/// they do when the caller's host has failed, or when a caller reads nothing
+/// and its receive buffer is full.
+constexpr int UserTimeoutMs = Millis(WriteTimeout).count();
 constexpr size_t ReadBufferSize = 4096;
 constexpr Millis AcceptRetryDelay{100};
 /// Limit of bytes read beyond the current request.
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -351,3 +351,14 @@
   Received response = readAll(caller);
   CHECK(bodySize(response.Bytes) == LargeBodyBytes);
 }
+
+TEST_CASE(
+    "caller that pauses for 12 s while it reads gets the whole response") {
+  LoopbackServer server;
+  Tcp::socket caller = server.connect();
+  send(caller, requestFor("/large", "Connection: close\r\n"));
+  std::this_thread::sleep_for(std::chrono::seconds(12));
+  Received response = readAll(caller);
+  INFO(response.End.message());
+  CHECK(bodySize(response.Bytes) == LargeBodyBytes);
+}
