Keep unread requests from taking responses and next requests with them

An endpoint may respond before it has read a long request and read on later. The rest of such a response was lost 2.5 s later; a next request on the kept connection was lost with it, one that must not run twice for good.

Cause: TCP_USER_TIMEOUT, set to find silent hosts, also ends a connection whose peer answers window probes but reads nothing. And a connection counted as free once the kernel had taken the request, though its rest was still to be sent.

From the head of a response on, the time-outs of the exchange hold in place of the short one, as the host has shown that it is there. A connection on which bytes of the request are unsent is closed behind the response.

Open: an endpoint that neither reads nor responds for 2.5 s, with a request longer than its receive buffer, is still taken for a silent host.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -15,9 +15,11 @@
 #include <array>
 #include <cerrno>
 #include <limits>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -31,9 +33,9 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Millis DefaultConnectTimeout{3'000};
-/// Bytes that stay unacknowledged this long end a connection: the peer or the
-/// network path has failed without a reset.
-constexpr int UserTimeoutMs = 2'500;
+/// Bytes that stay unacknowledged this long before the response begins end a
+/// connection: the peer or the network path has failed without a reset.
+constexpr Millis UserTimeout{2'500};
 /// Largest status line and header of a response, in bytes.
 constexpr uint32_t MaxHeadBytes = 64 * 1024;
 /// Informational responses that may precede a response.
@@ -71,6 +73,21 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Sets the time for which sent bytes may stay unacknowledged, or unread by a
+/// peer whose receive buffer is full.
+void setUserTimeout(Connection &Conn, Millis Timeout) {
+  unsigned ms = static_cast<unsigned>(Timeout.count());
+  ::setsockopt(Conn.Stream.socket().native_handle(), IPPROTO_TCP,
+               TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
+/// True when the peer's host has not taken all bytes of the request.
+bool hasUnsentBytes(Connection &Conn) {
+  int n = 0;
+  return ::ioctl(Conn.Stream.socket().native_handle(), SIOCOUTQ, &n) != 0 ||
+         n > 0;
+}
+
 bool mayHaveBody(std::string_view Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
@@ -219,8 +236,6 @@
       return;
     boost::system::error_code ignored;
     Conn->Stream.socket().set_option(Tcp::no_delay(true), ignored);
-    ::setsockopt(Conn->Stream.socket().native_handle(), IPPROTO_TCP,
-                 TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
     exchange();
   }
 
@@ -234,6 +249,7 @@
   void exchange() {
     if (IsFinished || (Callbacks.MaySend && !Callbacks.MaySend()))
       return;
+    setUserTimeout(*Conn, UserTimeout);
     expireRead();
     std::array<asio::const_buffer, 2> bytes{asio::buffer(Head),
                                             asio::buffer(*Body)};
@@ -334,6 +350,8 @@
     IsKeptAlive = Parser->keep_alive() && !Parser->need_eof();
     parseKeepAlive(fieldOf(head.Fields, "keep-alive"));
     Parser->eager(true);
+    // The peer may respond first and read the rest of the request later.
+    setUserTimeout(*Conn, Options.ReadTimeout);
     Callbacks.OnHead(std::move(head));
   }
 
@@ -350,14 +368,15 @@
   }
 
   /// A complete response is delivered even if the request could not be sent
-  /// completely; only the connection is not reused then.
+  /// completely; only the connection is not reused then, as the next request
+  /// would wait behind the rest.
   void finishIfComplete() {
     if (IsFinished || !IsResponseRead)
       return;
     IsFinished = true;
     bool isReusable = IsKeptAlive && IsRequestSent &&
                       Client->PoolsConnections && Conn->Buffer.size() == 0 &&
-                      KeepFor.count() > 0;
+                      KeepFor.count() > 0 && !hasUnsentBytes(*Conn);
     if (isReusable) {
       Conn->Stream.expires_never();
       Conn->IdleEnd = Clock::now() + KeepFor;
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -3,6 +3,7 @@
 /// has to answer goes down with one, and no response that it has sent.
 #include "core/metrics.h"
 #include "http/address.h"
+#include "http/client.h"
 #include "http/server.h"
 
 #include <boost/asio/connect.hpp>
@@ -362,3 +363,112 @@
   INFO(response.End.message());
   CHECK(bodySize(response.Bytes) == LargeBodyBytes);
 }
+
+namespace {
+
+/// Server whose receive buffer is much smaller than LongBodyBytes, and whose
+/// connections each run a script on a thread.
+class UnreadingServer {
+public:
+  using Script = std::function<void(Tcp::socket &, int Number)>;
+
+  explicit UnreadingServer(const Script &Run)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
+    Runner = std::thread([this, Run] {
+      for (int i = 0;; ++i) {
+        boost::system::error_code ec;
+        auto socket = std::make_shared<Tcp::socket>(Io);
+        Acceptor.accept(*socket, ec);
+        if (ec || IsStopping)
+          return;
+        Connections.emplace_back([=] { Run(*socket, i); });
+      }
+    });
+  }
+  ~UnreadingServer() {
+    IsStopping = true;
+    boost::system::error_code ec;
+    Tcp::socket wake(Io);
+    wake.connect(Acceptor.local_endpoint(), ec);
+    Runner.join();
+    for (std::thread &it : Connections)
+      it.join();
+  }
+  UnreadingServer(const UnreadingServer &) = delete;
+  UnreadingServer &operator=(const UnreadingServer &) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+private:
+  asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::atomic<bool> IsStopping{false};
+  std::vector<std::thread> Connections;
+  std::thread Runner;
+};
+
+constexpr size_t LongBodyBytes = 2'000'000;
+
+/// Client whose exchanges run one after the other.
+struct LoopbackClient {
+  /// Body of the response; nothing if the exchange fails.
+  std::optional<std::string> call(const std::string &Address,
+                                  const std::string &Body) {
+    std::optional<std::string> out;
+    bool isEnded = false;
+    std::string received;
+    HttpCallbacks callbacks;
+    callbacks.OnHead = [](const HttpResponseHead &) {};
+    callbacks.OnBody = [&](std::string_view it) { received += it; };
+    callbacks.OnEnd = [&] {
+      out = received;
+      isEnded = true;
+    };
+    callbacks.OnFailure = [&](HttpFailure) { isEnded = true; };
+    auto call = Client.start(Address, {"POST", "/a", {}, Body},
+                             {Millis(1'000), Millis(8'000)}, callbacks);
+    while (!isEnded) {
+      Io.restart();
+      Io.run_one();
+    }
+    return out;
+  }
+
+  asio::io_context Io;
+  Metrics Counts;
+  HttpClient Client{Io, Counts, std::make_shared<MemoryBudget>(MemoryBytes)};
+};
+
+} // namespace
+
+TEST_CASE("response that goes on while its request is unread is not cut") {
+  UnreadingServer server([](Tcp::socket &Socket, int) {
+    send(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\none");
+    std::this_thread::sleep_for(Millis(4'000));
+    send(Socket, "two");
+    std::this_thread::sleep_for(NoticeTime);
+  });
+  LoopbackClient client;
+  CHECK(client.call(server.address(), std::string(LongBodyBytes, 'x')) ==
+        "onetwo");
+}
+
+TEST_CASE("connection with an unread request is not used for a next one") {
+  UnreadingServer server([](Tcp::socket &Socket, int Number) {
+    send(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                     std::to_string(Number));
+    std::this_thread::sleep_for(Millis(4'000));
+  });
+  for (size_t n : {50'000, 200'000, 2'000'000}) {
+    INFO("bytes of the first request " << n);
+    LoopbackClient client;
+    auto first = client.call(server.address(), std::string(n, 'x'));
+    REQUIRE(first);
+    auto second = client.call(server.address(), "short");
+    REQUIRE(second);
+    CHECK(*second != *first);
+  }
+}
