--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -33,6 +33,16 @@
   return out.str();
 }
 
+/// Reads the mask of blocked signals from the text of /proc/PID/status.
+bool blocksSignal(const std::string &Status, int Signal) {
+  const std::string key = "SigBlk:\t";
+  size_t at = Status.find(key);
+  return at != std::string::npos &&
+         (std::stoull(Status.substr(at + key.size()), nullptr, 16) >>
+              (Signal - 1) &
+          1) != 0;
+}
+
 } // namespace
 
 FrontFleet::FrontFleet(FrontFleetSize Size) : Size(Size) {
@@ -112,6 +122,25 @@
   return waitForStart(name, 0);
 }
 
+bool FrontFleet::startAgentAndSignal(int Host, std::chrono::microseconds Delay,
+                                     const std::vector<int> &Signals) {
+  std::string name = agentName(Host);
+  std::ofstream(settingsPathOf(name))
+      << agentSettings(Host, addressOf(Host, 7));
+  launch(name);
+  std::string path = "/proc/" + std::to_string(Processes[name]) + "/status";
+  TimePoint deadline = Clock::now() + seconds(5);
+  while (!blocksSignal(readFile(path), SIGTERM)) {
+    if (isPast(deadline, Clock::now()))
+      return false;
+    std::this_thread::yield();
+  }
+  std::this_thread::sleep_for(Delay);
+  for (int it : Signals)
+    signal(name, it);
+  return true;
+}
+
 void FrontFleet::signal(const std::string &Process, int Signal) {
   auto found = Processes.find(Process);
   if (found != Processes.end())
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -45,6 +45,10 @@
   /// Starts an agent whose settings file is a pipe, sends it \p Signal while it
   /// reads the settings, and returns whether it starts nevertheless.
   bool startAgentWithEarlySignal(int Host, int Signal);
+  /// Starts an agent and sends it \p Signals once \p Delay has passed since it
+  /// blocks SIGTERM. Returns false if it does not block it within 5 s.
+  bool startAgentAndSignal(int Host, std::chrono::microseconds Delay,
+                           const std::vector<int> &Signals);
   void startAgent(int Host, const std::string &Engine);
   void signal(const std::string &Process, int Signal);
   /// Returns the exit code, -1 if the process is unknown or still runs after
--- a/tests/process/test_stops.cpp
+++ b/tests/process/test_stops.cpp
@@ -118,3 +118,13 @@
     CHECK(fleet.waitForExit(FrontFleet::agentName(9), seconds(5)) == 0);
   }
 }
+
+TEST_CASE("stop signals at any time of the start end a process with code 0") {
+  FrontFleet fleet({1, 0});
+  for (int i = 0; i < 40; ++i) {
+    std::chrono::microseconds delay(i * 1'000);
+    INFO("delay in us " << delay.count());
+    REQUIRE(fleet.startAgentAndSignal(9, delay, {SIGTERM, SIGHUP, SIGTERM}));
+    CHECK(fleet.waitForExit(FrontFleet::agentName(9), seconds(5)) == 0);
+  }
+}
