Test requests on kept connections that an endpoint ends meanwhile

Not reproduced, kept as a guard: an endpoint that closes or resets a kept connection when the next request has been sent on it, 20 rounds for each kind of request and each way.

--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -615,3 +615,37 @@
   }
   CHECK(endpoint.countRequests() == 1);
 }
+
+TEST_CASE("request on a kept connection that ends meanwhile is answered") {
+  constexpr int Rounds = 20;
+  for (bool isReset : {false, true})
+    for (const char *route : {"once", "many", "stream"}) {
+      INFO(route << ", reset " << isReset);
+      std::mutex mutex;
+      std::set<std::string> cut;
+      ScriptedEndpoint endpoint(
+          [&](Tcp::socket &Socket, const std::string &Id) {
+            std::unique_lock guard(mutex);
+            if (Id.starts_with("first") || !cut.insert(Id).second) {
+              sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
+              return;
+            }
+            guard.unlock();
+            boost::system::error_code ec;
+            if (isReset)
+              Socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+            Socket.close(ec);
+          });
+      TestedFront front(endpoint.address());
+      for (int i = 0; i < Rounds; ++i) {
+        std::string n = std::to_string(i);
+        REQUIRE(isCompleteSuccess(front.call("many", "first" + n)));
+        std::string response = front.call(route, "second" + n);
+        INFO(response);
+        if (std::string(route) == "many")
+          CHECK(isCompleteSuccess(response));
+        else
+          CHECK(response.starts_with("HTTP/1.1 502"));
+      }
+    }
+}
