Forward events once and in order, and check unframed ends

Callers saw, after an endpoint broke off a stream, events that came twice, were missing or went back, and the answer still ended as complete. A stream without length or chunks whose endpoint was killed between two events also ended as complete.

Cause: a front told the next endpoint by Last-Event-Id where to go on and forwarded whatever came back; nothing compared the ids. The kernel closes the connections of a killed process in order, so that the end of an unframed stream says nothing. Also: the id of an event that was not forwarded, because it came from another software version, was taken for the last one that the caller has, so that the next endpoint left it out. Lines ending in CR or a mix were not split, "id: 5x" was read as 5, and a stream whose events have no ids was sent again from its start.

Now front/event_order decides on each event: forward, drop or broken. A resumed exchange drops what the caller has; ids must grow; a stream numbered one by one has no gap; a run that starts over must contain the last event that the caller has; one that ends before it has not continued. A broken exchange takes the existing path: another endpoint from the last event forwarded, or an end without completion. Request.LastEvent is set where an event is written, nowhere else. An unframed stream that ends between two events is whole only if its instance answers one health check, on a new connection, within 1 s and the deadline.

Ruled out: loss of Last-Event-Id on the way.

ScriptedEndpoint answers health checks itself and keeps the heads of requests.

--- a/fleet/serving_table.h
+++ b/fleet/serving_table.h
@@ -69,6 +69,7 @@
 
 struct ServingService {
   std::string Name;
+  std::string HealthPath = "/"; ///< Of its endpoints' health checks.
   uint32_t MaxConnections = 0;
   std::optional<EngineSpec> Engine; ///< Absent without model engines.
 };
--- /dev/null
+++ b/front/instance_check.h
@@ -0,0 +1,31 @@
+/// \file
+/// Asks whether an instance still runs. The kernel closes the connections of a
+/// process that was killed in order, so that the end of one does not tell.
+#ifndef SASSAFRAS_FRONT_INSTANCE_CHECK_H
+#define SASSAFRAS_FRONT_INSTANCE_CHECK_H
+
+#include "http/client.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sassafras {
+
+struct InstanceCheck {
+  std::string Address;
+  std::string Instance;
+  std::string HealthPath;
+  TimePoint Deadline; ///< Without an answer by then, it counts as gone.
+};
+
+/// Calls \p Done once with true if the instance has answered, whatever the
+/// status. The call may be cancelled; then \p Done is not called. Call on the
+/// thread that runs the client.
+std::shared_ptr<HttpCall>
+startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
+                   std::function<void(bool IsRunning)> Done);
+
+} // namespace sassafras
+
+#endif
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "front/crash_notices.h"
 #include "front/endpoint_statements.h"
+#include "front/instance_check.h"
 #include "front/stream_origins.h"
 #include "platform/caller_codec.h"
 
@@ -28,6 +29,8 @@
 /// Largest event of a stream, in bytes. An endpoint in trouble may send bytes
 /// without an end of an event.
 constexpr size_t MaxEventBytes = 256ULL * 1024;
+/// A health check is answered within a round trip, or after a wait for a slot.
+constexpr Millis InstanceCheckTimeout{1'000};
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusClientClosed = 499; ///< For the log only.
 constexpr unsigned StatusInternalError = 500;
@@ -43,6 +46,10 @@
   return fieldOf(Head.Fields, "content-type").starts_with("text/event-stream");
 }
 
+std::string textOf(const std::optional<uint64_t> &Id) {
+  return Id ? std::to_string(*Id) : "";
+}
+
 std::string refusalBody(const FrontRequest &Request,
                         const FrontRefusal &Refusal) {
   return R"({"error":{"reason":")" + std::string(nameOf(Refusal.Reason)) +
@@ -112,7 +119,7 @@
 }
 
 void Relay::dispatch() {
-  if (IsOver || Call)
+  if (IsOver || Call || EndCheck)
     return;
   guard(
       [&] { applyResult(decideDispatch(Core.State, Request, Clock::now())); });
@@ -174,6 +181,8 @@
   IsNotRun = false;
   IsStream = false;
   HasOrigin = false;
+  IsTailDue = false;
+  beginExchange(Order, Request.LastEvent);
   Body.clear();
   DiscardedBytes = 0;
   recordDispatch(Core.State, Request, Endpoint, now);
@@ -293,13 +302,10 @@
   if (IsOver)
     return;
   if (IsStream) {
-    std::string events = takeCompleteEvents(EventBuffer, Bytes);
-    if (!events.empty() && !mayForwardEvents()) {
+    if (!forwardEvents(takeCompleteEvents(EventBuffer, Bytes))) {
       cancelExchange(ExchangeFailure::Broken);
       return;
     }
-    if (!events.empty())
-      writeEvents(std::move(events));
     size_t n = EventBuffer.Incomplete.size();
     if (n > MaxEventBytes || !BufferCharge.tryResize(n))
       cancelOversized(ExchangeFailure::Broken, n);
@@ -354,6 +360,7 @@
 bool Relay::mayForwardEvents() {
   if (HasOrigin)
     return true;
+  recordJoint();
   NodeMessages messages;
   HasOrigin =
       recordStreamOrigin(Core.State, Request, Endpoint, Clock::now(), messages);
@@ -366,6 +373,61 @@
   return HasOrigin;
 }
 
+bool Relay::forwardEvents(const SsePieces &Pieces) {
+  std::string due = IsTailDue ? Pieces.Tail : "";
+  bool isInOrder = true;
+  for (const SseEvent &it : Pieces.Events) {
+    if (it.IsComment) {
+      due += it.Bytes;
+      IsTailDue = true;
+      continue;
+    }
+    EventVerdict verdict = checkEvent(Order, it.Id);
+    IsTailDue = verdict == EventVerdict::Forward;
+    if (verdict == EventVerdict::Drop) {
+      Core.Counts.count("stream_events_dropped_total");
+      continue;
+    }
+    if (verdict == EventVerdict::Broken)
+      recordOrderBreak(it.Id);
+    isInOrder = verdict == EventVerdict::Forward && mayForwardEvents();
+    if (!isInOrder)
+      break;
+    due += it.Bytes;
+    HasEvents = true;
+    if (it.Id)
+      Request.LastEvent = it.Id;
+  }
+  if (!due.empty())
+    writeEvents(std::move(due));
+  return isInOrder;
+}
+
+/// Records that the exchange does not continue the stream in order.
+void Relay::recordOrderBreak(std::optional<uint64_t> Received) {
+  std::string reason(nameOf(Order.Break));
+  Core.Counts.count("stream_orders_broken_total", "reason=\"" + reason + '"');
+  logEvent(LogLevel::Warning, "stream_order_broken",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"reason", reason},
+            {"last_event", textOf(Request.LastEvent)},
+            {"received", textOf(Received)},
+            {"dropped", std::to_string(Order.Dropped)}});
+}
+
+/// Records, once for each exchange, where it joins the events before it.
+void Relay::recordJoint() {
+  if (!Order.LastHad)
+    return;
+  logEvent(LogLevel::Info, "stream_joined",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"last_event", textOf(Order.LastHad)},
+            {"first_received", textOf(Order.FirstId)},
+            {"dropped", std::to_string(Order.Dropped)}});
+}
+
 void Relay::writeEvents(std::string Events) {
   TimePoint now = Clock::now();
   if (LastEventAt != TimePoint()) {
@@ -392,7 +454,6 @@
 void Relay::handleEnd() {
   if (IsOver)
     return;
-  TimePoint now = Clock::now();
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
   // Without framing, the end of the connection is the only sign of the end, and
@@ -407,16 +468,16 @@
   bool isProof = !IsUnframed && isSuccess(Head.Status);
   if (isProof)
     recordProof();
-  if (IsStream && !EventBuffer.Incomplete.empty() && !mayForwardEvents()) {
+  if (IsStream && !isOrderWhole()) {
     failExchange(ExchangeFailure::Broken);
     return;
   }
+  if (IsStream && IsUnframed) {
+    checkInstance();
+    return;
+  }
   if (IsStream) {
-    recordSuccess(Core.State.Records[Endpoint]);
-    Exchange->write(std::move(EventBuffer.Incomplete));
-    Exchange->finish();
-    observe("answer_seconds", now - Request.ArrivedAt);
-    finish("answered", Head.Status);
+    finishStream();
     return;
   }
   if (IsStreamStarted) {
@@ -444,6 +505,65 @@
   forwardResponse();
 }
 
+/// Forwards what remains of a stream that has ended. False if the exchange is
+/// broken.
+bool Relay::isOrderWhole() {
+  if (!EventBuffer.Incomplete.empty()) {
+    SsePieces last;
+    last.Events.push_back(takeUnendedEvent(EventBuffer));
+    if (!forwardEvents(last))
+      return false;
+  }
+  if (!HasOrigin)
+    recordJoint();
+  if (checkEnd(Order))
+    return true;
+  recordOrderBreak(Order.LastId);
+  return false;
+}
+
+/// Finds out whether the endpoint has ended its stream, or was ended itself.
+void Relay::checkInstance() {
+  auto service = Request.Table->Services.find(Request.Service);
+  InstanceCheck check{
+      Target.Address, Endpoint,
+      service == Request.Table->Services.end() ? "/"
+                                               : service->second.HealthPath,
+      std::min(Request.Deadline, Clock::now() + InstanceCheckTimeout)};
+  EndCheck = startInstanceCheck(
+      Core.Client, check, [self = shared_from_this()](bool IsRunning) {
+        self->guard([&] { self->handleInstanceCheck(IsRunning); });
+      });
+}
+
+void Relay::handleInstanceCheck(bool IsRunning) {
+  if (IsOver)
+    return;
+  EndCheck.reset();
+  Core.Counts.count("stream_ends_checked_total",
+                    IsRunning ? "endpoint=\"running\"" : "endpoint=\"gone\"");
+  logEvent(IsRunning ? LogLevel::Info : LogLevel::Warning, "stream_end_checked",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"address", Target.Address},
+            {"running", IsRunning ? "true" : "false"},
+            {"last_event", textOf(Request.LastEvent)}});
+  if (IsRunning) {
+    finishStream();
+    return;
+  }
+  recordBreak();
+  failExchange(ExchangeFailure::Broken);
+}
+
+/// Ends the response with a stream that is whole.
+void Relay::finishStream() {
+  recordSuccess(Core.State.Records[Endpoint]);
+  Exchange->finish();
+  observe("answer_seconds", Clock::now() - Request.ArrivedAt);
+  finish("answered", Head.Status);
+}
+
 void Relay::observe(const char *Stage, Clock::duration Span) {
   Core.Counts.observe(
       Stage, Span, "kind=\"" + std::string(nameOf(Request.Route->Kind)) + '"');
@@ -504,15 +624,15 @@
 
 void Relay::failExchange(ExchangeFailure Failure) {
   // The resumed stream repeats an event that was interrupted.
-  EventBuffer.Incomplete.clear();
-  if (EventBuffer.LastId)
-    Request.LastEvent = EventBuffer.LastId;
+  EventBuffer = {};
   bool hasResponse = Failure == ExchangeFailure::Error && !IsResponseStarted;
   RetryDecision after = decideRetry(Core.State, Request, Endpoint, Failure,
                                     hasResponse, Clock::now());
-  // Once the response has started, only a resumable stream can be retried.
+  // Once the response has started, only a resumable stream can be retried, and
+  // after its first event only from an event that has an id.
   bool canRetry =
-      !IsResponseStarted || (IsStreamStarted && Request.Route->IsResumable);
+      !IsResponseStarted || (IsStreamStarted && Request.Route->IsResumable &&
+                             (!HasEvents || Request.LastEvent));
   if (after.IsRetry && canRetry) {
     Core.Counts.count("retries_total",
                       "reason=\"" + std::string(nameOf(*after.Why)) + "\"");
@@ -577,7 +697,7 @@
 }
 
 void Relay::stop(bool IsFinal) {
-  if (IsOver || (Call && !IsFinal))
+  if (IsOver || ((Call || EndCheck) && !IsFinal))
     return;
   Request.Runs += Call != nullptr;
   refuse({Request.Runs > 0 ? RefusalReason::EndpointFailed
@@ -627,6 +747,9 @@
     return;
   IsOver = true;
   Timer.cancel();
+  if (EndCheck)
+    EndCheck->cancel();
+  EndCheck.reset();
   setWaiting(false);
   removeWaitingRequest(Core.State, Request);
   TimePoint now = Clock::now();
@@ -645,6 +768,7 @@
        {"address", Target.Address},
        {"software_version", Request.StreamVersion.value_or("")},
        {"resumed", Request.Attributes.ResumedRequest},
+       {"last_event", textOf(Request.LastEvent)},
        {"load", std::to_string(static_cast<int>(Target.Load))},
        {"load_age_ms", std::to_string(Target.LoadAge.count())},
        {"endpoint_limit", StatedLimit ? std::to_string(*StatedLimit) : ""},
--- a/front/relay.h
+++ b/front/relay.h
@@ -6,6 +6,7 @@
 
 #include "front/admission.h"
 #include "front/dispatch.h"
+#include "front/event_order.h"
 #include "front/front_core.h"
 #include "front/sse_buffer.h"
 
@@ -56,7 +57,15 @@
   void handleFailure(HttpFailure CallFailure);
   bool isTrusted(const HttpResponseHead &Head) const;
   bool mayForwardEvents();
+  /// Forwards the events that are due. False if the exchange is broken.
+  bool forwardEvents(const SsePieces &Pieces);
   void writeEvents(std::string Events);
+  void recordOrderBreak(std::optional<uint64_t> Received);
+  void recordJoint();
+  bool isOrderWhole();
+  void checkInstance();
+  void handleInstanceCheck(bool IsRunning);
+  void finishStream();
   void writeToCaller(std::string Bytes);
   /// Records the duration of a stage in the histogram of the request's kind.
   void observe(const char *Stage, Clock::duration Span);
@@ -92,8 +101,10 @@
       Head; ///< Of the latest response; a resumed stream keeps the first.
   std::string Body; ///< Buffered until the response is complete.
   SseBuffer EventBuffer;
-  MemoryCharge BufferCharge; ///< For the two above.
-  size_t DiscardedBytes = 0; ///< Of this exchange's response.
+  EventOrder Order;
+  std::shared_ptr<HttpCall> EndCheck; ///< Whether the endpoint still runs.
+  MemoryCharge BufferCharge;          ///< For the two above.
+  size_t DiscardedBytes = 0;          ///< Of this exchange's response.
   TimePoint SentAt;
   TimePoint AnsweredAt; ///< Head of this exchange's response; or zero.
   TimePoint FirstByteAt;
@@ -104,6 +115,8 @@
   bool IsNotRun = false;   ///< The endpoint stated that it did not run it.
   bool IsUnframed = false; ///< The response ends with its connection.
   bool IsStream = false;   ///< This exchange's response is forwarded in pieces.
+  bool HasEvents = false;  ///< Events were forwarded, in any exchange.
+  bool IsTailDue = false;  ///< The latest event of this exchange was forwarded.
   bool HasOrigin = false;  ///< The version of this exchange is recorded.
   bool IsResponseStarted = false; ///< The head was sent to the caller.
   bool IsStreamStarted = false;   ///< That head began a stream.
--- a/tests/harness/scripted_endpoint.cpp
+++ b/tests/harness/scripted_endpoint.cpp
@@ -5,6 +5,7 @@
 
 #include <cctype>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace sassafras {
 
@@ -47,6 +48,26 @@
   return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
 }
 
+std::vector<std::string> ScriptedEndpoint::heads() const {
+  std::scoped_lock guard(HeadsLock);
+  return Heads;
+}
+
+void ScriptedEndpoint::stopListening() {
+  ::shutdown(Acceptor.native_handle(), SHUT_RDWR);
+}
+
+void ScriptedEndpoint::answerHealthCheck(Tcp::socket &Socket) {
+  ++HealthChecks;
+  unsigned status = HealthStatus;
+  if (status == 0) {
+    Socket.close();
+    return;
+  }
+  sendText(Socket, "HTTP/1.1 " + std::to_string(status) +
+                       " Health\r\nContent-Length: 0\r\n\r\n");
+}
+
 void ScriptedEndpoint::run() {
   for (;;) {
     Tcp::socket socket(Io);
@@ -73,7 +94,15 @@
     for (char &it : head)
       it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
     size_t at = head.find(key);
+    if (head.starts_with(std::string("get ") + ScriptedHealthPath + " ")) {
+      answerHealthCheck(Socket);
+      continue;
+    }
     ++Requests;
+    {
+      std::scoped_lock guard(HeadsLock);
+      Heads.push_back(head);
+    }
     Reply(Socket, at == std::string::npos
                       ? ""
                       : head.substr(at + key.size(),
--- a/tests/harness/scripted_endpoint.h
+++ b/tests/harness/scripted_endpoint.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,8 +23,11 @@
 /// \p Text as one chunk of a chunked body.
 std::string chunkOf(const std::string &Text);
 
-/// Accepts connections and runs its script for every request, with one thread
-/// for each connection.
+/// Path of the health check.
+inline constexpr const char *ScriptedHealthPath = "/health";
+
+/// Accepts connections and runs its script for every request but health checks,
+/// with one thread for each connection.
 class ScriptedEndpoint {
 public:
   /// What the endpoint does on a connection after each request on it.
@@ -40,14 +44,29 @@
   std::string address() const;
   /// Number of requests received. Thread safe.
   size_t countRequests() const { return Requests; }
+  /// Heads of the requests received, in lower case. Thread safe.
+  std::vector<std::string> heads() const;
+  /// Answers health checks with \p Status; 0 closes their connections. Thread
+  /// safe.
+  void setHealthStatus(unsigned Status) { HealthStatus = Status; }
+  /// Number of health checks received. Thread safe.
+  size_t countHealthChecks() const { return HealthChecks; }
+  /// Refuses new connections from now on, as when the process is gone. Thread
+  /// safe.
+  void stopListening();
 
 private:
   void run();
   void serve(boost::asio::ip::tcp::socket &Socket);
+  void answerHealthCheck(boost::asio::ip::tcp::socket &Socket);
 
   boost::asio::io_context Io;
   Script Reply;
   std::atomic<size_t> Requests{0};
+  std::atomic<size_t> HealthChecks{0};
+  std::atomic<unsigned> HealthStatus{200};
+  mutable std::mutex HeadsLock;
+  std::vector<std::string> Heads; ///< Guarded by HeadsLock.
   std::atomic<bool> IsStopping{false};
   boost::asio::ip::tcp::acceptor Acceptor;
   std::vector<std::thread> Connections;
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -28,6 +28,7 @@
   auto table = std::make_shared<ServingTable>();
   table->Version = 1;
   table->Services["desk"].Name = "desk";
+  table->Services["desk"].HealthPath = ScriptedHealthPath;
   auto add = [&](const char *Name, RequestKind Kind, uint32_t MaxAttempts) {
     ServingRoute route;
     route.Name = Name;
@@ -148,6 +149,13 @@
 
 void TestedFront::removeEndpoints() { Core.State.Directory = {}; }
 
+void TestedFront::setSoftwareVersion(const std::string &Endpoint,
+                                     const std::string &Version) {
+  for (auto &[id, it] : Core.State.Directory.Endpoints)
+    if (it.Address == Endpoint)
+      it.SoftwareVersion = Version;
+}
+
 void TestedFront::handleRequest(HttpRequest Request,
                                 const std::shared_ptr<HttpExchange> &Exchange) {
   auto admitted =
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -52,6 +52,10 @@
   /// Makes the front forget all endpoints. Call from the function given to
   /// occupy.
   void removeEndpoints();
+  /// Sets the software version of the endpoint at address \p Endpoint. Call
+  /// from the function given to occupy.
+  void setSoftwareVersion(const std::string &Endpoint,
+                          const std::string &Version);
   /// Value of a counter of the front. Thread safe.
   uint64_t read(const std::string &Counter) { return Counts.read(Counter); }
 
