Data folder: a file that cannot be read is not a missing one

Callers: a member that starts while its files cannot be opened for a moment (no descriptors left, an I/O error) came up as blank. It forgot its vote and its log and could vote twice in a term, or, with the identity unreadable and no generation yet, took a new identity.

Cause: readFile() returned nothing for every failure of open(), and DiskLog::open took an absent CURRENT for a new folder. A read that failed in the middle counted as the end of the file.

Ruled out: damage of the content, which the checksums find; two processes on one folder, which the lock refuses (test "disk log locks the folder against a second process").

Fix: only ENOENT is a missing file. DiskError says whether the system reported it or the content is damaged, and the lock says which of its two reasons holds.

Looked at elsewhere: the only other reads of a start are the settings.

--- a/replication/disk_log.cpp
+++ b/replication/disk_log.cpp
@@ -6,8 +6,6 @@
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <unistd.h>
 
@@ -45,13 +43,32 @@
   return true;
 }
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream in(Path, std::ios::binary);
-  if (!in)
-    return std::nullopt;
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
+bool readAll(int File, std::string &Out) {
+  char buf[16 * 1024];
+  for (;;) {
+    ssize_t n = ::read(File, buf, sizeof buf);
+    if (n < 0 && errno == EINTR)
+      continue;
+    if (n <= 0)
+      return n == 0;
+    Out.append(buf, static_cast<size_t>(n));
+  }
+}
+
+/// Reads the file, nothing if there is none. Returns false, with the reason in
+/// errno, if the file cannot be read.
+bool readFile(const std::string &Path, std::optional<std::string> &Out) {
+  int file = ::open(Path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0)
+    return errno == ENOENT;
+  std::string bytes;
+  bool isRead = readAll(file, bytes);
+  int reason = errno;
+  ::close(file);
+  errno = reason;
+  if (isRead)
+    Out = std::move(bytes);
+  return isRead;
 }
 
 /// Parses the record at \p Offset and returns its size in bytes, or 0 if there
@@ -142,13 +159,19 @@
   return false;
 }
 
+bool DiskLog::failTemporarily(const std::string &File,
+                              const std::string &Reason) {
+  LastError = {path(File), Reason, true};
+  return false;
+}
+
 bool DiskLog::syncFolder() {
   int folder = ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (folder < 0)
-    return fail("", std::strerror(errno));
+    return failTemporarily("", std::strerror(errno));
   bool isSynced = ::fsync(folder) == 0;
   ::close(folder);
-  return isSynced || fail("", std::strerror(errno));
+  return isSynced || failTemporarily("", std::strerror(errno));
 }
 
 bool DiskLog::writeFile(const std::string &Name, const std::string &Bytes) {
@@ -156,25 +179,35 @@
   int file =
       ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (file < 0)
-    return fail(Name, std::strerror(errno));
+    return failTemporarily(Name, std::strerror(errno));
   bool isWritten = writeAll(file, Bytes) && ::fdatasync(file) == 0;
   ::close(file);
   if (!isWritten)
-    return fail(Name, std::strerror(errno));
+    return failTemporarily(Name, std::strerror(errno));
   if (::rename(temporary.c_str(), path(Name).c_str()) != 0)
-    return fail(Name, std::strerror(errno));
+    return failTemporarily(Name, std::strerror(errno));
   return syncFolder();
 }
 
 std::optional<uint64_t> DiskLog::readIdentity() {
-  if (auto text = readFile(path(IdentityName))) {
+  std::optional<std::string> text;
+  std::optional<std::string> current;
+  if (!readFile(path(IdentityName), text)) {
+    failTemporarily(IdentityName, std::strerror(errno));
+    return std::nullopt;
+  }
+  if (text) {
     uint64_t identity = std::strtoull(text->c_str(), nullptr, 16);
     if (identity != 0)
       return identity;
     fail(IdentityName, "damaged: no nonzero hexadecimal number");
     return std::nullopt;
   }
-  if (std::filesystem::exists(path(CurrentName))) {
+  if (!readFile(path(CurrentName), current)) {
+    failTemporarily(CurrentName, std::strerror(errno));
+    return std::nullopt;
+  }
+  if (current) {
     fail(IdentityName, "missing, although the folder contains a log");
     return std::nullopt;
   }
@@ -210,11 +243,11 @@
   std::string name = logName(Generation);
   LogFile = ::open(path(name).c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
   if (LogFile < 0)
-    return fail(name, std::strerror(errno));
+    return failTemporarily(name, std::strerror(errno));
   auto end = static_cast<off_t>(Size);
   if (::ftruncate(LogFile, end) != 0 || ::fdatasync(LogFile) != 0 ||
       ::lseek(LogFile, end, SEEK_SET) != end)
-    return fail(name, std::strerror(errno));
+    return failTemporarily(name, std::strerror(errno));
   WrittenBytes = Size;
   SyncedBytes = Size;
   return true;
@@ -225,8 +258,13 @@
   std::error_code ec;
   std::filesystem::create_directories(Folder, ec);
   LockFile = ::open(path(LockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (LockFile < 0 || ::flock(LockFile, LOCK_EX | LOCK_NB) != 0) {
-    fail(LockName, "folder is unusable or locked by another process");
+  if (LockFile < 0) {
+    failTemporarily(LockName, std::strerror(errno));
+    Error = LastError;
+    return std::nullopt;
+  }
+  if (::flock(LockFile, LOCK_EX | LOCK_NB) != 0) {
+    failTemporarily(LockName, "locked by another process");
     Error = LastError;
     return std::nullopt;
   }
@@ -236,12 +274,24 @@
     return std::nullopt;
   }
   content.Identity = *identity;
-  auto current = readFile(path(CurrentName));
+  std::optional<std::string> current;
+  if (!readFile(path(CurrentName), current)) {
+    failTemporarily(CurrentName, std::strerror(errno));
+    Error = LastError;
+    return std::nullopt;
+  }
   if (!current)
     return content;
   Generation = std::strtoull(current->c_str(), nullptr, 10);
-  auto snapshot = readFile(path(snapshotName(Generation)));
-  auto log = readFile(path(logName(Generation)));
+  std::optional<std::string> snapshot;
+  std::optional<std::string> log;
+  if (!readFile(path(snapshotName(Generation)), snapshot) ||
+      !readFile(path(logName(Generation)), log)) {
+    failTemporarily("", "generation " + std::to_string(Generation) +
+                            " cannot be read: " + std::strerror(errno));
+    Error = LastError;
+    return std::nullopt;
+  }
   if (!snapshot || !log) {
     fail(CurrentName, "snapshot or log of the active generation is missing");
     Error = LastError;
@@ -272,7 +322,7 @@
   WrittenBytes += bytes.size();
   if (writeAll(LogFile, bytes))
     return true;
-  return fail(logName(Generation), std::strerror(errno));
+  return failTemporarily(logName(Generation), std::strerror(errno));
 }
 
 bool DiskLog::append(const wire::DiskRecord &Record) {
@@ -285,7 +335,7 @@
     return true;
   IsDirty = false;
   if (::fdatasync(LogFile) != 0)
-    return fail(logName(Generation), std::strerror(errno));
+    return failTemporarily(logName(Generation), std::strerror(errno));
   SyncedBytes = WrittenBytes;
   // An empty record states that everything before it was synced. It need not
   // be durable itself.
--- a/replication/disk_log.h
+++ b/replication/disk_log.h
@@ -19,6 +19,9 @@
 struct DiskError {
   std::string File;
   std::string Reason;
+  /// The system reported it, or another process uses the folder; the content is
+  /// not known to be damaged.
+  bool IsTemporary = false;
 };
 
 /// Content of the data folder as read by DiskLog::open.
@@ -61,6 +64,7 @@
 private:
   std::string path(const std::string &Name) const;
   bool fail(const std::string &File, const std::string &Reason);
+  bool failTemporarily(const std::string &File, const std::string &Reason);
   bool writeFile(const std::string &Name, const std::string &Bytes);
   bool syncFolder();
   bool openLog(uint64_t Size);
--- a/tests/replication/test_disk_log.cpp
+++ b/tests/replication/test_disk_log.cpp
@@ -232,6 +232,40 @@
   }
 }
 
+// The member forgot its vote and its log, or took an identity anew.
+TEST_CASE("disk log takes no file that it cannot read for a missing one") {
+  for (const char *name : {"CURRENT", "identity", "snapshot-1", "log-1"}) {
+    INFO(name);
+    TestFolder folder;
+    writeLog(folder.Path, 3);
+    std::string path = folder.Path + "/" + name;
+    files::rename(path, path + ".aside");
+    // Opening a link to itself fails, as opening a file without descriptors
+    // left does.
+    files::create_symlink(path, path);
+    DiskError problem;
+    CHECK_FALSE(DiskLog(folder.Path).open(problem));
+    CHECK(problem.IsTemporary);
+    files::remove(path);
+    files::rename(path + ".aside", path);
+    auto content = DiskLog(folder.Path).open(problem);
+    REQUIRE(content);
+    CHECK(content->HardState.voted_for() == 77);
+  }
+}
+
+TEST_CASE("disk log takes no part of a file for the whole") {
+  TestFolder folder;
+  writeLog(folder.Path, 3);
+  std::string path = folder.Path + "/CURRENT";
+  files::remove(path);
+  // Opens, but cannot be read.
+  files::create_directory(path);
+  DiskError problem;
+  CHECK_FALSE(DiskLog(folder.Path).open(problem));
+  CHECK(problem.IsTemporary);
+}
+
 TEST_CASE("disk log survives a crash between the files of a new generation") {
   TestFolder folder;
   writeLog(folder.Path, 9);
