Start: addresses and data folders in use are tried again for 90 s

Callers: a process that was started while one of its ports was held for a moment (by the process before, or by an outgoing connection of the host) ended at once with code 1; so did a control member whose data folder the process before still had locked, or that could not be created yet. Nothing started it again.

Cause: HttpServer::start, Link::start and restore() made one attempt, and all their errors were final. Ports in the ephemeral range (32768 to 60999 here) can be those of outgoing connections, and stay taken in TIME_WAIT: measured 61.3 s until the port of a closed outgoing connection could be bound, SO_REUSEADDR set or not at the listener.

Ruled out: TIME_WAIT of the process's own accepted connections (SO_REUSEADDR is set).

Fix: a failed start names its reason and whether it can pass (StartProblem). The daemon makes a new shell for each attempt, 100 ms apart, so nothing of a half-started role is left; start_delayed is logged once for each reason. Servers bind all addresses before any of them accepts, and callers' comes last, so that no connection is taken and then dropped. SIGTERM ends the wait with code 0. Other errors and a damaged data folder end the process at once, as before.

Looked at elsewhere: seeds, table, engine and DNS (addresses are numbers) are not needed for a start; the clock is only read. A front without its data folder serves and opens it each second, unchanged.

--- a/agent/agent_shell.cpp
+++ b/agent/agent_shell.cpp
@@ -45,12 +45,12 @@
   AgentShell(const AgentShell &) = delete;
   AgentShell &operator=(const AgentShell &) = delete;
 
-  bool start(std::string &Problem) override;
+  bool start(StartProblem &Problem) override;
   void stop() override;
   bool isClosed() const override { return Role.isClosed(); }
 
 private:
-  bool startHttp(std::string &Problem);
+  bool bindHttp(StartProblem &Problem);
   void handleAnnouncement(const HttpRequest &Request, HttpExchange &Exchange);
   void handleEvent(const AgentEvent &Event);
   void applyEffect(AgentEffect &Effect);
@@ -81,7 +81,7 @@
   RoleActor<AgentEvent> Role; ///< Destroyed first.
 };
 
-bool AgentShell::startHttp(std::string &Problem) {
+bool AgentShell::bindHttp(StartProblem &Problem) {
   HttpServer::Handlers callbacks;
   callbacks.OnRequest = [this](const HttpRequest &Request,
                                const std::shared_ptr<HttpExchange> &Exchange) {
@@ -93,7 +93,7 @@
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
                                         Memory, std::move(callbacks));
-  return Server->start(Problem);
+  return Server->bind(Problem);
 }
 
 void AgentShell::handleAnnouncement(const HttpRequest &Request,
@@ -283,14 +283,14 @@
   });
 }
 
-bool AgentShell::start(std::string &Problem) {
+bool AgentShell::start(StartProblem &Problem) {
   uint64_t incarnation = makeIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
       Counts, [this](wire::Envelope Message) {
         post(AgentReceived{std::move(Message)});
       });
-  if (!Peers->start(Problem) || !startHttp(Problem))
+  if (!bindHttp(Problem) || !Peers->start(Problem) || !Server->start(Problem))
     return false;
   State.Options = {Options.Node,
                    incarnation,
--- a/control/control_shell.cpp
+++ b/control/control_shell.cpp
@@ -47,13 +47,13 @@
   ControlShell(const ControlShell &) = delete;
   ControlShell &operator=(const ControlShell &) = delete;
 
-  bool start(std::string &Problem) override;
+  bool start(StartProblem &Problem) override;
   void stop() override;
   bool isClosed() const override { return Role.isClosed(); }
 
 private:
-  bool restore(std::string &Problem);
-  bool startHttp(std::string &Problem);
+  bool restore(StartProblem &Problem);
+  bool bindHttp(StartProblem &Problem);
   void handleEvent(const ControlEvent &Event);
   void applyEffect(ControlEffect &Effect);
   void abortOnDiskFailure(bool IsWritten);
@@ -80,11 +80,11 @@
   RoleActor<ControlEvent> Role; ///< Destroyed first.
 };
 
-bool ControlShell::restore(std::string &Problem) {
+bool ControlShell::restore(StartProblem &Problem) {
   DiskError problem;
   auto content = Disk.open(problem);
   if (!content) {
-    Problem = problem.File + " " + problem.Reason;
+    Problem = {problem.File + " " + problem.Reason, problem.IsTemporary};
     return false;
   }
   if (content->TornBytes > 0)
@@ -107,7 +107,7 @@
   return true;
 }
 
-bool ControlShell::startHttp(std::string &Problem) {
+bool ControlShell::bindHttp(StartProblem &Problem) {
   HttpServer::Handlers callbacks;
   callbacks.OnRequest = [this](const HttpRequest &Request,
                                const std::shared_ptr<HttpExchange> &Exchange) {
@@ -117,7 +117,7 @@
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
   Server = std::make_unique<HttpServer>(Io, Options.Http, HttpLimits(), Counts,
                                         Memory, std::move(callbacks));
-  return Server->start(Problem);
+  return Server->bind(Problem);
 }
 
 /// Aborts the process after a failed write: a member that cannot persist its
@@ -187,14 +187,15 @@
   });
 }
 
-bool ControlShell::start(std::string &Problem) {
+bool ControlShell::start(StartProblem &Problem) {
   Peers = std::make_unique<Link>(
       Io,
       LinkSelf{Options.Fleet, Options.Node, makeIncarnation(), Options.Listen},
       Counts, [this](wire::Envelope Message) {
         Role.post(ControlReceived{std::move(Message)});
       });
-  if (!Peers->start(Problem) || !restore(Problem) || !startHttp(Problem))
+  if (!bindHttp(Problem) || !Peers->start(Problem) || !restore(Problem) ||
+      !Server->start(Problem))
     return false;
   auto handleEvent = [this](ControlEvent &it) {
     // A member whose state may be half changed must not vote or reply.
--- a/core/role_shell.h
+++ b/core/role_shell.h
@@ -6,6 +6,7 @@
 
 #include "core/memory_budget.h"
 #include "core/settings.h"
+#include "core/start_problem.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,9 +34,10 @@
 public:
   virtual ~RoleShell() = default;
   /// Binds the listening sockets, restores stored state and starts the role.
-  /// Returns false, with the reason in \p Problem, on failure. Call once,
-  /// before the I/O context runs.
-  virtual bool start(std::string &Problem) = 0;
+  /// Returns false, with the reason in \p Problem, on failure; the shell is of
+  /// no use then, and no caller has been served. Call once, before the I/O
+  /// context runs.
+  virtual bool start(StartProblem &Problem) = 0;
   /// Starts a graceful stop, after which the I/O context's run() returns.
   /// Thread safe; repeated calls have no effect.
   virtual void stop() = 0;
--- a/ctl/client.cpp
+++ b/ctl/client.cpp
@@ -90,7 +90,7 @@
   Metrics Counts;
   std::vector<wire::Envelope> Inbox;
   Link Peers;
-  std::string Problem;
+  StartProblem Problem;
   uint64_t NextRequest = generateIdentity();
 };
 
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -80,12 +80,12 @@
   EngineAgentShell(const EngineAgentShell &) = delete;
   EngineAgentShell &operator=(const EngineAgentShell &) = delete;
 
-  bool start(std::string &Problem) override;
+  bool start(StartProblem &Problem) override;
   void stop() override;
   void reload(const Settings &NewSettings) override;
 
 private:
-  bool startStatusServer(std::string &Problem);
+  bool bindStatusServer(StartProblem &Problem);
   void handleMessage(const wire::Envelope &Message);
   void poll();
   void handleStateResponse(const std::string &Text,
@@ -133,14 +133,15 @@
   bool IsStopping = false;
 };
 
-bool EngineAgentShell::start(std::string &Problem) {
+bool EngineAgentShell::start(StartProblem &Problem) {
   StartedAt = Clock::now();
   uint64_t incarnation = makeIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
       Counts,
       [this](const wire::Envelope &Message) { handleMessage(Message); });
-  if (!Peers->start(Problem) || !startStatusServer(Problem))
+  if (!bindStatusServer(Problem) || !Peers->start(Problem) ||
+      !StatusServer->start(Problem))
     return false;
   Self.set_name(Options.Node);
   Self.set_address(Peers->address());
@@ -154,7 +155,7 @@
   return true;
 }
 
-bool EngineAgentShell::startStatusServer(std::string &Problem) {
+bool EngineAgentShell::bindStatusServer(StartProblem &Problem) {
   HttpServer::Handlers callbacks;
   callbacks.OnRequest = [this](const HttpRequest &Request,
                                const std::shared_ptr<HttpExchange> &Exchange) {
@@ -164,7 +165,7 @@
   callbacks.OnLoss = [](const HttpExchange *, HttpLoss) {};
   StatusServer = std::make_unique<HttpServer>(
       Io, Options.Http, HttpLimits(), Counts, Memory, std::move(callbacks));
-  return StatusServer->start(Problem);
+  return StatusServer->bind(Problem);
 }
 
 void EngineAgentShell::handleMessage(const wire::Envelope &Message) {
--- a/entry/entry_shell.cpp
+++ b/entry/entry_shell.cpp
@@ -44,12 +44,12 @@
   EntryShell(const EntryShell &) = delete;
   EntryShell &operator=(const EntryShell &) = delete;
 
-  bool start(std::string &Problem) override;
+  bool start(StartProblem &Problem) override;
   void stop() override;
   bool isClosed() const override { return Role.isClosed(); }
 
 private:
-  bool startHttp(std::string &Problem);
+  bool bindHttp(StartProblem &Problem);
   void serve(HttpRequest Request, std::shared_ptr<HttpExchange> Exchange);
   bool serveBuiltInPath(const HttpRequest &Request, HttpExchange &Exchange);
   void handleEvent(const EntryEvent &Event);
@@ -105,7 +105,7 @@
   return exchange;
 }
 
-bool EntryShell::startHttp(std::string &Problem) {
+bool EntryShell::bindHttp(StartProblem &Problem) {
   HttpServer::Handlers callbacks;
   callbacks.OnRequest = [this](HttpRequest Request,
                                std::shared_ptr<HttpExchange> Exchange) {
@@ -131,7 +131,7 @@
   limits.BodyBytes = Options.EntryRole.BodyBytes;
   Server = std::make_unique<HttpServer>(Io, Options.Http, limits, Counts,
                                         Memory, std::move(callbacks));
-  return Server->start(Problem);
+  return Server->bind(Problem);
 }
 
 void EntryShell::listModels(HttpExchange &Exchange) {
@@ -306,14 +306,14 @@
   });
 }
 
-bool EntryShell::start(std::string &Problem) {
+bool EntryShell::start(StartProblem &Problem) {
   Incarnation = makeIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, Incarnation, Options.Listen},
       Counts, [this](wire::Envelope Message) {
         post(EntryReceived{std::move(Message)});
       });
-  if (!Peers->start(Problem) || !startHttp(Problem))
+  if (!bindHttp(Problem) || !Peers->start(Problem) || !Server->start(Problem))
     return false;
   State.Options = {Options.Node, Options.Zone};
   State.View.ControlAddresses = Options.Control;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -72,16 +72,16 @@
   FrontShell(const FrontShell &) = delete;
   FrontShell &operator=(const FrontShell &) = delete;
 
-  bool start(std::string &Problem) override;
+  bool start(StartProblem &Problem) override;
   void stop() override;
   void reload(const Settings &Settings) override;
   bool isClosed() const override { return !Group || Group->isClosed(); }
 
 private:
-  bool startServers(std::string &Problem);
-  bool startServer(std::unique_ptr<HttpServer> &Server,
-                   const std::string &Address, HttpLimits Limits,
-                   HttpServer::Handlers Callbacks, std::string &Problem);
+  bool bindServers(StartProblem &Problem);
+  bool bindServer(std::unique_ptr<HttpServer> &Server,
+                  const std::string &Address, HttpLimits Limits,
+                  HttpServer::Handlers Callbacks, StartProblem &Problem);
   void startGroup();
   void setLimits(const FrontSettings &Settings);
   void receive(HttpRequest Request,
@@ -159,14 +159,14 @@
           [this](const wire::SendPermitRequest &it) { requestPermits(it); }),
       Timer(Parts.Io) {}
 
-bool FrontShell::start(std::string &Problem) {
+bool FrontShell::start(StartProblem &Problem) {
   StartedAt = Clock::now();
   uint64_t incarnation = makeIncarnation();
   Peers = std::make_unique<Link>(
       Io, LinkSelf{Options.Fleet, Options.Node, incarnation, Options.Listen},
       Counts,
       [this](wire::Envelope Message) { handleMessage(std::move(Message)); });
-  if (!Peers->start(Problem))
+  if (!bindServers(Problem) || !Peers->start(Problem))
     return false;
   FrontState &state = Core.State;
   state.EndpointDiscoveryEnd = StartedAt + MaxAnnouncementInterval;
@@ -190,7 +190,8 @@
       FleetApi::Dependencies{Core, Gossip, [this] { return isReady(); },
                              [this] { return Group.get(); },
                              [this] { return leaderControlAddress(); }});
-  if (!startServers(Problem))
+  if (!ControlServer->start(Problem) || !ReadyServer->start(Problem) ||
+      !CallerServer->start(Problem))
     return false;
   if (!Options.FrontRole.DataFolder.empty())
     startGroup();
@@ -208,16 +209,16 @@
   limits.LongestLeaving = Settings.LongestLeaving;
 }
 
-bool FrontShell::startServer(std::unique_ptr<HttpServer> &Server,
-                             const std::string &Address, HttpLimits Limits,
-                             HttpServer::Handlers Callbacks,
-                             std::string &Problem) {
+bool FrontShell::bindServer(std::unique_ptr<HttpServer> &Server,
+                            const std::string &Address, HttpLimits Limits,
+                            HttpServer::Handlers Callbacks,
+                            StartProblem &Problem) {
   Server = std::make_unique<HttpServer>(Io, Address, Limits, Counts,
                                         Core.Memory, std::move(Callbacks));
-  return Server->start(Problem);
+  return Server->bind(Problem);
 }
 
-bool FrontShell::startServers(std::string &Problem) {
+bool FrontShell::bindServers(StartProblem &Problem) {
   HttpServer::Handlers callerHandlers;
   callerHandlers.OnRequest =
       [this](HttpRequest Request,
@@ -240,12 +241,12 @@
   fleetHandlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpLimits fleetLimits;
   fleetLimits.BodyBytes = MaxFleetBodyBytes;
-  return startServer(CallerServer, Options.Http, makeCallerLimits(nullptr),
-                     std::move(callerHandlers), Problem) &&
-         startServer(ReadyServer, Options.FrontRole.Ready, HttpLimits(),
-                     fleetHandlers, Problem) &&
-         startServer(ControlServer, Options.FrontRole.Control, fleetLimits,
-                     fleetHandlers, Problem);
+  return bindServer(CallerServer, Options.Http, makeCallerLimits(nullptr),
+                    std::move(callerHandlers), Problem) &&
+         bindServer(ReadyServer, Options.FrontRole.Ready, HttpLimits(),
+                    fleetHandlers, Problem) &&
+         bindServer(ControlServer, Options.FrontRole.Control, fleetLimits,
+                    fleetHandlers, Problem);
 }
 
 void FrontShell::startGroup() {
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -112,6 +112,7 @@
   void accept();
   void acceptBacklog();
   void startSession(Tcp::socket Socket);
+  bool failStart(const boost::system::error_code &Error, StartProblem &Problem);
 
   asio::io_context &Io;
   std::string Listen;
@@ -825,13 +826,29 @@
     : Data(std::make_shared<Impl>(Io, std::move(Listen), Limits, Counts,
                                   std::move(Memory), std::move(Callbacks))) {}
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() {
+  // The pending accept holds a reference to the data and would keep the socket
+  // open.
+  Data->IsStopping = true;
+  boost::system::error_code ec;
+  Data->Acceptor.close(ec);
+}
 
-bool HttpServer::start(std::string &Problem) {
+bool HttpServer::Impl::failStart(const boost::system::error_code &Error,
+                                 StartProblem &Problem) {
+  boost::system::error_code ignored;
+  Acceptor.close(ignored);
+  Problem.Reason = "cannot listen at " + Listen + ": " + Error.message();
+  Problem.IsTemporary = Error == asio::error::address_in_use ||
+                        Error == boost::system::errc::address_not_available;
+  return false;
+}
+
+bool HttpServer::bind(StartProblem &Problem) {
   Impl &data = *Data;
   auto address = parseAddress(data.Listen);
   if (!address) {
-    Problem = "not an address: " + data.Listen;
+    Problem = {"not an address: " + data.Listen};
     return false;
   }
   boost::system::error_code ec;
@@ -843,14 +860,23 @@
     data.Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
   if (!ec)
     data.Acceptor.bind(endpoint, ec);
-  if (!ec)
-    data.Acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  if (ec) {
-    Problem = "cannot listen at " + data.Listen + ": " + ec.message();
-    return false;
-  }
+  if (ec)
+    return data.failStart(ec, Problem);
   data.Address =
       address->Ip + ":" + std::to_string(data.Acceptor.local_endpoint().port());
+  return true;
+}
+
+bool HttpServer::start(StartProblem &Problem) {
+  Impl &data = *Data;
+  if (!data.Acceptor.is_open() && !bind(Problem))
+    return false;
+  // Another socket may be bound to the address as well, as long as neither
+  // listens.
+  boost::system::error_code ec;
+  data.Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return data.failStart(ec, Problem);
   data.accept();
   return true;
 }
--- a/http/server.h
+++ b/http/server.h
@@ -5,6 +5,7 @@
 #define SASSAFRAS_HTTP_SERVER_H
 
 #include "core/memory_budget.h"
+#include "core/start_problem.h"
 #include "core/time.h"
 #include "http/message.h"
 
@@ -91,9 +92,12 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  /// Binds the address and accepts connections. Returns false, with the reason
-  /// in \p Problem, when the address cannot be used.
-  bool start(std::string &Problem);
+  /// Binds the address; connections are refused until start(). Returns false,
+  /// with the reason in \p Problem, when the address cannot be used.
+  bool bind(StartProblem &Problem);
+  /// Accepts connections, after bind() if that was not called. Returns false,
+  /// with the reason in \p Problem, when the address cannot be used.
+  bool start(StartProblem &Problem);
   /// Listening address with the actual port.
   const std::string &address() const;
   /// Stops accepting connections, closes idle ones, and closes the others after
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -8,6 +8,7 @@
 #include "entry/entry_shell.h"
 #include "front/front_shell.h"
 #include "main/process_signals.h"
+#include "main/role_start.h"
 #include "main/settings_file.h"
 #include "main/version.h"
 
@@ -190,14 +191,10 @@
   return std::make_shared<MemoryBudget>(MemoryMb * BytesPerMb / 2);
 }
 
-/// Runs \p Shell until it has stopped gracefully. Returns the exit code.
+/// Runs \p Shell, which has started, until it has stopped gracefully. Returns
+/// the exit code.
 int runShell(RoleShell &Shell, boost::asio::io_context &Io, Metrics &Counts,
              const std::string &SettingsText, const Options &Options) {
-  std::string problem;
-  if (!Shell.start(problem)) {
-    logEvent(LogLevel::Error, "start_failed", {{"reason", problem}});
-    return ExitFailed;
-  }
   logEvent(LogLevel::Info, "started", {{"version", VersionText}});
   SettingsWatcher watcher(Io, Options.SettingsFile, SettingsText, Shell);
   watcher.start();
@@ -231,8 +228,18 @@
   // Handlers that are still queued keep the shell, and with it the owner of an
   // actor, until the context is destroyed, which must precede the system.
   boost::asio::io_context io;
-  auto shell = makeShell(
-      {io, system, Settings, counts, makeMemoryBudget(Options.MemoryMb)});
+  ShellParts parts{io, system, Settings, counts,
+                   makeMemoryBudget(Options.MemoryMb)};
+  std::shared_ptr<RoleShell> shell;
+  StartOutcome outcome = startRole(
+      io, [&] { return makeShell(parts); }, isStopSignalPending, shell);
+  if (outcome == StartOutcome::Failed)
+    return ExitFailed;
+  if (outcome == StartOutcome::Stopped) {
+    logEvent(LogLevel::Info, "stopped",
+             {{"reason", "signal before the start"}});
+    return ExitOk;
+  }
   int code = ExitFailed;
   runGuarded(counts, "role", [&] {
     code = runShell(*shell, io, counts, SettingsText, Options);
--- a/tests/control/test_serving_group.cpp
+++ b/tests/control/test_serving_group.cpp
@@ -67,7 +67,7 @@
   caf::actor_system system(config);
   Link link(io, {"test", "node", 1, "127.0.0.1:0"}, counts,
             [](const wire::Envelope &) {});
-  std::string problem;
+  StartProblem problem;
   REQUIRE(link.start(problem));
   ServingGroupCallbacks callbacks;
   callbacks.OnPublish = [](const StorePublish &) {};
--- a/tests/fakes/fake_endpoint.cpp
+++ b/tests/fakes/fake_endpoint.cpp
@@ -337,9 +337,9 @@
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpServer server(endpoint.Io, endpoint.Listen, {}, endpoint.Counts,
                     endpoint.Memory, handlers);
-  std::string error;
-  if (!server.start(error)) {
-    std::fprintf(stderr, "fake_endpoint: %s\n", error.c_str());
+  StartProblem problem;
+  if (!server.start(problem)) {
+    std::fprintf(stderr, "fake_endpoint: %s\n", problem.Reason.c_str());
     return 1;
   }
   endpoint.Address = server.address();
--- a/tests/fakes/fake_platform_engine.cpp
+++ b/tests/fakes/fake_platform_engine.cpp
@@ -50,8 +50,8 @@
   Server = std::make_unique<HttpServer>(
       Io, this->Address, limits, Counts,
       std::make_shared<MemoryBudget>(MemoryBytes), std::move(handlers));
-  std::string error;
-  Server->start(error);
+  StartProblem problem;
+  Server->start(problem);
   IoThread = std::thread([this] { Io.run(); });
 }
 
--- a/tests/fakes/fake_store.cpp
+++ b/tests/fakes/fake_store.cpp
@@ -79,9 +79,9 @@
   handlers.OnLoss = [](const HttpExchange *, HttpLoss) {};
   HttpServer server(store.Io, store.Listen, {}, store.Counts,
                     std::make_shared<MemoryBudget>(MemoryBytes), handlers);
-  std::string error;
-  if (!server.start(error)) {
-    std::fprintf(stderr, "fake_store: %s\n", error.c_str());
+  StartProblem problem;
+  if (!server.start(problem)) {
+    std::fprintf(stderr, "fake_store: %s\n", problem.Reason.c_str());
     return 1;
   }
   std::printf("listening %s\n", server.address().c_str());
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -86,9 +86,9 @@
   Server =
       std::make_unique<HttpServer>(Io, "127.0.0.1:0", makeCallerLimits(nullptr),
                                    Counts, Core.Memory, std::move(handlers));
-  std::string problem;
+  StartProblem problem;
   if (!Server->start(problem))
-    throw std::runtime_error("no server: " + problem);
+    throw std::runtime_error("no server: " + problem.Reason);
   scheduleDispatch();
   Runner = std::thread([this] { Io.run(); });
 }
--- a/tests/process/test_http_contract.cpp
+++ b/tests/process/test_http_contract.cpp
@@ -38,7 +38,7 @@
   explicit EchoServer(const HttpLimits &Limits = smallLimits())
       : Server(Io, "127.0.0.1:0", Limits, Counts,
                std::make_shared<MemoryBudget>(MemoryBytes), handlers()) {
-    std::string problem;
+    StartProblem problem;
     REQUIRE(Server.start(problem));
     Runner = std::thread([this] { Io.run(); });
   }
--- a/tests/wire/test_link.cpp
+++ b/tests/wire/test_link.cpp
@@ -22,7 +22,7 @@
           [this](wire::Envelope It) { AtA.push_back(std::move(It)); }),
         B(Io, {FleetB, "b", 9, "127.0.0.1:0"}, CountsB,
           [this](wire::Envelope It) { AtB.push_back(std::move(It)); }) {
-    std::string problem;
+    StartProblem problem;
     REQUIRE(A.start(problem));
     REQUIRE(B.start(problem));
   }
@@ -103,9 +103,9 @@
   Metrics counts;
   Link taken(io, {"fleet", "c", 1, pair.A.address()}, counts,
              [](const wire::Envelope &) {});
-  std::string problem;
+  StartProblem problem;
   CHECK_FALSE(taken.start(problem));
-  CHECK(problem.find(pair.A.address()) != std::string::npos);
+  CHECK(problem.Reason.find(pair.A.address()) != std::string::npos);
 }
 
 // ZeroMQ allows 1,023 sockets; the next one ended the process.
--- a/wire/link.cpp
+++ b/wire/link.cpp
@@ -271,7 +271,7 @@
 
 Link::~Link() { close(); }
 
-bool Link::start(std::string &Problem) {
+bool Link::start(StartProblem &Problem) {
   Impl &data = *Data;
   try {
     data.Inbox.set(zmq::sockopt::rcvhwm, QueueLimit);
@@ -282,7 +282,10 @@
     data.Address = bound.substr(bound.find("//") + 2);
     data.Descriptor.assign(data.Inbox.get(zmq::sockopt::fd));
   } catch (const zmq::error_t &error) {
-    Problem = "cannot listen at " + data.Self.Listen + ": " + error.what();
+    Problem.Reason =
+        "cannot listen at " + data.Self.Listen + ": " + error.what();
+    Problem.IsTemporary =
+        error.num() == EADDRINUSE || error.num() == EADDRNOTAVAIL;
     return false;
   }
   // The descriptor of a ZeroMQ socket is edge-triggered: messages that arrived
--- a/wire/link.h
+++ b/wire/link.h
@@ -7,6 +7,7 @@
 #ifndef SASSAFRAS_WIRE_LINK_H
 #define SASSAFRAS_WIRE_LINK_H
 
+#include "core/start_problem.h"
 #include "wire/inner.pb.h"
 
 #include <boost/asio/io_context.hpp>
@@ -48,7 +49,7 @@
   /// Binds the listen address and starts to receive. Returns false, with the
   /// reason in \p Problem, if the address cannot be used. Must be called once,
   /// before other threads send.
-  bool start(std::string &Problem);
+  bool start(StartProblem &Problem);
   /// Returns the address at which peers reach this process, with the bound
   /// port. Empty before start().
   const std::string &address() const;
