Settings: a file that is being written ends no process and is taken whole

Callers: a process that was started while its settings file was missing, empty or half written ended with code 2. Worse, a front whose file was cut before data_folder started without a disk and stayed so. A running process took a part of a file that was valid as it was (stop_grace_s = 3 of 30), and passed over an empty or unreadable file without a word.

Cause: one read at the start, and no check that the content is at rest, neither there nor in SettingsWatcher.

Ruled out: replacement by rename (a read sees one file or the other).

The watcher takes content that it has read twice, 100 ms apart, and logs each state it refuses once. A read that fails is not an empty file.

--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -106,6 +106,7 @@
   auto sink = boost::make_shared<sinks::synchronous_sink<OutputBackend>>(
       boost::make_shared<OutputBackend>());
   sink->set_formatter(expressions::stream << expressions::smessage);
+  boost::log::core::get()->remove_all_sinks();
   boost::log::core::get()->add_sink(sink);
   boost::log::core::get()->set_filter(trivial::severity >=
                                       severityOf(MinLevel));
--- a/core/logging.h
+++ b/core/logging.h
@@ -18,8 +18,8 @@
   std::string Value;
 };
 
-/// Sets the lowest level that is written and the node name on each line. Call
-/// before other threads start.
+/// Sets the lowest level that is written and the node name on each line, in
+/// place of those of an earlier call. Call before other threads start.
 void startLogging(LogLevel MinLevel, const std::string &Node);
 
 /// Writes one line. Thread safe. Never log an API key or a request or response
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -10,6 +10,7 @@
 #include "main/process_signals.h"
 #include "main/role_start.h"
 #include "main/settings_file.h"
+#include "main/start_settings.h"
 #include "main/version.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -125,17 +126,19 @@
 /// The settings file is polled at this interval as well as checked on SIGHUP,
 /// since it may be replaced without a signal.
 constexpr Millis SettingsPollInterval{1'000};
+/// Changed content that is younger may be part of what is being written.
+constexpr Millis SettingsRestTime{100};
 
-/// Reloads the settings file when its content changes. An empty or unreadable
-/// file is ignored; an invalid one is logged. In both cases the current
+/// Reloads the settings file when its content has changed and is at rest. While
+/// the file is unreadable or invalid, which is logged once, the current
 /// settings stay in effect.
 class SettingsWatcher {
 public:
   /// \p Text: content of \p File that the role has started with.
   SettingsWatcher(boost::asio::io_context &Io, std::string File,
                   std::string Text, RoleShell &Shell)
-      : File(std::move(File)), Shell(Shell), Timer(Io),
-        LastText(std::move(Text)) {}
+      : File(std::move(File)), Shell(Shell), Timer(Io), RestTimer(Io),
+        CurrentText(std::move(Text)), SeenText(CurrentText) {}
 
   void start() { scheduleCheck(); }
 
@@ -152,24 +155,49 @@
     });
   }
 
+  void scheduleReload() {
+    RestTimer.expires_after(SettingsRestTime);
+    RestTimer.async_wait([this](auto ec) {
+      if (!ec)
+        reloadIfChanged();
+    });
+  }
+
   std::string File;
   RoleShell &Shell;
   boost::asio::steady_timer Timer;
-  std::string LastText;
+  boost::asio::steady_timer RestTimer;
+  std::string CurrentText;             ///< Of the settings in effect.
+  std::optional<std::string> SeenText; ///< As of the last check.
+  TimePoint RestEnd;                   ///< The seen text is at rest then.
+  bool IsSeenHandled = true;
 };
 
 void SettingsWatcher::reloadIfChanged() {
-  std::string text = readTextFile(File).value_or("");
-  if (text == LastText || text.empty())
+  auto text = readTextFile(File);
+  TimePoint now = Clock::now();
+  if (text != SeenText) {
+    SeenText = std::move(text);
+    IsSeenHandled = SeenText == CurrentText;
+    RestEnd = now + SettingsRestTime;
+    scheduleReload();
     return;
-  LastText = text;
-  SettingsProblem problem;
-  auto settings = parseSettings(text, File, problem);
+  }
+  if (IsSeenHandled || !isPast(RestEnd, now))
+    return;
+  IsSeenHandled = true;
+  SettingsProblem problem{File, 0, "cannot be read"};
+  std::optional<Settings> settings;
+  if (SeenText) {
+    problem = {};
+    settings = parseSettings(*SeenText, File, problem);
+  }
   if (!settings) {
     logEvent(LogLevel::Error, "reload_refused",
              {{"reason", describe(problem)}});
     return;
   }
+  CurrentText = *SeenText;
   logEvent(LogLevel::Info, "reloaded");
   Shell.reload(*settings);
 }
@@ -254,32 +282,41 @@
   return code;
 }
 
+int checkSettings(const std::string &File) {
+  SettingsProblem problem;
+  if (!readSettings(File, problem)) {
+    std::fprintf(stderr, "sassafrasd: %s\n", describe(problem).c_str());
+    return ExitUsage;
+  }
+  std::puts("settings are valid");
+  return ExitOk;
+}
+
 int start(int Argc, char **Argv) {
   Options options;
   if (auto code = readOptions(Argc, Argv, options))
     return *code;
+  if (options.IsCheck)
+    return checkSettings(options.SettingsFile);
   blockSignals();
+  std::signal(SIGPIPE, SIG_IGN);
+  // Until the settings name the node and the level.
+  startLogging(LogLevel::Info, "");
   SettingsProblem problem;
-  auto text = readTextFile(options.SettingsFile);
-  auto settings = text ? parseSettings(*text, options.SettingsFile, problem)
-                       : readSettings(options.SettingsFile, problem);
+  auto settings =
+      awaitSettings(options.SettingsFile, isStopSignalPending, problem);
+  if (!settings && problem.Reason.empty()) {
+    logEvent(LogLevel::Info, "stopped",
+             {{"reason", "signal before the start"}});
+    return ExitOk;
+  }
   if (!settings) {
     std::fprintf(stderr, "sassafrasd: %s\n", describe(problem).c_str());
     return ExitUsage;
   }
-  if (options.IsCheck) {
-    std::puts("settings are valid");
-    return ExitOk;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  startLogging(settings->Level, settings->Node);
+  startLogging(settings->Values.Level, settings->Values.Node);
   configureAllocator();
-  if (isStopSignalPending()) {
-    logEvent(LogLevel::Info, "stopped",
-             {{"reason", "signal before the start"}});
-    return ExitOk;
-  }
-  return runRole(*settings, *text, options);
+  return runRole(settings->Values, settings->Text, options);
 }
 
 } // namespace
--- a/main/role_start.cpp
+++ b/main/role_start.cpp
@@ -23,7 +23,7 @@
           std::shared_ptr<RoleShell> &Shell) {
   TimePoint deadline = Clock::now() + StartTimeout;
   std::string lastReason;
-  for (;;) {
+  while (!IsStopped()) {
     StartProblem problem;
     std::shared_ptr<RoleShell> attempt = MakeShell();
     if (attempt->start(problem)) {
@@ -45,9 +45,8 @@
     Io.poll();
     Io.restart();
     std::this_thread::sleep_for(RetryInterval);
-    if (IsStopped())
-      return StartOutcome::Stopped;
   }
+  return StartOutcome::Stopped;
 }
 
 } // namespace sassafras
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -308,6 +308,9 @@
     return std::nullopt;
   std::ostringstream out;
   out << in.rdbuf();
+  // An empty file sets only failbit.
+  if (out.bad())
+    return std::nullopt;
   return out.str();
 }
 
