Test: a front that starts while the one before drains

Two processes on one data folder: the lock keeps the second out until the first has ended, then it opens the folder with the table that was acknowledged. Not run on the code before.

--- a/tests/process/test_starts.cpp
+++ b/tests/process/test_starts.cpp
@@ -2,6 +2,7 @@
 /// Starts of real processes while something that they need is not there yet: an
 /// address or a data folder in use.
 #include "replication/disk_log.h"
+#include "tests/harness/front_fleet.h"
 #include "tests/harness/single_daemon.h"
 
 #include <catch2/catch.hpp>
@@ -134,3 +135,39 @@
   CHECK(daemon.waitForExit(seconds(2)) == 1);
   CHECK(daemon.log().find("damaged") != std::string::npos);
 }
+
+TEST_CASE("front that starts while the one before drains takes over its data "
+          "folder unharmed") {
+  SingleDaemon before("front");
+  before.writeSettings(before.settings());
+  before.launch();
+  REQUIRE(before.waitForStart(StartLimit));
+  std::string table = tableText(1);
+  REQUIRE(waitUntil(seconds(10), [&] {
+    return callHttp(before.addressOf(3), {"POST", "/Config.Put", {}, table},
+                    seconds(3))
+               .Status == 200;
+  }));
+  SingleDaemon after("front");
+  std::string toml = after.settings();
+  std::string folder = after.dataFolder();
+  toml.replace(toml.find(folder), folder.size(), before.dataFolder());
+  after.writeSettings(toml);
+  after.launch();
+  REQUIRE(after.waitForStart(StartLimit));
+  CHECK(waitUntil(StartLimit, [&] {
+    return after.log().find("locked by another process") != std::string::npos;
+  }));
+  CHECK(after.countInLog("event=folder_read") == 0);
+  before.signal(SIGTERM);
+  CHECK(before.waitForExit(seconds(10)) == 0);
+  INFO(after.log());
+  CHECK(waitUntil(StartLimit,
+                  [&] { return after.countInLog("event=folder_read") == 1; }));
+  CHECK(after.countInLog("blank=no") == 1);
+  CHECK(waitUntil(seconds(10), [&] {
+    auto read = callHttp(after.addressOf(3), {"GET", "/Config.Get", {}, {}},
+                         seconds(3));
+    return read.Status == 200 && read.Body == table;
+  }));
+}
