Soak: callers that keep connections, engine processes, planned work; LOST and ORDER are checked

Callers keep connections, idle on them, pause within requests, read slowly and resume streams; each request ends in one class that the report counts. Engines of a further service are processes that are killed; their journals tell runs apart.

--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -73,7 +73,7 @@
   return Subnet + std::to_string(Host) + ":" + std::to_string(BasePort + Port);
 }
 
-void FrontFleet::start(int Host, bool IsNew) {
+std::string FrontFleet::frontSettings(int Host, bool IsNew) const {
   std::string name = frontName(Host);
   std::ostringstream toml;
   toml << "role = \"front\"\nfleet = \"test\"\nnode = \"" << name
@@ -85,7 +85,22 @@
        << controlAddress(3) << "\"]\nmay_form = " << (IsNew ? "true" : "false")
        << "\ndata_folder = \""
        << (Host <= Size.Disks ? Folder + "/" + name + "-data" : "") << "\"\n";
-  spawn(name, toml.str());
+  return toml.str();
+}
+
+void FrontFleet::start(int Host, bool IsNew) {
+  spawn(frontName(Host), frontSettings(Host, IsNew));
+}
+
+void FrontFleet::launchFront(int Host) {
+  std::string name = frontName(Host);
+  std::ofstream(settingsPathOf(name)) << frontSettings(Host, false);
+  launchDaemon(name);
+}
+
+void FrontFleet::startProgram(const std::string &Process,
+                              std::vector<std::string> Arguments) {
+  launch(Process, std::move(Arguments));
 }
 
 std::string FrontFleet::agentSettings(int Host,
@@ -107,7 +122,7 @@
   std::string name = agentName(Host);
   std::string path = settingsPathOf(name);
   ::mkfifo(path.c_str(), 0600);
-  launch(name);
+  launchDaemon(name);
   // Blocks until the process reads.
   std::ofstream pipe(path);
   signal(name, Signal);
@@ -260,19 +275,24 @@
   std::string path = settingsPathOf(Process);
   std::ofstream(path) << Toml;
   size_t logStart = log(Process).size();
-  launch(Process);
+  launchDaemon(Process);
   if (!waitForStart(Process, logStart))
     throw std::runtime_error(Process +
                              " did not start within 10 s; log output: " +
                              log(Process).substr(logStart));
 }
 
-void FrontFleet::launch(const std::string &Process) {
-  std::string path = settingsPathOf(Process);
+void FrontFleet::launchDaemon(const std::string &Process) {
+  launch(Process, {DAEMON_PROGRAM, "--settings", settingsPathOf(Process)});
+}
+
+void FrontFleet::launch(const std::string &Process,
+                        std::vector<std::string> Arguments) {
   std::string output = logPathOf(Process);
-  std::string program = DAEMON_PROGRAM;
-  std::string flag = "--settings";
-  char *arguments[] = {program.data(), flag.data(), path.data(), nullptr};
+  std::vector<char *> arguments;
+  for (std::string &it : Arguments)
+    arguments.push_back(it.data());
+  arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, 1, output.c_str(),
@@ -285,7 +305,7 @@
     environment.push_back(it.data());
   environment.push_back(nullptr);
   pid_t pid = 0;
-  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments,
+  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
               environment.data());
   posix_spawn_file_actions_destroy(&actions);
   Processes[Process] = pid;
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -42,6 +42,11 @@
 
   /// Starts a front. \p IsNew lets it form a new group (setting may_form).
   void start(int Host, bool IsNew);
+  /// Starts a front like start, but does not wait until it runs.
+  void launchFront(int Host);
+  /// Starts another program; its output is the log of \p Process.
+  void startProgram(const std::string &Process,
+                    std::vector<std::string> Arguments);
   /// Starts an agent whose settings file is a pipe, sends it \p Signal while it
   /// reads the settings, and returns whether it starts nevertheless.
   bool startAgentWithEarlySignal(int Host, int Signal);
@@ -72,6 +77,7 @@
   /// Most resident memory of the process since its start, in MB; 0 if it has
   /// ended.
   uint64_t peakMemoryMb(const std::string &Process) const;
+  std::string folder() const { return Folder; }
   std::string log(const std::string &Process) const;
   std::string logPathOf(const std::string &Process) const;
   std::string settingsPathOf(const std::string &Process) const;
@@ -84,9 +90,11 @@
   static std::string agentName(int Host);
 
 private:
+  std::string frontSettings(int Host, bool IsNew) const;
   std::string agentSettings(int Host, const std::string &Engine) const;
   void spawn(const std::string &Process, const std::string &Toml);
-  void launch(const std::string &Process);
+  void launch(const std::string &Process, std::vector<std::string> Arguments);
+  void launchDaemon(const std::string &Process);
   bool waitForStart(const std::string &Process, size_t LogStart);
 
   FrontFleetSize Size;
--- /dev/null
+++ b/tests/soak/planned_work.h
@@ -0,0 +1,86 @@
+/// \file
+/// Seeded operator of a soak run: stops and restarts fronts, signals changes of
+/// their settings, and kills and restarts engine processes, in series that
+/// overlap.
+#ifndef SASSAFRAS_TESTS_SOAK_PLANNED_WORK_H
+#define SASSAFRAS_TESTS_SOAK_PLANNED_WORK_H
+
+#include "tests/harness/front_fleet.h"
+#include "tests/soak/soak_records.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+class PlannedWorker {
+public:
+  struct Dependencies {
+    FrontFleet &Fleet;
+    SoakRecords &Records;
+    /// Whether a front has no fault now.
+    std::function<bool(const std::string &)> IsFree;
+    std::function<void(const std::string &)> Log;
+    std::function<void(const std::string &)> AddViolation;
+  };
+
+  /// Starts the engine processes. Methods must not be called concurrently.
+  PlannedWorker(Dependencies Parts, uint64_t Seed);
+
+  /// Does what is due. Returns after at most the start of one process.
+  void step(TimePoint Now);
+  /// Whether \p Process is being stopped, or killed, by this worker.
+  bool isBusy(const std::string &Process) const;
+  bool hasStops() const { return !Stops.empty(); }
+  /// Waits for stops that are under way and starts what is missing.
+  void finish();
+  /// Runs of all engine processes so far.
+  std::vector<EngineRun> readRuns() const;
+
+private:
+  struct Stop {
+    int Front = 0;
+    TimePoint Deadline; ///< After it the process counts as stuck.
+    std::vector<std::pair<TimePoint, int>> Signals;
+  };
+  struct Engine {
+    std::string Name;
+    TimePoint StartsAt; ///< While the process is not running.
+    bool IsRunning = false;
+    int Starts = 0;
+  };
+  /// Rest of a settings file that is written later.
+  struct HalfFile {
+    int Front = 0;
+    std::string Text;
+    TimePoint WrittenAt;
+  };
+
+  int randomInt(int Min, int Max);
+  std::string engineAddress(size_t Index) const;
+  void startEngine(size_t Index);
+  void beginStop(int Front, TimePoint Now);
+  void stepStops(TimePoint Now);
+  void endStop(const Stop &Ended, int Code);
+  void stopEarly(int Front);
+  void signalFront(int Front, int Signal);
+  void changeSettings(int Front, TimePoint Now);
+  void writeHalves(TimePoint Now);
+  void stepEngines(TimePoint Now);
+  void killEngine(TimePoint Now);
+
+  Dependencies Parts;
+  std::mt19937_64 Random;
+  std::vector<Stop> Stops;
+  std::vector<Engine> Engines;
+  std::vector<HalfFile> Halves;
+  TimePoint NextWorkAt;
+  TimePoint NextEngineKillAt;
+  int SettingsCount = 0;
+};
+
+} // namespace sassafras
+
+#endif
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -13,19 +13,27 @@
 namespace {
 
 constexpr const char *Usage =
-    "usage: soak [--seeds N] [--seed SEED] [--seconds S]\n"
+    "usage: soak [--seeds N] [--seed SEED] [--seconds S] [--fronts N]\n"
+    "            [--callers N] [--planned]\n"
     "  --seeds N     number of random seeds to run in sequence (1)\n"
     "  --seed SEED   run this seed only and print its faults\n"
     "  --seconds S   duration of the faults of each run (12)\n"
+    "  --fronts N    number of fronts (4)\n"
+    "  --callers N   number of callers that keep connections (10)\n"
+    "  --planned     planned work and killed engine processes only\n"
     "exit codes: 0 no invariant violated, 1 some violated, 2 usage\n";
 
-bool runSeed(uint64_t Seed, std::chrono::seconds Duration, bool PrintsFaults) {
-  SoakReport report = runSoak(Seed, Duration);
-  std::cout << "seed " << Seed << ": " << report.Requests << " requests, "
-            << report.Succeeded << " succeeded, " << report.Refused
-            << " refused, " << report.FaultCount << " faults, "
-            << report.TablesAcknowledged << " tables acknowledged, "
-            << report.Violations.size() << " violations" << std::endl;
+bool runSeed(const SoakOptions &Options, bool PrintsFaults) {
+  SoakReport report = runSoak(Options);
+  std::cout << "seed " << Options.Seed << ": " << report.Requests
+            << " requests, " << report.Succeeded << " succeeded, "
+            << report.Refused << " refused, " << report.FaultCount
+            << " faults, " << report.TablesAcknowledged
+            << " tables acknowledged, " << report.Violations.size()
+            << " violations, folder " << report.Folder << "; kept:";
+  for (const auto &[name, n] : report.Ends)
+    std::cout << " " << name << " " << n;
+  std::cout << std::endl;
   for (const std::string &it : report.Violations)
     std::cout << "  violation: " << it << '\n';
   if (PrintsFaults || !report.Violations.empty())
@@ -37,32 +45,44 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  const option options[] = {{"seeds", required_argument, nullptr, 'n'},
-                            {"seed", required_argument, nullptr, 's'},
-                            {"seconds", required_argument, nullptr, 't'},
-                            {nullptr, 0, nullptr, 0}};
+  const option flags[] = {{"seeds", required_argument, nullptr, 'n'},
+                          {"seed", required_argument, nullptr, 's'},
+                          {"seconds", required_argument, nullptr, 't'},
+                          {"fronts", required_argument, nullptr, 'f'},
+                          {"callers", required_argument, nullptr, 'c'},
+                          {"planned", no_argument, nullptr, 'p'},
+                          {nullptr, 0, nullptr, 0}};
   uint64_t seeds = 1;
-  uint64_t seed = 0;
-  std::chrono::seconds duration{12};
+  SoakOptions options;
+  options.Seed = 0;
   int code = 0;
-  while ((code = getopt_long(ArgumentCount, Arguments, "n:s:t:", options,
+  while ((code = getopt_long(ArgumentCount, Arguments, "n:s:t:f:c:p", flags,
                              nullptr)) != -1) {
     if (code == 'n')
       seeds = std::strtoull(optarg, nullptr, 10);
     else if (code == 's')
-      seed = std::strtoull(optarg, nullptr, 10);
+      options.Seed = std::strtoull(optarg, nullptr, 10);
     else if (code == 't')
-      duration = std::chrono::seconds(std::strtoull(optarg, nullptr, 10));
+      options.Duration =
+          std::chrono::seconds(std::strtoull(optarg, nullptr, 10));
+    else if (code == 'f')
+      options.Fronts = std::atoi(optarg);
+    else if (code == 'c')
+      options.Callers = std::atoi(optarg);
+    else if (code == 'p')
+      options.HasFaults = false;
     else {
       std::cerr << Usage;
       return 2;
     }
   }
-  if (seed != 0)
-    return runSeed(seed, duration, true) ? 0 : 1;
+  if (options.Seed != 0)
+    return runSeed(options, true) ? 0 : 1;
   std::random_device source;
   bool isPassed = true;
-  for (uint64_t i = 0; i < seeds; ++i)
-    isPassed = runSeed(source(), duration, false) && isPassed;
+  for (uint64_t i = 0; i < seeds; ++i) {
+    options.Seed = source();
+    isPassed = runSeed(options, false) && isPassed;
+  }
   return isPassed ? 0 : 1;
 }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,9 +1,13 @@
 #include "tests/soak/soak_run.h"
 
 #include "tests/harness/front_fleet.h"
+#include "tests/soak/caller_crowd.h"
 #include "tests/soak/fault_proxy.h"
+#include "tests/soak/planned_work.h"
+#include "tests/soak/soak_checks.h"
 
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <mutex>
 #include <random>
@@ -21,11 +25,14 @@
 constexpr int CallerCount = 6;
 constexpr int EnginePort = 7;
 constexpr int ProxyPort = 6;
-constexpr const char *AllFronts = "all fronts";
 constexpr seconds RequestTimeout{6};
 constexpr seconds RecoveryTimeout{30};
 /// Minimum time between two lost disks, in which the group repairs itself.
 constexpr Millis MinDiskLossInterval{8'000};
+constexpr Millis StepInterval{20};
+/// A read of the table that is sent this long after a version was acknowledged,
+/// or read, returns that version or a newer one.
+constexpr seconds TableDelay{2};
 
 std::string soakTable(int Version) {
   std::string version = std::to_string(Version);
@@ -38,7 +45,19 @@
          R"("path-prefix":"/v)" +
          version +
          R"(/","kind":"non_idempotent","timeout-ms":4000,"slo-ms":500,"max-attempts":3,)"
-         R"("service":"desk"}],"services":[{"name":"desk"},{"name":"chat",)"
+         R"("service":"desk"},{"name":"r","host":"h.example",)"
+         R"("path-prefix":"/r/","kind":"streaming","resumable":true,)"
+         R"("timeout-ms":11000,"max-attempts":3,"slo-ms":1000,"service":"runs"},)"
+         R"({"name":"k","host":"h.example","path-prefix":"/k/",)"
+         R"("kind":"streaming","timeout-ms":11000,"max-attempts":3,)"
+         R"("slo-ms":1000,"service":"runs"},{"name":"i","host":"h.example",)"
+         R"("path-prefix":"/i/","kind":"idempotent","timeout-ms":5000,)"
+         R"("max-attempts":3,"slo-ms":1000,"service":"runs"},{"name":"o",)"
+         R"("host":"h.example","path-prefix":"/o/","kind":"non_idempotent",)"
+         R"("timeout-ms":5000,"max-attempts":3,"slo-ms":1000,)"
+         R"("service":"runs"}],"limits":{"idle-timeout-ms":)" +
+         std::to_string(SoakIdleTimeout.count()) +
+         R"(},"services":[{"name":"desk"},{"name":"runs"},{"name":"chat",)"
          R"("engine":{"slots":8,"weights-mb":100,"adapter-slots":2,)"
          R"("loads-per-s":5,"models":[{"name":"warm","weights-mb":30,)"
          R"("load-s":1,"disk-load-s":0.1},{"name":"cold","weights-mb":30,)"
@@ -106,6 +125,31 @@
     std::lock_guard guard(Mutex);
     ++Report.TablesAcknowledged;
     AcknowledgedVersion = std::max(AcknowledgedVersion, Version);
+    KnownVersions.emplace(Clock::now(), Version);
+  }
+
+  /// \p Version was read at \p Front by a request sent at \p SentAt.
+  void recordTableRead(int Front, int Version, TimePoint SentAt) {
+    std::lock_guard guard(Mutex);
+    int known = 0;
+    auto end = KnownVersions.upper_bound(SentAt - TableDelay);
+    for (auto it = KnownVersions.begin(); it != end; ++it)
+      known = std::max(known, it->second);
+    if (Version < known)
+      addViolation("front-" + std::to_string(Front) + ": table " +
+                   std::to_string(Version) + " was read over 2 s after " +
+                   std::to_string(known) + " was acknowledged or read");
+    KnownVersions.emplace(Clock::now(), Version);
+  }
+
+  /// Checks the records of kept connections and counts their ends.
+  void checkRecords(const SoakRecords &Records) {
+    std::lock_guard guard(Mutex);
+    for (const CallerRecord &it : Records.Requests)
+      ++Report.Ends[nameOf(it.End)];
+    for (auto *check : {findLostRequests, findDisorder, findUntrueResponses})
+      for (const std::string &it : check(Records))
+        addViolation(it);
   }
 
   /// Checks the requests that endpoints received. Call once all requests have
@@ -154,6 +198,8 @@
   std::set<std::string> RefusedIds;
   std::set<std::string> SucceededIds;
   int AcknowledgedVersion = 0;
+  /// Versions that were acknowledged or read, by the time of the response.
+  std::multimap<TimePoint, int> KnownVersions;
 };
 
 CallerResponse sendRequest(const std::string &Address, const std::string &Path,
@@ -180,7 +226,15 @@
 
 class Soak {
 public:
-  explicit Soak(uint64_t Seed) : Random(Seed) {
+  explicit Soak(const SoakOptions &Options)
+      : Options(Options), Random(Options.Seed),
+        Fleet({Options.Fronts, FrontFleetSize().Disks}),
+        Worker(
+            {Fleet, Records, [this](const auto &it) { return hasNoFault(it); },
+             [this](const std::string &it) { log(it); },
+             [this](const auto &it) { Invariants.check(false, it); }},
+            Options.Seed + 1) {
+    Records.Begin = Clock::now();
     for (int i = 0; i < EngineCount; ++i) {
       bool isFirst = i == 0;
       int host = FirstEngineHost + i;
@@ -195,7 +249,7 @@
           std::set<std::string>{}, std::set<std::string>{}));
   }
 
-  SoakReport run(seconds Duration) {
+  SoakReport run() {
     bool isTableAccepted = waitUntil(RecoveryTimeout, [&] {
       return Fleet.putTable(1, soakTable(1)) == 200;
     });
@@ -204,11 +258,14 @@
     std::vector<std::thread> threads;
     threads.emplace_back([this] { sendHeartbeats(); });
     threads.emplace_back([this] { updateTables(); });
+    threads.emplace_back([this] { readTables(); });
     for (int i = 0; i < CallerCount; ++i)
       threads.emplace_back([this, i] { sendRequests(i); });
-    injectFaults(Clock::now() + Duration);
+    CallerCrowd crowd(Fleet, Options.Callers, Options.Seed);
+    injectFaults(Clock::now() + Options.Duration);
     checkRecovery();
     IsStopped = true;
+    Records.Requests = crowd.stop();
     for (std::thread &it : threads)
       it.join();
     std::vector<ReceivedRequest> received;
@@ -216,6 +273,10 @@
       for (ReceivedRequest &request : it->Engine.receivedRequests())
         received.push_back(std::move(request));
     Invariants.checkReceivedRequests(received);
+    Records.Runs = Worker.readRuns();
+    Invariants.checkRecords(Records);
+    writeRecords();
+    Invariants.Report.Folder = Fleet.folder();
     return Invariants.Report;
   }
 
@@ -245,12 +306,22 @@
     }
   }
 
+  void readTables() {
+    for (int i = 0; !IsStopped; ++i) {
+      int front = 1 + i % Fleet.frontCount();
+      TimePoint sentAt = Clock::now();
+      if (int version = readTableVersion(front))
+        Invariants.recordTableRead(front, version, sentAt);
+      std::this_thread::sleep_for(Millis(50));
+    }
+  }
+
   void sendRequests(int Caller) {
     std::mt19937 random(static_cast<unsigned>(Caller) + 1);
     for (int i = 0; !IsStopped; ++i) {
       std::string id = "c" + std::to_string(Caller) + "-" + std::to_string(i);
       std::string front = Fleet.callerAddress(
-          1 + static_cast<int>(random() % 4) % Fleet.frontCount());
+          1 + static_cast<int>(random() % static_cast<unsigned>(Fleet.frontCount())));
       unsigned kind = random() % 10;
       if (kind == 0)
         Invariants.recordWrongKeyResponse(
@@ -268,14 +339,31 @@
 
   // ---- Faults ----
 
+  /// Adds a line with the time to the log of faults.
+  void log(const std::string &Line) {
+    Invariants.Report.FaultLog.push_back(
+        std::to_string(toMillis(Clock::now() - Records.Begin)) +
+        " ms: " + Line);
+  }
+
+  /// Leaves the records beside the logs of the processes.
+  void writeRecords() const {
+    std::ofstream requests(Fleet.folder() + "/requests.txt");
+    for (const CallerRecord &it : Records.Requests)
+      requests << describe(it, Records) << '\n';
+    std::ofstream faults(Fleet.folder() + "/faults.txt");
+    for (const std::string &it : Invariants.Report.FaultLog)
+      faults << it << '\n';
+  }
+
   /// Records a fault that has just been injected.
   void addFault(const std::string &Name, const std::string &Target,
                 Millis Duration, std::function<void()> Revert) {
     ++Invariants.Report.FaultCount;
-    Invariants.Report.FaultLog.push_back(
-        std::to_string(toMillis(Clock::now() - FaultsStartedAt)) +
-        " ms: " + Name + " " + Target + " for " +
-        std::to_string(Duration.count()) + " ms");
+    log(Name + " " + Target + " for " + std::to_string(Duration.count()) +
+        " ms");
+    if (Name != "stop")
+      Records.Faults.push_back({Target, Clock::now() - StepInterval});
     ActiveFaults.push_back(
         {Clock::now() + Duration, Target, std::move(Revert)});
   }
@@ -298,15 +386,23 @@
       ActiveFault fault = std::move(ActiveFaults[i]);
       ActiveFaults.erase(ActiveFaults.begin() + static_cast<std::ptrdiff_t>(i));
       fault.Revert();
+      for (FaultSpan &span : Records.Faults)
+        if (span.Target == fault.Target && span.To == TimePoint::max())
+          span.To = Clock::now();
     }
   }
 
   void injectFaults(TimePoint End) {
-    FaultsStartedAt = Clock::now();
     while (!isPast(End, Clock::now())) {
-      std::this_thread::sleep_for(Millis(randomInt(100, 900)));
+      TimePoint next = Clock::now() + Millis(randomInt(100, 900));
+      while (!isPast(next, Clock::now())) {
+        Worker.step(Clock::now());
+        std::this_thread::sleep_for(StepInterval);
+      }
       endFaults(false);
       checkUnexpectedExits();
+      if (!Options.HasFaults)
+        continue;
       int kind = randomInt(0, 9);
       if (kind < 3)
         injectEndpointFault();
@@ -346,7 +442,7 @@
 
   void injectFrontFault(int Host, int Kind) {
     std::string name = FrontFleet::frontName(Host);
-    if (!hasNoFault(name))
+    if (!hasNoFault(name) || Worker.isBusy(name))
       return;
     Millis duration(randomInt(100, 2'500));
     if (Kind == 4) {
@@ -356,9 +452,10 @@
       return;
     }
     bool losesDisk = Kind == 5 && mayLoseDisk(Host);
-    if (Kind == 6)
+    if (Kind == 6) {
+      Records.Works.push_back({Host, SIGTERM, Clock::now()});
       Fleet.signal(name, SIGTERM);
-    else
+    } else
       Fleet.kill(name);
     if (losesDisk) {
       Fleet.loseDisk(Host);
@@ -393,7 +490,7 @@
   }
 
   void killAllFronts() {
-    if (!ActiveFaults.empty())
+    if (!ActiveFaults.empty() || Worker.hasStops())
       return;
     for (int i = 1; i <= Fleet.frontCount(); ++i)
       Fleet.kill(FrontFleet::frontName(i));
@@ -406,13 +503,14 @@
   /// Checks that every process without an active fault is still running.
   void checkUnexpectedExits() {
     for (const std::string &it : Fleet.processes())
-      if (hasNoFault(it))
+      if (hasNoFault(it) && !Worker.isBusy(it))
         Invariants.check(Fleet.isRunning(it), it + ": exited without a fault");
   }
 
   // ---- Recovery ----
 
   void checkRecovery() {
+    Worker.finish();
     endFaults(true);
     for (int i = 1; i <= Fleet.frontCount(); ++i) {
       std::string name = FrontFleet::frontName(i);
@@ -433,7 +531,7 @@
           name + ": does not serve within 30 s after all faults ended");
     }
     bool isTableKept = waitUntil(RecoveryTimeout, [&] {
-      return readTableVersion() >= Invariants.acknowledgedVersion();
+      return readTableVersion(1) >= Invariants.acknowledgedVersion();
     });
     Invariants.check(isTableKept,
                      "table " +
@@ -443,27 +541,29 @@
 
   /// Returns the version of the table that an operator reads, or 0 if it cannot
   /// be read.
-  int readTableVersion() {
-    std::string text = Fleet.readTable(1);
+  int readTableVersion(int Front) {
+    std::string text = Fleet.readTable(Front);
     size_t at = text.find("\"version\":");
     return at == std::string::npos ? 0 : std::atoi(text.c_str() + at + 10);
   }
 
+  SoakOptions Options;
   std::mt19937_64 Random;
+  SoakRecords Records;
   FrontFleet Fleet;
   std::vector<std::unique_ptr<SoakEndpoint>> Endpoints;
   InvariantChecker Invariants;
   std::vector<ActiveFault> ActiveFaults;
-  TimePoint FaultsStartedAt;
+  PlannedWorker Worker;
   TimePoint NextDiskLossAt;
   std::atomic<bool> IsStopped{false};
 };
 
 } // namespace
 
-SoakReport runSoak(uint64_t Seed, seconds Duration) {
-  Soak soak(Seed);
-  return soak.run(Duration);
+SoakReport runSoak(const SoakOptions &Options) {
+  Soak soak(Options);
+  return soak.run();
 }
 
 } // namespace sassafras
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 void checkSeed(uint64_t Seed, std::chrono::seconds Duration) {
-  SoakReport report = runSoak(Seed, Duration);
+  SoakOptions options;
+  options.Seed = Seed;
+  options.Duration = Duration;
+  SoakReport report = runSoak(options);
   INFO("seed " << Seed << ", " << report.FaultCount << " faults");
   for (const std::string &it : report.FaultLog)
     UNSCOPED_INFO(it);
