--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -363,7 +363,7 @@
     log(Name + " " + Target + " for " + std::to_string(Duration.count()) +
         " ms");
     if (Name != "stop")
-      Records.Faults.push_back({Target, Clock::now() - StepInterval});
+      Records.Faults.push_back({Target, InjectionStart});
     ActiveFaults.push_back(
         {Clock::now() + Duration, Target, std::move(Revert)});
   }
@@ -403,6 +403,7 @@
       checkUnexpectedExits();
       if (!Options.HasFaults)
         continue;
+      InjectionStart = Clock::now();
       int kind = randomInt(0, 9);
       if (kind < 3)
         injectEndpointFault();
@@ -556,6 +557,7 @@
   std::vector<ActiveFault> ActiveFaults;
   PlannedWorker Worker;
   TimePoint NextDiskLossAt;
+  TimePoint InjectionStart; ///< Of the fault that is being injected.
   std::atomic<bool> IsStopped{false};
 };
 
