--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -65,9 +65,9 @@
 /// Appends a line with one system call: it outlives the process.
 void record(const RunEngine &Engine, const std::string &Kind,
             const std::string &Rest) {
-  std::string line =
-      Kind + " " + std::to_string(Clock::now().time_since_epoch().count()) +
-      " " + Rest + "\n";
+  std::string line = Kind + " " +
+                     std::to_string(Clock::now().time_since_epoch().count()) +
+                     " " + Rest + "\n";
   if (::write(Engine.Journal, line.data(), line.size()) < 0)
     std::perror("run_engine: journal");
 }
@@ -141,8 +141,8 @@
   while (!isPast(end, Clock::now())) {
     if (hasCallerLeft(Socket))
       return false;
-    std::this_thread::sleep_for(std::min<Clock::duration>(
-        CallerPollInterval, end - Clock::now()));
+    std::this_thread::sleep_for(
+        std::min<Clock::duration>(CallerPollInterval, end - Clock::now()));
   }
   return true;
 }
@@ -192,14 +192,15 @@
 
 /// Answers one request; returns whether the connection stays open.
 bool answer(RunEngine &Engine, Tcp::socket &Socket, const RunRequest &Request) {
-  std::string head = "HTTP/1.1 200 OK\r\nSassafrasseam-Attempt-Id: " +
-                     Request.Id + "\r\nSassafrasseam-Response-Seal: seal\r\n";
+  std::string head =
+      "HTTP/1.1 200 OK\r\nSassafrasseam-Attempt-Id: " + Request.Id +
+      "\r\nSassafrasseam-Response-Seal: seal\r\n";
   if (!Request.Expected.empty() && Request.Expected != Engine.Id)
-    return sendText(Socket,
-                    "HTTP/1.1 421 Misdirected\r\nSassafrasseam-Attempt-Id: " +
-                        Request.Id +
-                        "\r\nSassafrasseam-Not-Executed: 1\r\n"
-                        "Content-Length: 0\r\n\r\n");
+    return sendText(
+        Socket,
+        "HTTP/1.1 421 Misdirected\r\nSassafrasseam-Attempt-Id: " + Request.Id +
+            "\r\nSassafrasseam-Not-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
   const std::string &query = Request.Query;
   std::string run = Engine.Id + "/" + std::to_string(++Engine.RunCount);
   bool isForgotten = numberOf(query, "forget", 0) != 0;
@@ -212,9 +213,9 @@
   if (waitWithCaller(Socket, Millis(numberOf(query, "wait", 0)))) {
     if (query.find("&form=plain") == std::string::npos)
       how = runStream(Socket, Request, run, first, head);
-    else if (sendText(Socket, head + "Content-Length: " +
-                                  std::to_string(run.size()) + "\r\n\r\n" +
-                                  run))
+    else if (sendText(Socket,
+                      head + "Content-Length: " + std::to_string(run.size()) +
+                          "\r\n\r\n" + run))
       how = "whole";
   }
   record(Engine, "ended", run + " " + how);
@@ -245,11 +246,14 @@
 void announce(const RunEngine &Engine) {
   uint64_t count = 0;
   for (size_t i = 0;; ++i) {
-    boost::json::object body{
-        {"service", Engine.Service}, {"address", Engine.Listen},
-        {"zone", "a"},               {"version", "v1"},
-        {"slots", Slots},            {"state", "ready"},
-        {"born", Engine.Born},       {"seq", ++count}};
+    boost::json::object body{{"service", Engine.Service},
+                             {"address", Engine.Listen},
+                             {"zone", "a"},
+                             {"version", "v1"},
+                             {"slots", Slots},
+                             {"state", "ready"},
+                             {"born", Engine.Born},
+                             {"seq", ++count}};
     // A front that has ended gets the next heartbeat of another one.
     callHttp(Engine.Controls[i % Engine.Controls.size()],
              {"POST",
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -10,6 +10,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
@@ -162,6 +163,17 @@
     ::kill(found->second, Signal);
 }
 
+void FrontFleet::limitFileSize(const std::string &Process,
+                               std::optional<uint64_t> Bytes) {
+  auto found = Processes.find(Process);
+  if (found == Processes.end())
+    return;
+  rlimit limit{};
+  ::prlimit(found->second, RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = Bytes.value_or(limit.rlim_max);
+  ::prlimit(found->second, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 int FrontFleet::waitForExit(const std::string &Process, seconds Limit) {
   auto found = Processes.find(Process);
   if (found == Processes.end())
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -56,6 +57,10 @@
                            const std::vector<int> &Signals);
   void startAgent(int Host, const std::string &Engine);
   void signal(const std::string &Process, int Signal);
+  /// Makes writes beyond the first \p Bytes of any file fail, as on a full
+  /// disk; without a value, ends that. Lines of the process's log get lost,
+  /// too. The caller must ignore SIGXFSZ when it starts the process.
+  void limitFileSize(const std::string &Process, std::optional<uint64_t> Bytes);
   /// Returns the exit code, -1 if the process is unknown or still runs after
   /// \p Limit, or -2 if a signal terminated it.
   int waitForExit(const std::string &Process, std::chrono::seconds Limit);
--- a/tests/soak/caller_crowd.cpp
+++ b/tests/soak/caller_crowd.cpp
@@ -23,8 +23,7 @@
   /// Opens a connection to a random front; returns false if there is none.
   bool connect() {
     Front = 1 + below(Fleet.frontCount());
-    RequestsLeft =
-        below(3) == 0 ? 1 : 1 + below(MaxRequestsPerConnection);
+    RequestsLeft = below(3) == 0 ? 1 : 1 + below(MaxRequestsPerConnection);
     RequestsDone = 0;
     return Caller.connect(Fleet.callerAddress(Front));
   }
@@ -62,10 +61,10 @@
       out.MayRepeat = kind < 8;
       bool isLong = below(5) == 0;
       out.EventCount = isLong ? 20 + below(40) : 1 + below(20);
-      out.Target = std::string(kind < 8 ? "/r/" : "/k/") + "x?n=" +
-                   text(static_cast<int>(out.EventCount)) +
-                   "&gap=" + text(isLong ? 100 : below(40)) + "&form=" +
-                   (below(6) == 0 ? "unframed" : "chunked");
+      out.Target = std::string(kind < 8 ? "/r/" : "/k/") +
+                   "x?n=" + text(static_cast<int>(out.EventCount)) +
+                   "&gap=" + text(isLong ? 100 : below(40)) +
+                   "&form=" + (below(6) == 0 ? "unframed" : "chunked");
       if (below(12) == 0)
         out.Target += "&cut=" + text(1 + below(10));
       else if (below(12) == 0)
@@ -133,9 +132,8 @@
 CallerCrowd::CallerCrowd(const FrontFleet &Fleet, int Count, uint64_t Seed)
     : Fleet(Fleet) {
   for (int i = 0; i < Count; ++i)
-    Threads.emplace_back([this, i, Seed] {
-      run(i, Seed * 1'000 + static_cast<uint64_t>(i));
-    });
+    Threads.emplace_back(
+        [this, i, Seed] { run(i, Seed * 1'000 + static_cast<uint64_t>(i)); });
 }
 
 CallerCrowd::~CallerCrowd() { stop(); }
--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -18,6 +18,8 @@
 constexpr int EnginePort = 7;
 /// Stop grace of a front plus time for a busy machine.
 constexpr seconds StopTimeout{10};
+/// A full disk keeps a random part of its files, up to this size.
+constexpr int MaxRoomBytes = 60'000;
 
 std::string readText(const std::string &Path) {
   std::ifstream in(Path);
@@ -28,8 +30,11 @@
 
 } // namespace
 
-PlannedWorker::PlannedWorker(Dependencies Parts, uint64_t Seed)
-    : Parts(std::move(Parts)), Random(Seed), Engines(EngineCount) {
+PlannedWorker::PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks)
+    : Parts(std::move(Parts)), Random(Seed), Engines(EngineCount),
+      FillsDisks(FillsDisks) {
+  // Ignored signals stay ignored in processes that are started.
+  std::signal(SIGXFSZ, SIG_IGN);
   for (size_t i = 0; i < Engines.size(); ++i) {
     Engines[i].Name = "run-engine-" + std::to_string(i);
     startEngine(i);
@@ -52,6 +57,7 @@
 void PlannedWorker::step(TimePoint Now) {
   writeHalves(Now);
   stepEngines(Now);
+  stepDisks(Now);
   stepStops(Now);
   if (!isPast(NextWorkAt, Now))
     return;
@@ -62,8 +68,7 @@
   std::string name = FrontFleet::frontName(front);
   if (!Parts.IsFree(name) || isBusy(name))
     return;
-  bool mayStop =
-      static_cast<int>(Stops.size()) < Parts.Fleet.frontCount() / 2;
+  bool mayStop = static_cast<int>(Stops.size()) < Parts.Fleet.frontCount() / 2;
   if (mayStop && randomInt(0, 3) == 0)
     beginStop(front, Now);
   else if (randomInt(0, 2) == 0)
@@ -116,7 +121,8 @@
   std::string name = FrontFleet::frontName(Ended.Front);
   Parts.Log("ended " + name + " code " + std::to_string(Code));
   if (Code != 0)
-    Parts.AddViolation(name + ": did not exit with code 0 after SIGTERM, code " +
+    Parts.AddViolation(name +
+                       ": did not exit with code 0 after SIGTERM, code " +
                        std::to_string(Code));
   if (Code == -1)
     Parts.Fleet.kill(name);
@@ -152,15 +158,16 @@
     std::this_thread::sleep_for(Millis(20));
   }
   writeHalves(TimePoint::max());
+  stepDisks(TimePoint::max());
   stepEngines(TimePoint::max());
 }
 
 // ---- Settings ----
 
 void PlannedWorker::changeSettings(int Front, TimePoint Now) {
-  bool isHalf = std::any_of(
-      Halves.begin(), Halves.end(),
-      [&](const HalfFile &it) { return it.Front == Front; });
+  bool isHalf =
+      std::any_of(Halves.begin(), Halves.end(),
+                  [&](const HalfFile &it) { return it.Front == Front; });
   if (isHalf)
     return;
   std::string path = Parts.Fleet.settingsPathOf(FrontFleet::frontName(Front));
@@ -197,6 +204,35 @@
   });
 }
 
+// ---- Disks ----
+
+void PlannedWorker::stepDisks(TimePoint Now) {
+  if (!FillsDisks || !isPast(NextDiskAt, Now))
+    return;
+  if (FullDisk != 0) {
+    std::string name = FrontFleet::frontName(FullDisk);
+    Parts.Fleet.limitFileSize(name, std::nullopt);
+    Parts.Log("disk has room " + name);
+    for (FaultSpan &it : Parts.Records.Faults)
+      if (it.Target == name && it.To == TimePoint::max())
+        it.To = Clock::now();
+    FullDisk = 0;
+    NextDiskAt = Clock::now() + Millis(randomInt(500, 4'000));
+    return;
+  }
+  bool isFirst = NextDiskAt == TimePoint();
+  NextDiskAt = Now + Millis(randomInt(200, 2'500));
+  int front = randomInt(1, Parts.Fleet.diskCount());
+  auto room = static_cast<uint64_t>(randomInt(0, MaxRoomBytes));
+  std::string name = FrontFleet::frontName(front);
+  if (isFirst || Now == TimePoint::max() || !Parts.IsFree(name))
+    return;
+  FullDisk = front;
+  Parts.Records.Faults.push_back({name, Clock::now()});
+  Parts.Fleet.limitFileSize(name, room);
+  Parts.Log("full disk " + name + " from " + std::to_string(room) + " bytes");
+}
+
 // ---- Engines ----
 
 std::string PlannedWorker::engineAddress(size_t Index) const {
--- a/tests/soak/planned_work.h
+++ b/tests/soak/planned_work.h
@@ -27,7 +27,8 @@
   };
 
   /// Starts the engine processes. Methods must not be called concurrently.
-  PlannedWorker(Dependencies Parts, uint64_t Seed);
+  /// With \p FillsDisks, disks of fronts are full for a while.
+  PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks);
 
   /// Does what is due. Returns after at most the start of one process.
   void step(TimePoint Now);
@@ -68,6 +69,7 @@
   void signalFront(int Front, int Signal);
   void changeSettings(int Front, TimePoint Now);
   void writeHalves(TimePoint Now);
+  void stepDisks(TimePoint Now);
   void stepEngines(TimePoint Now);
   void killEngine(TimePoint Now);
 
@@ -78,6 +80,9 @@
   std::vector<HalfFile> Halves;
   TimePoint NextWorkAt;
   TimePoint NextEngineKillAt;
+  bool FillsDisks;
+  int FullDisk = 0; ///< Front whose disk is full, or 0.
+  TimePoint NextDiskAt;
   int SettingsCount = 0;
 };
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -28,14 +28,15 @@
 constexpr const char *RequestBody = "body of the request";
 
 std::string headOf(const CallerRecord &Record) {
-  std::string out = "POST " + Record.Target +
-                    " HTTP/1.1\r\nHost: h.example\r\n"
-                    "Authorization: Bearer secret-key\r\n"
-                    "Sassafrasseam-Attempt-Id: " +
-                    Record.Id + "\r\nSassafrasseam-Deadline-Ms: " +
-                    std::to_string(toMillis(Record.Deadline - Clock::now())) +
-                    "\r\nContent-Length: " +
-                    std::to_string(std::string(RequestBody).size()) + "\r\n";
+  std::string out =
+      "POST " + Record.Target +
+      " HTTP/1.1\r\nHost: h.example\r\n"
+      "Authorization: Bearer secret-key\r\n"
+      "Sassafrasseam-Attempt-Id: " +
+      Record.Id + "\r\nSassafrasseam-Deadline-Ms: " +
+      std::to_string(toMillis(Record.Deadline - Clock::now())) +
+      "\r\nContent-Length: " + std::to_string(std::string(RequestBody).size()) +
+      "\r\n";
   if (Record.LastEvent >= 0)
     out += "Last-Event-Id: " + std::to_string(Record.LastEvent) +
            "\r\nResumes: " + Record.StreamId + "\r\n";
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -42,11 +42,10 @@
 
 bool hasFault(const SoakRecords &Records, const std::string &Target,
               TimePoint From, TimePoint To) {
-  return std::any_of(Records.Faults.begin(), Records.Faults.end(),
-                     [&](const FaultSpan &it) {
-                       return it.Target == Target && it.From <= To &&
-                              it.To >= From;
-                     });
+  return std::any_of(
+      Records.Faults.begin(), Records.Faults.end(), [&](const FaultSpan &it) {
+        return it.Target == Target && it.From <= To && it.To >= From;
+      });
 }
 
 bool hasFrontFault(const SoakRecords &Records, const CallerRecord &Request) {
@@ -86,13 +85,12 @@
 }
 
 bool isNearReload(const SoakRecords &Records, const CallerRecord &Request) {
-  return std::any_of(Records.Works.begin(), Records.Works.end(),
-                     [&](const PlannedWork &it) {
-                       return it.Signal == SIGHUP &&
-                              it.Front == Request.Front &&
-                              it.At <= Request.EndedAt &&
-                              Request.StartedAt <= it.At + ReloadTime;
-                     });
+  return std::any_of(
+      Records.Works.begin(), Records.Works.end(), [&](const PlannedWork &it) {
+        return it.Signal == SIGHUP && it.Front == Request.Front &&
+               it.At <= Request.EndedAt &&
+               Request.StartedAt <= it.At + ReloadTime;
+      });
 }
 
 /// Splits a body at the ends of events. An event that is cut short is left out,
@@ -143,9 +141,8 @@
 
 const char *nameOf(CallerEnd End) {
   constexpr const char *Names[CallerEndCount] = {
-      "whole",           "refused",      "error",    "broken",
-      "closed_unsent",   "closed_unanswered", "timed_out",
-      "not_connected"};
+      "whole",         "refused",           "error",     "broken",
+      "closed_unsent", "closed_unanswered", "timed_out", "not_connected"};
   return Names[static_cast<int>(End)];
 }
 
@@ -205,8 +202,8 @@
   RunsById runs = indexById(Records);
   std::vector<std::string> out;
   for (const CallerRecord &it : Records.Requests) {
-    bool isCut = it.End == CallerEnd::Broken ||
-                 it.End == CallerEnd::ClosedUnanswered;
+    bool isCut =
+        it.End == CallerEnd::Broken || it.End == CallerEnd::ClosedUnanswered;
     if (!isCut || hasFrontFault(Records, it) ||
         isPast(it.Deadline - DeadlineSlack, it.EndedAt))
       continue;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -229,11 +229,11 @@
   explicit Soak(const SoakOptions &Options)
       : Options(Options), Random(Options.Seed),
         Fleet({Options.Fronts, FrontFleetSize().Disks}),
-        Worker(
-            {Fleet, Records, [this](const auto &it) { return hasNoFault(it); },
-             [this](const std::string &it) { log(it); },
-             [this](const auto &it) { Invariants.check(false, it); }},
-            Options.Seed + 1) {
+        Worker({Fleet, Records,
+                [this](const auto &it) { return hasNoFault(it); },
+                [this](const std::string &it) { log(it); },
+                [this](const auto &it) { Invariants.check(false, it); }},
+               Options.Seed + 1, Options.HasFaults) {
     Records.Begin = Clock::now();
     for (int i = 0; i < EngineCount; ++i) {
       bool isFirst = i == 0;
@@ -321,7 +321,8 @@
     for (int i = 0; !IsStopped; ++i) {
       std::string id = "c" + std::to_string(Caller) + "-" + std::to_string(i);
       std::string front = Fleet.callerAddress(
-          1 + static_cast<int>(random() % static_cast<unsigned>(Fleet.frontCount())));
+          1 + static_cast<int>(random() %
+                               static_cast<unsigned>(Fleet.frontCount())));
       unsigned kind = random() % 10;
       if (kind == 0)
         Invariants.recordWrongKeyResponse(
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -40,8 +40,8 @@
   std::vector<std::string> FaultLog;
 };
 
-/// Injects faults for the given duration, ends them all, and checks the invariants
-/// during the faults and after recovery.
+/// Injects faults for the given duration, ends them all, and checks the
+/// invariants during the faults and after recovery.
 SoakReport runSoak(const SoakOptions &Options);
 
 } // namespace sassafras
