Soak: engines name their instance; a program that cannot be started ends the run

A failed start now throws, and the soak ends its processes.

Engines answer the health path with their instance, and the soak's table names that path, so that a front can ask whether an instance lives. An unframed stream that a living engine cuts between events is reset: in good order it could not be told from a whole one. Killed engines still end theirs in good order.

--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -3,6 +3,9 @@
 /// query states how it is answered; each run is written to a journal, so that
 /// a test can compare what callers got with what engines made.
 ///
+/// GET /health names the instance. An unframed stream that is cut between
+/// events is reset: an end in good order would complete it.
+///
 /// Query of a request: n=EVENTS gap=MS form=chunked|unframed|plain wait=MS
 /// cut=EVENT (ends the connection before this event) tear=EVENT (within it)
 /// forget=1 (starts over in spite of Last-Event-Id) leave=MS (ends the
@@ -56,6 +59,7 @@
 struct RunRequest {
   std::string Id;
   std::string Expected; ///< Engine that the sender expects, or empty.
+  std::string Path;     ///< Without the query.
   std::string Query;
   int64_t LastEvent = -1;
   uint64_t BodyBytes = 0;
@@ -85,6 +89,8 @@
   std::istringstream in(Head);
   std::string line;
   std::getline(in, line);
+  size_t path = line.find(' ') + 1;
+  out.Path = line.substr(path, line.find_first_of("? ", path) - path);
   size_t query = line.find('?');
   if (query != std::string::npos)
     out.Query = "&" + line.substr(query + 1, line.rfind(' ') - query - 1);
@@ -161,6 +167,11 @@
   return out.str();
 }
 
+void resetOnClose(Tcp::socket &Socket) {
+  boost::system::error_code ec;
+  Socket.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 /// Answers with events; returns how the run ended.
 std::string runStream(Tcp::socket &Socket, const RunRequest &Request,
                       const std::string &Run, int64_t First,
@@ -175,8 +186,12 @@
                                        : "Connection: close\r\n\r\n")))
     return "gone";
   for (int64_t i = First; i <= numberOf(query, "n", 10); ++i) {
-    if (i == cut)
+    if (i == cut) {
+      // In good order, the end of an unframed response would complete it.
+      if (!isChunked)
+        resetOnClose(Socket);
       return "broke";
+    }
     std::string event = "id: " + std::to_string(i) + "\ndata: " + Run + " " +
                         std::to_string(i) + "\n\n";
     if (i == tear) {
@@ -201,6 +216,9 @@
         "HTTP/1.1 421 Misdirected\r\nSassafrasseam-Attempt-Id: " + Request.Id +
             "\r\nSassafrasseam-Not-Executed: 1\r\n"
             "Content-Length: 0\r\n\r\n");
+  if (Request.Path == "/health")
+    return sendText(Socket, "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: " +
+                                Engine.Id + "\r\nContent-Length: 0\r\n\r\n");
   const std::string &query = Request.Query;
   std::string run = Engine.Id + "/" + std::to_string(++Engine.RunCount);
   bool isForgotten = numberOf(query, "forget", 0) != 0;
@@ -238,8 +256,13 @@
       return;
     RunRequest request = parseRequest(buf.substr(0, n));
     buf.erase(0, n);
-    if (!skipBody(Socket, buf, request) || !answer(Engine, Socket, request))
+    if (!skipBody(Socket, buf, request))
+      return;
+    if (!answer(Engine, Socket, request)) {
+      // The destructor would not reset it.
+      Socket.close(ec);
       return;
+    }
   }
 }
 
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -4,6 +4,7 @@
 #include "tests/harness/slow_disk.h"
 
 #include <csignal>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -317,9 +318,14 @@
     environment.push_back(it.data());
   environment.push_back(nullptr);
   pid_t pid = 0;
-  posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
-              environment.data());
+  int error = posix_spawn(&pid, arguments[0], &actions, nullptr,
+                          arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
+  // Without a process there is no id, and a signal to id 0 reaches the callers
+  // of this method.
+  if (error != 0)
+    throw std::runtime_error(Process +
+                             " cannot be started: " + std::strerror(error));
   Processes[Process] = pid;
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -42,9 +42,7 @@
   return report.Violations.empty();
 }
 
-} // namespace
-
-int main(int ArgumentCount, char **Arguments) {
+int run(int ArgumentCount, char **Arguments) {
   const option flags[] = {{"seeds", required_argument, nullptr, 'n'},
                           {"seed", required_argument, nullptr, 's'},
                           {"seconds", required_argument, nullptr, 't'},
@@ -86,3 +84,15 @@
   }
   return isPassed ? 0 : 1;
 }
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  // Unwinds the stack, so that the processes of the fleet are ended.
+  try {
+    return run(ArgumentCount, Arguments);
+  } catch (const std::exception &error) {
+    std::cerr << "soak: " << error.what() << '\n';
+    return 1;
+  }
+}
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -57,7 +57,7 @@
          R"("timeout-ms":5000,"max-attempts":3,"slo-ms":1000,)"
          R"("service":"runs"}],"limits":{"idle-timeout-ms":)" +
          std::to_string(SoakIdleTimeout.count()) +
-         R"(},"services":[{"name":"desk"},{"name":"runs"},{"name":"chat",)"
+         R"(},"services":[{"name":"desk"},{"name":"runs","health-path":"/health"},{"name":"chat",)"
          R"("engine":{"slots":8,"weights-mb":100,"adapter-slots":2,)"
          R"("loads-per-s":5,"models":[{"name":"warm","weights-mb":30,)"
          R"("load-s":1,"disk-load-s":0.1},{"name":"cold","weights-mb":30,)"
