--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -33,8 +33,6 @@
 PlannedWorker::PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks)
     : Parts(std::move(Parts)), Random(Seed), Engines(EngineCount),
       FillsDisks(FillsDisks) {
-  // Ignored signals stay ignored in processes that are started.
-  std::signal(SIGXFSZ, SIG_IGN);
   for (size_t i = 0; i < Engines.size(); ++i) {
     Engines[i].Name = "run-engine-" + std::to_string(i);
     startEngine(i);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -565,6 +565,8 @@
 } // namespace
 
 SoakReport runSoak(const SoakOptions &Options) {
+  // Ignored signals stay ignored in processes that are started.
+  std::signal(SIGXFSZ, SIG_IGN);
   Soak soak(Options);
   return soak.run();
 }
