--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -321,3 +321,16 @@
     CHECK_FALSE(reason.empty());
   }
 }
+
+TEST_CASE("health check is answered by the expected instance only") {
+  HttpRequest request = platform::makeHealthRequest("/health", "i-1");
+  CHECK(request.Method == "GET");
+  CHECK(request.Target == "/health");
+  CHECK(fieldOf(request.Fields, "sassafrasseam-expect-instance") == "i-1");
+  const HttpField own{"sassafrasseam-instance-id", "i-1"};
+  const HttpField other{"sassafrasseam-instance-id", "i-2"};
+  CHECK(platform::isFromInstance(200, {own}, "i-1"));
+  CHECK(platform::isFromInstance(503, {}, "i-1"));
+  CHECK_FALSE(platform::isFromInstance(200, {other}, "i-1"));
+  CHECK_FALSE(platform::isFromInstance(421, {}, "i-1"));
+}
