--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -144,7 +144,7 @@
   std::string name = agentName(Host);
   std::ofstream(settingsPathOf(name))
       << agentSettings(Host, addressOf(Host, 7));
-  launch(name);
+  launchDaemon(name);
   std::string path = "/proc/" + std::to_string(Processes[name]) + "/status";
   TimePoint deadline = Clock::now() + seconds(5);
   while (!blocksSignal(readFile(path), SIGTERM)) {
