HTTP/1.0 stream does not look whole when its server ends

Callers of HTTP/1.0 take the end of the connection for the end of a body without a length. A front that was killed, or that gave up a slow reader, closed such a connection in order: a part of a stream ended as a whole one.

From the request on the connection is set to be reset by a close, also by the kernel for a process that ends; the end of the response takes that back.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -182,6 +182,7 @@
   void reportRoom();
   void finishResponse();
   void closeInOrder();
+  void setResetOnClose(bool IsReset);
   void discardInput();
   void abortConnection();
   void handleLoss(HttpLoss Loss);
@@ -524,6 +525,8 @@
   request.Fields = std::move(Parser->Fields);
   request.Body = std::move(Parser->Body);
   IsHttp10 = Parser->Version < 11;
+  if (IsHttp10)
+    setResetOnClose(true);
   KeepAlive = Parser->keep_alive();
   IsHeadRequest = request.Method == "HEAD";
   HasOutput = false;
@@ -700,9 +703,19 @@
     Server->Callbacks.OnRoom(exchange.get());
 }
 
+/// With HTTP/1.0 the end of the connection may end the body. Until the response
+/// is whole, a reset tells the caller that it is not, also when the process is
+/// killed.
+void Session::setResetOnClose(bool IsReset) {
+  boost::system::error_code ignored;
+  Stream.socket().set_option(asio::socket_base::linger(IsReset, 0), ignored);
+}
+
 void Session::finishResponse() {
   IsResponding = false;
   --Server->OpenCount;
+  if (IsHttp10)
+    setResetOnClose(false);
   // Also in a stop, a caller that was not told of the close may send on.
   if (KeepAlive)
     waitForRequest();
@@ -759,15 +772,10 @@
 void Session::abortConnection() {
   IsResponding = false;
   --Server->OpenCount;
-  // With HTTP/1.0 the end of the connection ends the body; a reset tells the
-  // caller that the response is incomplete.
-  if (!IsHttp10) {
+  if (IsHttp10)
+    Stream.close();
+  else
     closeInOrder();
-    return;
-  }
-  beast::error_code ec;
-  Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-  Stream.close();
 }
 
 void HttpServer::Impl::accept() {
--- a/tests/process/test_closing_connections.cpp
+++ b/tests/process/test_closing_connections.cpp
@@ -342,6 +342,18 @@
   CHECK(readAll(caller).isClosedInOrder());
 }
 
+TEST_CASE("HTTP/1.0 stream does not look whole when its server ends") {
+  auto server = std::make_unique<LoopbackServer>();
+  Tcp::socket caller = server->connect();
+  send(caller, "GET /held HTTP/1.0\r\n\r\n");
+  while (server->countHeld() == 0)
+    std::this_thread::sleep_for(Millis(1));
+  server.reset();
+  Received response = readAll(caller);
+  INFO(response.End.message());
+  CHECK_FALSE(response.isClosedInOrder());
+}
+
 TEST_CASE("caller that closes its sending side gets a response that is ready") {
   LoopbackServer server;
   Tcp::socket caller = server.connect();
