File size limit that is reached ends no front

A front whose log or data folder reached a limit of the size of files ended by SIGXFSZ; of three fronts all ended, and no table was accepted. The signal is ignored, so that the write fails and the member closes its folder, as on a full disk. The soak ignored the signal for its processes, which hid this; it does not any more.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -300,6 +300,8 @@
     return checkSettings(options.SettingsFile);
   blockSignals();
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the limit of a file's size fails instead.
+  std::signal(SIGXFSZ, SIG_IGN);
   // Until the settings name the node and the level.
   startLogging(LogLevel::Info, "");
   SettingsProblem problem;
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -59,7 +59,7 @@
   void signal(const std::string &Process, int Signal);
   /// Makes writes beyond the first \p Bytes of any file fail, as on a full
   /// disk; without a value, ends that. Lines of the process's log get lost,
-  /// too. The caller must ignore SIGXFSZ when it starts the process.
+  /// too.
   void limitFileSize(const std::string &Process, std::optional<uint64_t> Bytes);
   /// Returns the exit code, -1 if the process is unknown or still runs after
   /// \p Limit, or -2 if a signal terminated it.
--- a/tests/process/test_stops.cpp
+++ b/tests/process/test_stops.cpp
@@ -85,6 +85,22 @@
 }
 
 // The default action of a signal ended the process while it closed its links.
+TEST_CASE("file size limit that is reached ends no front") {
+  FrontFleet fleet({3, 3});
+  awaitGroup(fleet);
+  for (int i = 1; i <= 3; ++i)
+    fleet.limitFileSize(FrontFleet::frontName(i), 0);
+  fleet.putTable(1, tableText(2));
+  std::this_thread::sleep_for(Millis(500));
+  for (int i = 1; i <= 3; ++i) {
+    INFO("front " << i);
+    CHECK(fleet.isRunning(FrontFleet::frontName(i)));
+    fleet.limitFileSize(FrontFleet::frontName(i), std::nullopt);
+  }
+  CHECK(waitUntil(seconds(15),
+                  [&] { return fleet.putTable(1, tableText(3)) == 200; }));
+}
+
 TEST_CASE("signals that repeat until a process has ended do not change its "
           "exit code") {
   FrontFleet fleet({3, 3});
--- a/tests/soak/planned_work.h
+++ b/tests/soak/planned_work.h
@@ -27,8 +27,7 @@
   };
 
   /// Starts the engine processes. Methods must not be called concurrently.
-  /// With \p FillsDisks, disks of fronts are full for a while. SIGXFSZ must
-  /// have been ignored since before the fronts were started.
+  /// With \p FillsDisks, disks of fronts are full for a while.
   PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks);
 
   /// Does what is due. Returns after at most the start of one process.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -565,8 +565,6 @@
 } // namespace
 
 SoakReport runSoak(const SoakOptions &Options) {
-  // Ignored signals stay ignored in processes that are started.
-  std::signal(SIGXFSZ, SIG_IGN);
   Soak soak(Options);
   return soak.run();
 }
