Stream of a route that is not resumable is not cut for its caller's last id

A caller that sent Last-Event-Id on a route that is not resumable got nothing of the stream: its endpoint starts at the first event, which the order check took for a run that does not continue. What the caller asks for counts on resumable routes only. Beside it, an exchange whose caller was found too slow while its events were written is not counted as ended twice. Both found by the review; the second was read, not seen.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -182,7 +182,10 @@
   IsStream = false;
   HasOrigin = false;
   IsTailDue = false;
-  beginExchange(Order, Request.LastEvent);
+  // Endpoints of other routes do not go on with a stream, whatever its caller
+  // asks for.
+  beginExchange(Order,
+                Request.Route->IsResumable ? Request.LastEvent : std::nullopt);
   Body.clear();
   DiscardedBytes = 0;
   recordDispatch(Core.State, Request, Endpoint, now);
@@ -302,7 +305,11 @@
   if (IsOver)
     return;
   if (IsStream) {
-    if (!forwardEvents(takeCompleteEvents(EventBuffer, Bytes))) {
+    bool isInOrder = forwardEvents(takeCompleteEvents(EventBuffer, Bytes));
+    // The caller may have been found to be too slow meanwhile.
+    if (IsOver)
+      return;
+    if (!isInOrder) {
       cancelExchange(ExchangeFailure::Broken);
       return;
     }
@@ -463,7 +470,10 @@
   bool isProof = !IsUnframed && isSuccess(Head.Status);
   if (isProof)
     recordProof();
-  if (IsStream && !isOrderWhole()) {
+  bool isInOrder = !IsStream || isOrderWhole();
+  if (IsOver)
+    return;
+  if (!isInOrder) {
     failExchange(ExchangeFailure::Broken);
     return;
   }
