--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -188,6 +188,8 @@
                 Request.Route->IsResumable ? Request.LastEvent : std::nullopt);
   Body.clear();
   DiscardedBytes = 0;
+  if (Order.LastHad)
+    logStreamResumption(Core.State, Request, Endpoint, now);
   recordDispatch(Core.State, Request, Endpoint, now);
   if (Request.Sends == 1)
     observe("queue_seconds", now - Request.ArrivedAt);
@@ -761,6 +763,7 @@
        {"outcome", Outcome},
        {"status", std::to_string(Status)},
        {"route", Request.Route->Name},
+       {"service", Request.Service},
        {"organisation", Request.Organisation},
        {"model",
         Request.Attributes.Adapter.empty()
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -6,6 +6,7 @@
 #include "front/endpoint_statements.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sassafras {
 
@@ -241,6 +242,33 @@
   });
 }
 
+void logStreamResumption(const FrontState &State, const FrontRequest &Request,
+                         const std::string &Endpoint, TimePoint Now) {
+  auto known = State.Directory.Endpoints.find(Endpoint);
+  if (known == State.Directory.Endpoints.end())
+    return;
+  const KnownEndpoint &it = known->second;
+  std::set<std::string> versions;
+  for (const auto &[id, other] : State.Directory.Endpoints)
+    if (other.Service == Request.Service)
+      versions.insert(other.SoftwareVersion);
+  const std::string &attempt = Request.Attributes.ResumedRequest;
+  logEvent(
+      LogLevel::Info, "stream_resumed",
+      {{"id", Request.Attributes.Id},
+       {"resumed", attempt},
+       {"has_record", State.Origins.Known.contains(attempt) ? "yes" : "no"},
+       {"bound_to", Request.StreamVersion.value_or("")},
+       {"service", Request.Service},
+       {"endpoint", Endpoint},
+       {"software_version", it.SoftwareVersion},
+       {"born_ms", std::to_string(it.BornMs)},
+       {"heard_ms", std::to_string(toMillis(Now - it.HeardAt))},
+       {"known_versions", std::to_string(versions.size())},
+       {"fronts", std::to_string(countFronts(State, Now))},
+       {"front_age_ms", std::to_string(toMillis(Now - State.StartedAt))}});
+}
+
 void handleStreamOrigins(FrontState &State, const wire::StreamOrigins &Origins,
                          TimePoint Now) {
   for (const wire::StreamOrigin &it : Origins.origins())
--- a/front/stream_origins.h
+++ b/front/stream_origins.h
@@ -51,6 +51,10 @@
 /// Thread safe while \p State does not change.
 bool isStreamVersionServing(const FrontState &State,
                             const FrontRequest &Request, TimePoint Now);
+/// Logs that \p Request, whose caller has events already, is sent to
+/// \p Endpoint, with what the choice rests on. Not thread safe.
+void logStreamResumption(const FrontState &State, const FrontRequest &Request,
+                         const std::string &Endpoint, TimePoint Now);
 /// Keeps the origins that another front recorded. Not thread safe.
 void handleStreamOrigins(FrontState &State, const wire::StreamOrigins &Origins,
                          TimePoint Now);
