Tests that fail: resumed streams joined to runs of other versions and services

Real processes, three fronts, engines with a version (run_engine -v): 1. The engine is replaced at its address by one of version v2, then the front restarts: the first and only version it knows is v2, and the whole view of its peers leaves out endpoints whose address was taken. It sends the stream on: joined 1 of 1, long after its start. 2. The table moves the route to another service, then the front restarts: the route names one service, nothing is looked up: joined 1 of 1.

--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Engine process whose runs are told apart by their content. Each request's
 /// query states how it is answered; each run is written to a journal, so that
-/// a test can compare what callers got with what engines made.
+/// a test can compare what callers got with what engines made. The name of a
+/// run, ID/VERSION/BORN/NUMBER, is the data of its events.
 ///
 /// GET /health names the instance. An unframed stream that is cut between
 /// events is reset: an end in good order would complete it.
@@ -42,14 +43,16 @@
 namespace {
 
 constexpr int Slots = 64;
-constexpr Millis HeartbeatInterval{200};
+constexpr Millis DefaultHeartbeatInterval{200};
 /// Longest time without a look at the caller's connection.
 constexpr Millis CallerPollInterval{20};
 
 struct RunEngine {
   std::string Id;
   std::string Service;
+  std::string Version = "v1"; ///< Of the software.
   std::string Listen;
+  Millis HeartbeatInterval = DefaultHeartbeatInterval;
   std::vector<std::string> Controls;
   int Journal = -1;
   uint64_t Born = 0;
@@ -220,7 +223,9 @@
     return sendText(Socket, "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: " +
                                 Engine.Id + "\r\nContent-Length: 0\r\n\r\n");
   const std::string &query = Request.Query;
-  std::string run = Engine.Id + "/" + std::to_string(++Engine.RunCount);
+  std::string run = Engine.Id + "/" + Engine.Version + "/" +
+                    std::to_string(Engine.Born) + "/" +
+                    std::to_string(++Engine.RunCount);
   bool isForgotten = numberOf(query, "forget", 0) != 0;
   int64_t first =
       Request.LastEvent < 0 || isForgotten ? 1 : Request.LastEvent + 1;
@@ -272,7 +277,7 @@
     boost::json::object body{{"service", Engine.Service},
                              {"address", Engine.Listen},
                              {"zone", "a"},
-                             {"version", "v1"},
+                             {"version", Engine.Version},
                              {"slots", Slots},
                              {"state", "ready"},
                              {"born", Engine.Born},
@@ -284,7 +289,7 @@
               {},
               boost::json::serialize(body)},
              std::chrono::seconds(1));
-    std::this_thread::sleep_for(HeartbeatInterval);
+    std::this_thread::sleep_for(Engine.HeartbeatInterval);
   }
 }
 
@@ -293,7 +298,7 @@
 int main(int Count, char **Arguments) {
   RunEngine engine;
   int code = 0;
-  while ((code = getopt(Count, Arguments, "i:s:l:c:j:")) != -1) {
+  while ((code = getopt(Count, Arguments, "i:s:l:c:j:v:a:")) != -1) {
     if (code == 'i')
       engine.Id = optarg;
     else if (code == 's')
@@ -302,6 +307,10 @@
       engine.Listen = optarg;
     else if (code == 'c')
       engine.Controls.push_back(optarg);
+    else if (code == 'v')
+      engine.Version = optarg;
+    else if (code == 'a')
+      engine.HeartbeatInterval = Millis(std::atoi(optarg));
     else if (code == 'j')
       engine.Journal =
           ::open(optarg, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -311,7 +320,7 @@
   auto address = parseAddress(engine.Listen);
   if (!address || engine.Controls.empty() || engine.Journal < 0) {
     std::fputs("usage: run_engine -i ID -s SERVICE -l ADDRESS -j JOURNAL "
-               "-c CONTROL...\n",
+               "-c CONTROL... [-v VERSION] [-a ANNOUNCEMENT-MS]\n",
                stderr);
     return 2;
   }
--- /dev/null
+++ b/tests/process/test_resumed_streams.cpp
@@ -0,0 +1,170 @@
+/// \file
+/// Streams that callers resume at a front that did not begin them, while
+/// endpoints are replaced by others that make different events. Fronts and
+/// engines are real processes.
+#include "tests/harness/front_fleet.h"
+#include "tests/soak/soak_caller.h"
+#include "tests/soak/soak_checks.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace sassafras;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int EnginePort = 7;
+constexpr int FirstEngineHost = 70;
+constexpr Millis StreamDeadline{10'000};
+
+/// The resumable route "/r/" leads to \p Service.
+std::string tableLeadingTo(const std::string &Service, int Version) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[{"name":"r","host":"h.example","path-prefix":"/r/",)"
+         R"("kind":"streaming","resumable":true,"timeout-ms":11000,)"
+         R"("max-attempts":3,"slo-ms":1000,"service":")" +
+         Service +
+         R"("}],"services":[{"name":"runs","health-path":"/health"},)"
+         R"({"name":"others","health-path":"/health"}],"tenants":[)"
+         R"({"name":"first","api-keys":["secret-key"]}]})";
+}
+
+struct EngineProcess {
+  std::string Id;
+  std::string Service = "runs";
+  std::string Version = "v1";
+  int Host = FirstEngineHost;
+};
+
+/// Three fronts with disks, and the engines that a test starts.
+class ResumeFleet {
+public:
+  ResumeFleet() {
+    REQUIRE(waitUntil(seconds(20), [&] {
+      return Fleet.putTable(1, tableLeadingTo("runs", 1)) == 200;
+    }));
+    for (int i = 1; i <= Fleet.frontCount(); ++i)
+      waitForFront(i);
+  }
+
+  void waitForFront(int Front) {
+    REQUIRE(waitUntil(seconds(10), [&] { return Fleet.isReady(Front); }));
+  }
+
+  /// Starts an engine process and waits until all fronts know it.
+  void startEngine(const EngineProcess &Engine) {
+    std::vector<std::string> arguments{RUN_ENGINE_PROGRAM,
+                                       "-i",
+                                       Engine.Id,
+                                       "-s",
+                                       Engine.Service,
+                                       "-v",
+                                       Engine.Version,
+                                       "-l",
+                                       Fleet.addressOf(Engine.Host, EnginePort),
+                                       "-j",
+                                       Fleet.folder() + "/" + Engine.Id +
+                                           ".journal"};
+    for (int i = 1; i <= Fleet.frontCount(); ++i) {
+      arguments.emplace_back("-c");
+      arguments.push_back(Fleet.controlAddress(i));
+    }
+    Fleet.startProgram(Engine.Id, std::move(arguments));
+    for (int i = 1; i <= Fleet.frontCount(); ++i)
+      REQUIRE(waitUntil(seconds(5), [&] {
+        std::string id = "known-" + std::to_string(Probes++);
+        return callAt(i, id, "/r/x?n=1", std::nullopt).Status != 503 ||
+               Engine.Service != "runs";
+      }));
+  }
+
+  /// Restarts a front that is lost with all that it has in memory.
+  void replaceFront(int Front) {
+    Fleet.kill(FrontFleet::frontName(Front));
+    Fleet.start(Front, false);
+    waitForFront(Front);
+  }
+
+  CallerRecord callAt(int Front, const std::string &Id,
+                      const std::string &Target,
+                      std::optional<CallerRecord> Resumed) {
+    CallerRecord out;
+    out.Id = Id;
+    out.StreamId = Resumed ? Resumed->StreamId : Id;
+    out.Target = Target;
+    out.Front = Front;
+    out.IsStream = true;
+    out.LastEvent = Resumed ? lastEventOf(*Resumed) : -1;
+    out.Deadline = Clock::now() + StreamDeadline;
+    SoakCaller caller;
+    if (caller.connect(Fleet.callerAddress(Front)))
+      caller.send(out, {});
+    return out;
+  }
+
+  /// Begins a stream at front 1 and kills its only engine after some events.
+  CallerRecord breakStream(const std::string &Engine) {
+    CallerRecord out;
+    std::thread caller(
+        [&] { out = callAt(1, "first", "/r/x?n=60&gap=50", std::nullopt); });
+    std::this_thread::sleep_for(Millis(500));
+    Fleet.kill(Engine);
+    caller.join();
+    CHECK(out.End == CallerEnd::Broken);
+    CHECK(lastEventOf(out) > 0);
+    return out;
+  }
+
+  CallerRecord resumeAt(int Front, const CallerRecord &Broken) {
+    return callAt(Front, "again", Broken.Target, Broken);
+  }
+
+  static int64_t lastEventOf(const CallerRecord &Record) {
+    size_t at = Record.Body.rfind("id: ");
+    return at == std::string::npos ? -1
+                                   : std::atoll(Record.Body.c_str() + at + 4);
+  }
+
+  FrontFleet Fleet{{3, 3}};
+
+private:
+  int Probes = 0;
+};
+
+} // namespace
+
+// A front that starts after the endpoints were replaced at their addresses
+// hears of the new ones only. That it knows one version proves nothing.
+TEST_CASE("front that has just started joins no run of another version") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "old"});
+  CallerRecord broken = fleet.breakStream("old");
+  fleet.startEngine({.Id = "new", .Version = "v2"});
+  fleet.replaceFront(3);
+  CallerRecord again = fleet.resumeAt(3, broken);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(again.Status != 200);
+  CHECK(again.Body.find("new/v2") == std::string::npos);
+  CHECK(again.End == CallerEnd::Refused);
+}
+
+// The table moves the route to another service while a stream runs.
+TEST_CASE("stream is not joined to a run of the service its route moved to") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "old"});
+  fleet.startEngine(
+      {.Id = "moved", .Service = "others", .Host = FirstEngineHost + 1});
+  CallerRecord broken = fleet.breakStream("old");
+  REQUIRE(fleet.Fleet.putTable(1, tableLeadingTo("others", 2)) == 200);
+  fleet.replaceFront(3);
+  REQUIRE(waitUntil(seconds(5), [&] {
+    return fleet.callAt(3, "probe", "/r/x?n=1", std::nullopt).Status == 200;
+  }));
+  CallerRecord again = fleet.resumeAt(3, broken);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(again.Status != 200);
+  CHECK(again.Body.find("moved/") == std::string::npos);
+  CHECK(again.End == CallerEnd::Refused);
+}
