Resumed streams go on at what a record or a whole history proves

Cause: resolveStreamOrigin looked a stream up only if the front knew two software versions of the service, or two services of the route. That it knew one counted as proof that there had been one. It is none at a front that has just started, that never heard of endpoints whose address was taken over (a whole view leaves those out), whose endpoint started again under its id (the directory forgets the version), or whose table has moved the route since the stream began. Class: absence of evidence taken for evidence of absence.

Ruled out: the time since the start as the only cause.

Change: each resumed stream without a record here is looked up. If no front has a record, the only version is used only if this front's history covers the lifetime of a stream: it has known all endpoints, has been in contact with all fronts that may serve, and no resumable route has led to other services since (front/origin_history). A new front takes the history over with the whole view of a peer, which answers its heartbeat and has the same table; the view now names versions of replaced endpoints, too. What cannot be proved is refused.

The test 'streams are resumed without a record while one version serves' asked for a guess by fronts that had all just started; it is now two, one with fronts that remember (200 of 200 go on) and one without (200 of 200 refused).

--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hash.h"
 
+#include <algorithm>
+
 namespace sassafras {
 
 namespace {
@@ -95,6 +97,8 @@
   if (Observation.has_left())
     return applyLeave(Directory, Observation, Now);
   TimePoint heardAt = Now - Millis(Observation.heard_ago_ms());
+  recordVersion(Directory, Observation.service(),
+                Observation.software_version(), heardAt);
   KnownEndpoint &known = Directory.Endpoints[Observation.id()];
   bool isNew = known.Id.empty() || known.BornMs != Observation.born_ms();
   // The sequence orders the announcements of one process.
@@ -185,7 +189,24 @@
   return true;
 }
 
+void recordVersion(EndpointDirectory &Directory, const std::string &Service,
+                   const std::string &Version, TimePoint SeenAt) {
+  SeenVersions &versions = Directory.Versions[Service];
+  TimePoint &seenAt = versions[Version];
+  seenAt = std::max(seenAt, SeenAt);
+  if (versions.size() > MaxSeenVersions)
+    versions.erase(std::min_element(
+        versions.begin(), versions.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+}
+
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now) {
+  for (auto &[service, versions] : Directory.Versions)
+    std::erase_if(versions, [&](const auto &it) {
+      return Now - it.second >= VersionRetention;
+    });
+  std::erase_if(Directory.Versions,
+                [](const auto &it) { return it.second.empty(); });
   for (auto it = Directory.Endpoints.begin();
        it != Directory.Endpoints.end();) {
     const KnownEndpoint &known = it->second;
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -26,6 +26,11 @@
 /// long, so that late announcements do not restore one that has left.
 inline constexpr Millis EndpointRetention{60'000};
 
+/// Software versions that were not heard from for this long are forgotten.
+inline constexpr Millis VersionRetention = EndpointRetention + EndpointTimeout;
+/// Number of versions that are remembered for each service, the newest ones.
+inline constexpr size_t MaxSeenVersions = 16;
+
 /// Models and load of one engine, as reported by its agent or announced.
 struct EngineState {
   TimePoint ReadAt;
@@ -70,11 +75,16 @@
   EngineState State;
 };
 
+/// When an endpoint with each software version was last heard from.
+using SeenVersions = std::map<std::string, TimePoint>;
+
 struct EndpointDirectory {
   std::map<std::string, KnownEndpoint> Endpoints; ///< By id.
   std::map<std::string, std::string> IdByAddress;
   std::map<std::string, AgentReport> AgentReports; ///< By engine address.
   std::map<std::string, EngineState> Announced;    ///< By id.
+  /// By service; those of endpoints that have been replaced included.
+  std::map<std::string, SeenVersions> Versions;
 };
 
 /// Effect of an observation on the directory.
@@ -97,7 +107,12 @@
 /// known.
 bool applyLoad(EndpointDirectory &Directory, const wire::EngineLoad &Load,
                TimePoint Now);
-/// Removes endpoints that have not been heard from for EndpointRetention.
+/// Records that an endpoint of \p Service ran \p Version at \p SeenAt. Not
+/// thread safe.
+void recordVersion(EndpointDirectory &Directory, const std::string &Service,
+                   const std::string &Version, TimePoint SeenAt);
+/// Removes endpoints that have not been heard from for EndpointRetention, and
+/// versions after VersionRetention.
 void expireEndpoints(EndpointDirectory &Directory, TimePoint Now);
 
 /// True while the endpoint has not left, been terminated or timed out. It may
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include "fleet/zone_relays.h"
 #include "front/crash_notices.h"
 #include "front/endpoint_statements.h"
+#include "front/origin_history.h"
 
 #include <algorithm>
 
@@ -205,6 +206,7 @@
   heartbeat.set_is_leader(IsLeader);
   heartbeat.set_term(IsLeader ? Term : 0);
   heartbeat.set_is_leaving(State.IsStopping);
+  addHistory(State, Now, heartbeat);
   if (State.FrontCountToldAt != TimePoint()) {
     heartbeat.set_front_count(State.FrontCountTold);
     heartbeat.set_front_count_ms(
@@ -333,6 +335,7 @@
     setLeader(State, Heartbeat, Now, Out);
   recordFrontDemand(Demand, self.name(), Heartbeat, Now);
   adoptFrontCount(State, Heartbeat, Now);
+  applyHistory(State, Heartbeat, Now);
   for (const wire::EndpointObservation &it : Heartbeat.alive()) {
     applyObservation(State.Directory, it, Now);
     if (self.zone() == State.Self.zone())
@@ -358,11 +361,14 @@
         makeRosterUpdate(State.Roster, State.Self, Now);
     send(Out, self.address(), std::move(message));
   }
-  if (Heartbeat.endpoint_digest() != digestEndpoints(State.Directory) &&
-      mayResync(Gossip, self.address(), "/endpoints", Now)) {
+  bool isOutdated =
+      Heartbeat.endpoint_digest() != digestEndpoints(State.Directory) ||
+      lacksHistory(State, Heartbeat, Now);
+  if (isOutdated && mayResync(Gossip, self.address(), "/endpoints", Now)) {
     wire::Envelope message;
     wire::EndpointUpdate &update = *message.mutable_endpoint_news();
     update.set_is_whole(true);
+    addHistory(State, Heartbeat, Now, update);
     for (wire::EndpointObservation &it : makeObservations(State.Directory, Now))
       *update.add_endpoints() = std::move(it);
     send(Out, self.address(), std::move(message));
@@ -540,6 +546,8 @@
                           TimePoint Now, NodeMessages &Out) {
   for (const wire::EndpointObservation &it : Update.endpoints())
     applyObservation(State.Directory, it, Now);
+  if (Update.is_whole())
+    adoptHistory(State, Update, Now);
   if (!Update.pass_on())
     return;
   wire::Envelope message;
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -177,6 +177,7 @@
   state.Self.set_address(Peers->address());
   state.Self.set_incarnation(incarnation);
   state.StartedAt = StartedAt;
+  beginOriginHistory(state, StartedAt);
   state.LastQuotaRequest = incarnation;
   state.Self.set_kind(wire::NODE_FRONT);
   state.Self.set_zone(Options.Zone);
@@ -546,6 +547,7 @@
     return;
   }
   uint64_t before = state.Table ? state.Table->Version : 0;
+  recordRouteChanges(state, *table, Clock::now());
   state.Table = table;
   state.TableContent = Content;
   CallerServer->setLimits(makeCallerLimits(table.get()));
@@ -687,6 +689,7 @@
   if (View.IsLeader)
     logPoolTallies(Leader);
   expireNodes(Core.State.Roster, Now);
+  checkOriginContact(Core.State, Now);
   expireEndpoints(Core.State.Directory, Now);
   expireFeatures(Core.State.Quarantine, Now);
   expireStatements(Core.State, Now);
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -134,6 +134,18 @@
   uint64_t DroppedCount = 0; ///< Origins above the limit, not yet logged.
 };
 
+/// How far back this front knows where streams can have begun
+/// (front/origin_history.h).
+struct OriginHistory {
+  /// Since then it has known all endpoints and has been in contact with all
+  /// fronts.
+  TimePoint KnownSince;
+  /// Latest time at which the history has begun anew here.
+  TimePoint BegunAt;
+  /// A resumable route led to other services before.
+  TimePoint RoutesChangedAt;
+};
+
 struct KnownLeader {
   std::string Node;
   std::string Address;        ///< Link address.
@@ -159,6 +171,7 @@
   std::set<std::string> ChangedStatements;
   SendPermits Permits;
   StreamOrigins Origins;
+  OriginHistory History;
   /// By model, or "service NAME" for plain services.
   std::map<std::string, ModelUsage> ModelUsages;
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -108,18 +108,19 @@
              Now + StreamOriginLifetime - Millis(Origin.age_ms()));
 }
 
-/// False if all endpoints of the service that are known, those included that
-/// have left, have the same version: a stream cannot have begun at another one.
-bool hasSeveralVersions(const FrontState &State, const std::string &Service) {
-  const std::string *first = nullptr;
-  for (const auto &[id, it] : State.Directory.Endpoints) {
-    if (it.Service != Service)
-      continue;
-    if (first && *first != it.SoftwareVersion)
-      return true;
-    first = &it.SoftwareVersion;
-  }
-  return false;
+/// Binds the request to the only service and version at which its stream can
+/// have begun. False if there may have been others.
+bool bindToOnlyOrigin(const FrontState &State, FrontRequest &Request,
+                      TimePoint Now) {
+  if (Request.Route->Services.size() > 1 || !isHistoryWhole(State, Now))
+    return false;
+  auto known = State.Directory.Versions.find(Request.Service);
+  if (known == State.Directory.Versions.end())
+    return true;
+  if (known->second.size() > 1)
+    return false;
+  Request.StreamVersion = known->second.begin()->first;
+  return true;
 }
 
 /// Moves the request to the service and the version of its stream.
@@ -198,9 +199,6 @@
       return Result{*refusal};
     return std::nullopt;
   }
-  if (Request.Route->Services.size() < 2 &&
-      !hasSeveralVersions(State, Request.Service))
-    return std::nullopt;
   OriginLookup lookup;
   if (!attempt.empty()) {
     if (!State.Origins.Lookups.contains(attempt))
@@ -217,12 +215,16 @@
       return Result{Now + OriginQueryTimeout};
     }
   }
+  if (bindToOnlyOrigin(State, Request, Now))
+    return std::nullopt;
   // The version cannot be proved, and another one would break the stream.
   logEvent(LogLevel::Warning, "stream_origin_unknown",
            {{"id", Request.Attributes.Id},
             {"resumed", attempt},
             {"queries", std::to_string(lookup.Queries)},
             {"unanswered", std::to_string(lookup.Unanswered)},
+            {"fronts", std::to_string(countFronts(State, Now))},
+            {"history_whole", isHistoryWhole(State, Now) ? "yes" : "no"},
             {"origins", std::to_string(State.Origins.Known.size())}});
   return Result{FrontRefusal{RefusalReason::StreamVersionUnknown, {}}};
 }
--- a/front/stream_origins.h
+++ b/front/stream_origins.h
@@ -7,13 +7,15 @@
 /// front records the version of a stream at two fronts of different zones
 /// before it forwards the first event. A front that does not know a stream
 /// asks; callers resume rarely, so that this costs less than telling all
-/// fronts of each stream. What nobody knows is not guessed.
+/// fronts of each stream. A stream that nobody has a record of goes on only if
+/// it can have begun at one service and version (front/origin_history.h).
 #ifndef SASSAFRAS_FRONT_STREAM_ORIGINS_H
 #define SASSAFRAS_FRONT_STREAM_ORIGINS_H
 
 #include "front/admission.h"
 #include "front/fleet_view.h"
 #include "front/front_state.h"
+#include "front/origin_history.h"
 
 #include <optional>
 #include <string>
@@ -21,9 +23,6 @@
 
 namespace sassafras {
 
-/// An origin is kept for this long after the latest event that is known. No
-/// stream lasts as long with the retries of its caller.
-inline constexpr Millis StreamOriginLifetime{60'000};
 /// Replies to a query arrive within this time: a round trip, with a margin for
 /// a slow host.
 inline constexpr Millis OriginQueryTimeout{250};
--- /dev/null
+++ b/tests/front/test_origin_history.cpp
@@ -0,0 +1,175 @@
+/// \file
+/// What a front that has just started takes over from its peers about the
+/// services and software versions at which streams can have begun.
+#include "front/fleet_view.h"
+#include "front/origin_history.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sassafras;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+const TimePoint Later = Start + 2 * StreamOriginLifetime;
+
+ServingTablePtr makeTable(uint64_t Version, const std::string &Service) {
+  auto out = std::make_shared<ServingTable>();
+  out->Version = Version;
+  ServingRoute route;
+  route.Host = "h";
+  route.PathPrefix = "/r/";
+  route.IsResumable = true;
+  route.Services = {{Service, 1}};
+  out->Routes.push_back(route);
+  return out;
+}
+
+FrontState makeFront(const std::string &Name, TimePoint Now) {
+  FrontState out;
+  out.Self.set_name(Name);
+  out.Self.set_address(Name + ":1");
+  out.Self.set_kind(wire::NODE_FRONT);
+  out.Self.set_incarnation(static_cast<uint64_t>(toMillis(Now - Start)) + 1);
+  out.StartedAt = Now;
+  out.Table = makeTable(1, "chat");
+  beginOriginHistory(out, Now);
+  return out;
+}
+
+void announce(FrontState &State, const std::string &Id,
+              const std::string &Version, uint64_t BornMs, TimePoint Now) {
+  wire::EndpointObservation it;
+  it.set_id(Id);
+  it.set_service("chat");
+  it.set_address("10.1.0.1:7");
+  it.set_born_ms(BornMs);
+  it.set_sequence(1);
+  it.set_software_version(Version);
+  applyObservation(State.Directory, it, Now);
+}
+
+wire::NodeHeartbeat heartbeatOf(const FrontState &State, TimePoint Now) {
+  wire::NodeHeartbeat out;
+  *out.mutable_self() = State.Self;
+  out.set_table_version(State.Table->Version);
+  out.set_endpoint_digest(digestEndpoints(State.Directory));
+  addHistory(State, Now, out);
+  return out;
+}
+
+/// Delivers a heartbeat of \p From at \p To and returns the whole update with
+/// which \p To answers, if any.
+std::optional<wire::EndpointUpdate>
+answerOf(FrontState &To, const FrontState &From, TimePoint Now) {
+  GossipState gossip;
+  FleetDemand demand;
+  NodeMessages out;
+  handleNodeHeartbeat(To, gossip, demand, heartbeatOf(From, Now), Now, out);
+  for (const NodeMessage &it : out)
+    if (it.Message.has_endpoint_news())
+      return it.Message.endpoint_news();
+  return std::nullopt;
+}
+
+void deliver(FrontState &To, const wire::EndpointUpdate &Update,
+             TimePoint Now) {
+  NodeMessages out;
+  handleEndpointUpdate(To, Update, Now, out);
+}
+
+} // namespace
+
+TEST_CASE("front that has just started takes over the history of a peer") {
+  FrontState peer = makeFront("peer", Start);
+  announce(peer, "old", "v1", 1, Later);
+  // Another process has taken over the address.
+  announce(peer, "new", "v2", 2, Later);
+  FrontState front = makeFront("front", Later);
+  announce(front, "new", "v2", 2, Later);
+  // Both know the same endpoints now.
+  REQUIRE(digestEndpoints(front.Directory) == digestEndpoints(peer.Directory));
+  auto update = answerOf(peer, front, Later);
+  REQUIRE(update);
+  CHECK_FALSE(isHistoryWhole(front, Later));
+  deliver(front, *update, Later);
+  CHECK(isHistoryWhole(front, Later));
+  CHECK(front.Directory.Versions["chat"].size() == 2);
+  CHECK_FALSE(answerOf(peer, front, Later));
+}
+
+TEST_CASE("version of an earlier process with the same id is remembered") {
+  FrontState peer = makeFront("peer", Start);
+  announce(peer, "same", "v1", 1, Later);
+  announce(peer, "same", "v2", 2, Later);
+  FrontState front = makeFront("front", Later);
+  deliver(front, *answerOf(peer, front, Later), Later);
+  CHECK(front.Directory.Versions["chat"].size() == 2);
+  expireEndpoints(front.Directory, Later + VersionRetention - Millis(1));
+  CHECK(front.Directory.Versions["chat"].size() == 2);
+  expireEndpoints(front.Directory, Later + VersionRetention);
+  CHECK(front.Directory.Versions.empty());
+}
+
+TEST_CASE("history is not taken over from an answer to an earlier process") {
+  FrontState peer = makeFront("peer", Start);
+  FrontState before = makeFront("front", Later - Millis(500));
+  auto update = answerOf(peer, before, Later);
+  REQUIRE(update);
+  FrontState front = makeFront("front", Later);
+  deliver(front, *update, Later);
+  CHECK_FALSE(isHistoryWhole(front, Later));
+}
+
+TEST_CASE("history is not taken over from a front with another table") {
+  FrontState peer = makeFront("peer", Start);
+  FrontState front = makeFront("front", Later);
+  front.Table = makeTable(2, "other");
+  auto update = answerOf(peer, front, Later);
+  REQUIRE(update);
+  deliver(front, *update, Later);
+  CHECK_FALSE(isHistoryWhole(front, Later));
+}
+
+TEST_CASE("change of a resumable route's service begins the history anew") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  REQUIRE(isHistoryWhole(front, Later));
+  recordRouteChanges(front, *makeTable(2, "chat"), Later);
+  CHECK(isHistoryWhole(front, Later));
+  recordRouteChanges(front, *makeTable(2, "other"), Later);
+  CHECK_FALSE(isHistoryWhole(front, Later));
+  // A front that has missed the table between two others hears of it.
+  NodeMessages out;
+  GossipState gossip;
+  FleetDemand demand;
+  TimePoint heardAt = Later + Millis(10);
+  handleNodeHeartbeat(peer, gossip, demand, heartbeatOf(front, heardAt),
+                      heardAt, out);
+  CHECK_FALSE(isHistoryWhole(peer, Later));
+  CHECK(isHistoryWhole(peer, heardAt + StreamOriginLifetime));
+}
+
+TEST_CASE("front that has lost sight of another does not rely on its history") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  checkOriginContact(front, Later);
+  CHECK(isHistoryWhole(front, Later));
+  TimePoint lost = Later + NodeTimeout + Millis(1);
+  checkOriginContact(front, lost);
+  CHECK_FALSE(isHistoryWhole(front, lost));
+  // The other may not have lost it.
+  deliver(front, *answerOf(peer, front, lost), lost);
+  CHECK_FALSE(isHistoryWhole(front, lost));
+}
+
+TEST_CASE("front that has left ends no history") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  front.Roster.Nodes["peer"].IsLeaving = true;
+  TimePoint lost = Later + NodeTimeout + Millis(1);
+  checkOriginContact(front, lost);
+  CHECK(isHistoryWhole(front, lost));
+}
--- a/tests/front/test_stream_origins.cpp
+++ b/tests/front/test_stream_origins.cpp
@@ -35,6 +35,7 @@
   bool IsFirstVersionGone = false;
   /// Callers return this many times; only the first try brought events.
   size_t Tries = 1;
+  bool IsRecordLost = false; ///< No front keeps a record of any stream.
   /// Fronts that stop in order, hand over and are gone.
   size_t Stopped = 0;
 };
@@ -285,8 +286,13 @@
   }
   // The events reach the callers later than the records their keepers.
   advance(MessageTime + Step);
-  for (size_t i = 0; i < Plan.Killed; ++i)
+  for (size_t i = 0; i < Plan.Killed; ++i) {
     Fronts[i] = makeFront(i);
+    beginOriginHistory(*Fronts[i], Now);
+  }
+  if (Plan.IsRecordLost)
+    for (auto &it : Fronts)
+      it->Origins = {};
   for (size_t i = 0; i < Plan.Killed; ++i)
     for (auto &it : Fronts)
       if (it != Fronts[i])
@@ -349,10 +355,18 @@
 }
 
 TEST_CASE("streams are resumed without a record while one version serves") {
-  Day day{.What = "one version", .Killed = 9, .IsOneVersion = true};
+  Day day{.What = "one version", .IsOneVersion = true, .IsRecordLost = true};
   CHECK(Replay(day, 1).run().GoneOn == 200);
 }
 
+// That a front knows one version is no proof if it has not been there for long.
+TEST_CASE("fronts that have all just started do not guess the only version") {
+  Day day{.What = "one version", .Killed = 9, .IsOneVersion = true};
+  Result result = Replay(day, 1).run();
+  CHECK(result.GoneOn == 0);
+  CHECK(result.Reasons[RefusalReason::StreamVersionUnknown] == 200);
+}
+
 TEST_CASE("stream whose version has no endpoint left is refused at once") {
   Day day{.What = "version gone", .IsFirstVersionGone = true};
   Result result = Replay(day, 1).run();
