Send origins that were recorded before other fronts were known

Callers saw: streams that a front begins in its first second are refused with stream_version_unknown once that front is killed.

Cause: an origin is sent to the fronts in view when it is recorded; a front that has just started knows none, and never sent it again.

Change: origins recorded while fewer other fronts than copies are known are kept in a list and sent when more of them are. Evidence: the new test fails without shareStreamOrigins (nothing was sent at all) and passes with it.

--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -395,10 +395,12 @@
   case wire::Envelope::kNodeHeartbeat:
     handleNodeHeartbeat(state, Gossip, Leader.Demand, Message.node_heartbeat(),
                         now, out);
+    shareStreamOrigins(state, now, out);
     IsDispatchDue = true;
     break;
   case wire::Envelope::kRosterUpdate:
     applyRosterUpdate(state, Message.roster_update(), now);
+    shareStreamOrigins(state, now, out);
     break;
   case wire::Envelope::kEndpointNews:
     handleEndpointUpdate(state, Message.endpoint_news(), now, out);
@@ -411,6 +413,7 @@
   case wire::Envelope::kZoneSummary:
     handleZoneSummary(state, Gossip, std::move(*Message.mutable_zone_summary()),
                       now, out);
+    shareStreamOrigins(state, now, out);
     IsDispatchDue = true;
     break;
   case wire::Envelope::kCrashNotice:
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -131,6 +131,9 @@
   /// By the id of the request that brought the stream's first event.
   std::map<std::string, StreamOrigin> Known;
   std::map<std::string, OriginLookup> Lookups; ///< By the same.
+  /// Those recorded here for which too few other fronts were known.
+  std::set<std::string> Unshared;
+  size_t FrontsAtShare = 0; ///< Other fronts when they were sent last.
   uint64_t DroppedCount = 0; ///< Origins above the limit, not yet logged.
 };
 
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -158,6 +158,38 @@
   ++lookup.Queries;
 }
 
+/// Fronts in view that are not leaving, this one excluded.
+size_t countOtherFronts(const FrontState &State, TimePoint Now) {
+  size_t out = 0;
+  for (const auto &[zone, fronts] : listFrontsByZone(State.Roster, Now))
+    out += fronts.size();
+  return out;
+}
+
+/// Appends \p Origins for the fronts that keep each of them.
+void sendOrigins(const FrontState &State,
+                 const std::map<std::string, StreamOrigin> &Origins,
+                 TimePoint Now, NodeMessages &Out) {
+  std::map<std::string, wire::Envelope> byFront;
+  auto flush = [&](const std::string &Address) {
+    Out.push_back({Address, std::move(byFront[Address])});
+    byFront.erase(Address);
+  };
+  for (const auto &[attempt, it] : Origins) {
+    std::vector<ZoneFront> fronts = rankFronts(State, attempt, Now);
+    fronts.resize(std::min(fronts.size(), OriginCopies));
+    for (const ZoneFront &front : fronts) {
+      wire::StreamOrigins &origins =
+          *byFront[front.Address].mutable_stream_origins();
+      *origins.add_origins() = toWire(attempt, it, Now);
+      if (origins.origins_size() >= MaxOriginsPerMessage)
+        flush(front.Address);
+    }
+  }
+  while (!byFront.empty())
+    flush(byFront.begin()->first);
+}
+
 } // namespace
 
 bool recordStreamOrigin(FrontState &State, FrontRequest &Request,
@@ -182,6 +214,11 @@
   fronts.resize(std::min(fronts.size(), OriginCopies));
   for (const ZoneFront &it : fronts)
     Out.push_back({it.Address, message});
+  size_t others = countOtherFronts(State, Now);
+  if (others < OriginCopies && State.Origins.Known.contains(attempt)) {
+    State.Origins.Unshared.insert(attempt);
+    State.Origins.FrontsAtShare = others;
+  }
   return true;
 }
 
@@ -299,26 +336,23 @@
     --lookup->second.Unanswered;
 }
 
+void shareStreamOrigins(FrontState &State, TimePoint Now, NodeMessages &Out) {
+  StreamOrigins &origins = State.Origins;
+  size_t fronts = countOtherFronts(State, Now);
+  if (origins.Unshared.empty() || fronts <= origins.FrontsAtShare)
+    return;
+  std::map<std::string, StreamOrigin> unshared;
+  for (const std::string &it : origins.Unshared)
+    unshared[it] = origins.Known.at(it);
+  sendOrigins(State, unshared, Now, Out);
+  origins.FrontsAtShare = fronts;
+  if (fronts >= OriginCopies)
+    origins.Unshared.clear();
+}
+
 void handOverStreamOrigins(FrontState &State, TimePoint Now,
                            NodeMessages &Out) {
-  std::map<std::string, wire::Envelope> byFront;
-  auto flush = [&](const std::string &Address) {
-    Out.push_back({Address, std::move(byFront[Address])});
-    byFront.erase(Address);
-  };
-  for (const auto &[attempt, it] : State.Origins.Known) {
-    std::vector<ZoneFront> fronts = rankFronts(State, attempt, Now);
-    fronts.resize(std::min(fronts.size(), OriginCopies));
-    for (const ZoneFront &front : fronts) {
-      wire::StreamOrigins &origins =
-          *byFront[front.Address].mutable_stream_origins();
-      *origins.add_origins() = toWire(attempt, it, Now);
-      if (origins.origins_size() >= MaxOriginsPerMessage)
-        flush(front.Address);
-    }
-  }
-  while (!byFront.empty())
-    flush(byFront.begin()->first);
+  sendOrigins(State, State.Origins.Known, Now, Out);
 }
 
 void expireStreamOrigins(FrontState &State, TimePoint Now) {
@@ -326,6 +360,9 @@
   std::erase_if(origins.Known, [&](const auto &it) {
     return isPast(it.second.ExpiresAt, Now);
   });
+  std::erase_if(origins.Unshared, [&](const std::string &it) {
+    return !origins.Known.contains(it);
+  });
   std::erase_if(origins.Lookups, [&](const auto &it) {
     return isPast(it.second.Deadline + OriginQueryTimeout, Now);
   });
--- a/front/stream_origins.h
+++ b/front/stream_origins.h
@@ -64,6 +64,9 @@
 /// Applies the answer of another front. Not thread safe.
 void handleOriginReply(FrontState &State, const wire::StreamOriginReply &Reply,
                        TimePoint Now);
+/// Appends the origins that were recorded while too few other fronts were
+/// known, if there are more of them now. Not thread safe.
+void shareStreamOrigins(FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Appends all origins for other fronts: this one stops. Not thread safe.
 void handOverStreamOrigins(FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Forgets origins and queries that have ended. Not thread safe.
--- a/tests/front/test_stream_origins.cpp
+++ b/tests/front/test_stream_origins.cpp
@@ -409,3 +409,29 @@
     CHECK(again.Service == "chat");
   }
 }
+
+// A front that has just started serves before it knows any other one.
+TEST_CASE("origin recorded before other fronts are known is sent to them") {
+  FrontState state;
+  state.Table = makeTable();
+  addEndpoint(state, "i-1", "v1", Start);
+  FrontRequest request = admit(state, makeAttributes("a"), Start);
+  NodeMessages out;
+  REQUIRE(recordStreamOrigin(state, request, "i-1", Start, out));
+  REQUIRE(out.empty());
+  shareStreamOrigins(state, Start, out);
+  CHECK(out.empty());
+  for (int i = 1; i <= 4; ++i) {
+    wire::NodeEntry front;
+    front.set_name("front-" + std::to_string(i));
+    front.set_address(front.name() + ":1");
+    front.set_kind(wire::NODE_FRONT);
+    recordNodeHeartbeat(state.Roster, front, Start);
+    out.clear();
+    shareStreamOrigins(state, Start, out);
+    // Two of a zone keep a record; three fronts are enough to choose from.
+    REQUIRE(out.size() == static_cast<size_t>(i == 4 ? 0 : std::min(i, 2)));
+    for (const NodeMessage &it : out)
+      CHECK(it.Message.stream_origins().origins(0).attempt() == "a");
+  }
+}
