--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <ctime>
 #include <deque>
 #include <numeric>
 #include <random>
@@ -47,6 +48,14 @@
   return out;
 }
 
+/// Processor time that this thread has used.
+std::chrono::nanoseconds processorTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
 size_t countLoads(const std::vector<PlannedLoad> &Loads,
                   const std::string &Model) {
   size_t n = 0;
@@ -223,11 +232,11 @@
     std::map<std::string, ModelDemand> demand;
     demand["size-7"] = {0.3, 1, 1, 8};
     std::vector<PlanEngine> engines{engine("one", {})};
-    TimePoint start = Clock::now();
+    std::chrono::nanoseconds start = processorTime();
     for (int i = 0; i < PlanCount; ++i)
       CHECK(planModels({spec, demand, engines, 0, 0, 3}).size() == 1);
     // The leader plans every 100 ms, in less than a tenth of its time.
-    CHECK(Clock::now() - start < PlanCount * Millis(10));
+    CHECK(processorTime() - start < PlanCount * Millis(10));
   }
 }
 
