Tests that fail: what an origin history does not prove

A history counts as whole though routes changed before the start, though contact was lost and not yet noticed (or forgotten), though another front lost its records in a quick restart, though a route that was not resumable covered the path, and though an endpoint's earlier version came late. The other way, a fresh front that hears the number of fronts before each of them never takes a history over.

--- a/tests/front/test_origin_history.cpp
+++ b/tests/front/test_origin_history.cpp
@@ -173,3 +173,96 @@
   checkOriginContact(front, lost);
   CHECK(isHistoryWhole(front, lost));
 }
+
+TEST_CASE(
+    "change of routes before the start ends what a peer's history proves") {
+  FrontState peer = makeFront("peer", Start);
+  ServingTablePtr after = makeTable(2, "other");
+  recordRouteChanges(peer, *after, Later);
+  peer.Table = after;
+  TimePoint startedAt = Later + Millis(1'000);
+  FrontState front = makeFront("front", startedAt);
+  front.Table = after;
+  auto update = answerOf(peer, front, startedAt);
+  REQUIRE(update);
+  // The answer comes before the next heartbeat of the peer.
+  deliver(front, *update, startedAt);
+  CHECK_FALSE(isHistoryWhole(peer, startedAt));
+  CHECK_FALSE(isHistoryWhole(front, startedAt));
+}
+
+TEST_CASE(
+    "history is not whole while a front that is lost is not yet noticed") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  checkOriginContact(front, Later);
+  // Nothing ran in between, as in a process that was paused.
+  TimePoint thawed = Later + Millis(30'000);
+  CHECK_FALSE(isHistoryWhole(front, thawed));
+  recordNodeHeartbeat(front.Roster, peer.Self, thawed);
+  checkOriginContact(front, thawed);
+  CHECK_FALSE(isHistoryWhole(front, thawed));
+}
+
+TEST_CASE("restart of a front within the timeout ends the history") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  checkOriginContact(front, Later);
+  TimePoint again = Later + Millis(500);
+  FrontState restarted = makeFront("peer", again);
+  recordNodeHeartbeat(front.Roster, restarted.Self, again);
+  checkOriginContact(front, again);
+  CHECK_FALSE(isHistoryWhole(front, again));
+}
+
+TEST_CASE("removed route that was not resumable ends the history") {
+  FrontState front = makeFront("front", Start);
+  auto before = std::make_shared<ServingTable>(*makeTable(1, "chat"));
+  ServingRoute inner = before->Routes[0];
+  inner.PathPrefix = "/r/x/";
+  inner.IsResumable = false;
+  inner.Services = {{"other", 1}};
+  before->Routes.push_back(inner);
+  front.Table = before;
+  recordRouteChanges(front, *makeTable(2, "chat"), Later);
+  CHECK_FALSE(isHistoryWhole(front, Later));
+}
+
+TEST_CASE("version of an outdated observation is remembered") {
+  FrontState front = makeFront("front", Start);
+  announce(front, "same", "v2", 2, Later);
+  announce(front, "same", "v1", 1, Later);
+  CHECK(front.Directory.Versions["chat"].size() == 2);
+}
+
+TEST_CASE("front that has just started takes over a history while it meets the "
+          "others") {
+  FrontState peer = makeFront("peer", Start);
+  FrontState front = makeFront("front", Later);
+  // It hears how many fronts there are before it has heard of each.
+  front.FrontCountTold = 3;
+  front.FrontCountToldAt = Later;
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  checkOriginContact(front, Later + Millis(100));
+  TimePoint met = Later + Millis(1'000);
+  FrontState third = makeFront("third", Start);
+  recordNodeHeartbeat(front.Roster, third.Self, met);
+  deliver(front, *answerOf(peer, front, met), met);
+  checkOriginContact(front, met);
+  CHECK(isHistoryWhole(front, met));
+}
+
+TEST_CASE("front that stays cut off never takes its history for whole") {
+  FrontState front = makeFront("front", Start);
+  FrontState peer = makeFront("peer", Start);
+  recordNodeHeartbeat(front.Roster, peer.Self, Later);
+  TimePoint now = Later;
+  for (; now < Later + Millis(240'000); now += Millis(1'000)) {
+    // As in the sweep of the shell.
+    expireNodes(front.Roster, now);
+    checkOriginContact(front, now);
+  }
+  CHECK_FALSE(isHistoryWhole(front, now));
+}
