Tests that fail: lookups and records of stream origins that prove nothing

A lookup without an answer, with the answer of a front that has lost its records, or with two answers of one front ends in the only known version. A stream of an endpoint that the directory has forgotten, and one above MaxStreamOrigins, leave no record, and nothing tells. The other way, a split whose other service has weight 0 refuses.

--- a/tests/front/test_stream_origins.cpp
+++ b/tests/front/test_stream_origins.cpp
@@ -3,6 +3,7 @@
 /// serve: at any front, also after the one that began them was killed. Messages
 /// between fronts take MessageTime.
 #include "front/dispatch.h"
+#include "front/origin_history.h"
 #include "front/stream_origins.h"
 
 #include <catch2/catch.hpp>
@@ -409,3 +410,130 @@
     CHECK(again.Service == "chat");
   }
 }
+
+namespace {
+
+struct LoneStream {
+  FrontState State;
+  FrontRequest Request;
+};
+
+/// A front that knows one version of "chat", with a whole history and one peer,
+/// and a resumed stream without a record.
+LoneStream makeLoneStream(const std::string &Attempt, TimePoint Now) {
+  LoneStream out;
+  out.State.Table = makeTable();
+  out.State.Self.set_name("front");
+  out.State.Self.set_address("10.0.0.1:7600");
+  out.State.Self.set_zone("zone-0");
+  out.State.Self.set_kind(wire::NODE_FRONT);
+  out.State.Self.set_incarnation(1);
+  addEndpoint(out.State, "i-0", "v1", Now);
+  wire::NodeEntry peer = out.State.Self;
+  peer.set_name("peer");
+  peer.set_address("10.0.0.2:7600");
+  recordNodeHeartbeat(out.State.Roster, peer, Now);
+  RequestAttributes attributes = makeAttributes("again");
+  attributes.LastEvent = 3;
+  attributes.ResumedRequest = Attempt;
+  out.Request = admit(out.State, attributes, Now);
+  return out;
+}
+
+/// Dispatches until the request no longer waits.
+DispatchResult dispatchAtLast(LoneStream &It, TimePoint Now) {
+  DispatchResult result = decideDispatch(It.State, It.Request, Now);
+  while (auto *until = std::get_if<WaitUntil>(&result.Decision)) {
+    Now = until->Until;
+    result = decideDispatch(It.State, It.Request, Now);
+  }
+  return result;
+}
+
+} // namespace
+
+// The front that is silent may have begun the stream at an endpoint, or with a
+// table, that no other front knows yet.
+TEST_CASE("stream is not bound to the only version while a front is silent") {
+  LoneStream it = makeLoneStream("first", Start);
+  DispatchResult result = dispatchAtLast(it, Start);
+  CHECK(std::holds_alternative<FrontRefusal>(result.Decision));
+}
+
+TEST_CASE("stream is not bound to the only version after the answer of a front "
+          "that has just started") {
+  LoneStream it = makeLoneStream("first", Start);
+  decideDispatch(it.State, it.Request, Start);
+  // The peer started again after the query and lost what it had kept.
+  FrontState peer;
+  peer.Table = makeTable();
+  beginOriginHistory(peer, Start);
+  wire::StreamOriginQuery query;
+  query.set_attempt("first");
+  handleOriginReply(it.State, answerOriginQuery(peer, query, Start), Start);
+  DispatchResult result = dispatchAtLast(it, Start + Millis(10));
+  CHECK(std::holds_alternative<FrontRefusal>(result.Decision));
+}
+
+TEST_CASE("service of weight 0 does not keep a stream from its only origin") {
+  LoneStream it = makeLoneStream("", Start);
+  auto table = std::make_shared<ServingTable>(*it.State.Table);
+  for (ServingRoute &route : table->Routes)
+    route.Services = {{"chat", 1}, {"other", 0}};
+  indexServingTable(*table);
+  it.State.Table = table;
+  RequestAttributes attributes = makeAttributes("again");
+  attributes.LastEvent = 3;
+  it.Request = admit(it.State, attributes, Start);
+  DispatchResult result = dispatchAtLast(it, Start);
+  CHECK(std::holds_alternative<SendTo>(result.Decision));
+}
+
+TEST_CASE("stream of an unknown endpoint goes on at no other version") {
+  LoneStream it = makeLoneStream("first", Start);
+  RequestAttributes attributes = makeAttributes("first");
+  FrontRequest request = admit(it.State, attributes, Start);
+  it.State.Directory.Endpoints.clear();
+  NodeMessages out;
+  bool mayGoOn = recordStreamOrigin(it.State, request, "i-0", Start, out);
+  addEndpoint(it.State, "i-1", "v2", Start);
+  request.LastEvent = 3;
+  DispatchResult result = decideDispatch(it.State, request, Start);
+  bool isSent = std::holds_alternative<SendTo>(result.Decision);
+  CHECK_FALSE((mayGoOn && isSent));
+}
+
+TEST_CASE("two answers of one front do not stand for the answer of another") {
+  LoneStream it = makeLoneStream("first", Start);
+  wire::NodeEntry third = it.State.Self;
+  third.set_name("third");
+  third.set_address("10.0.0.3:7600");
+  recordNodeHeartbeat(it.State.Roster, third, Start);
+  wire::StreamOriginReply reply;
+  reply.mutable_origin()->set_attempt("first");
+  decideDispatch(it.State, it.Request, Start);
+  // The first answer comes after the second query, and the third front's never.
+  TimePoint now = Start + OriginQueryTimeout;
+  decideDispatch(it.State, it.Request, now);
+  handleOriginReply(it.State, reply, now);
+  handleOriginReply(it.State, reply, now);
+  CHECK(it.State.Origins.Lookups["first"].Unanswered == 1);
+}
+
+TEST_CASE("origin above the limit is recorded at its keepers or ends the "
+          "history") {
+  LoneStream it = makeLoneStream("first", Start);
+  for (size_t i = 0; i < MaxStreamOrigins; ++i)
+    it.State.Origins.Known[std::to_string(i)] = {"chat", "v1",
+                                                 Start + StreamOriginLifetime};
+  FrontRequest request = admit(it.State, makeAttributes("first"), Start);
+  NodeMessages out;
+  recordStreamOrigin(it.State, request, "i-0", Start, out);
+  REQUIRE(out.size() == 1);
+  FrontState keeper;
+  handleStreamOrigins(keeper, out[0].Message.stream_origins(), Start);
+  bool isKept = keeper.Origins.Known.contains("first");
+  CHECK((isKept || !isHistoryWhole(it.State, Start)));
+  auto own = it.State.Origins.Known.find("first");
+  CHECK((own == it.State.Origins.Known.end() || own->second.Service == "chat"));
+}
