Test that fails: a new front that others name first is not told of crashes

handleNodeHeartbeat sends the accusations, and the table, to a process that is new in the roster. A roster update or a zone summary that names the process first makes it known, and its own heartbeat is answered with none. 'crashes before a front's start count at it' passes, as nobody names the front before.

--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -4,6 +4,7 @@
 /// between fronts take MessageTime.
 #include "front/crash_notices.h"
 #include "front/dispatch.h"
+#include "front/fleet_view.h"
 
 #include <catch2/catch.hpp>
 
@@ -528,3 +529,27 @@
   }
   CHECK(findQuarantined(state, features, now));
 }
+
+TEST_CASE("front that others name first is told of crashes") {
+  FrontState peer;
+  peer.Self.set_name("peer");
+  peer.Self.set_address("10.0.0.1:7600");
+  peer.Self.set_kind(wire::NODE_FRONT);
+  peer.Quarantine.Features[DeadlyPart].Accusations = {{"i-1", Start, {}}};
+  FrontState front;
+  front.Self.set_name("front");
+  front.Self.set_address("10.0.0.2:7600");
+  front.Self.set_kind(wire::NODE_FRONT);
+  front.Self.set_incarnation(7);
+  // As in the summary of a zone or the roster update of another front.
+  mergeNode(peer.Roster, front.Self, "peer", Start);
+  GossipState gossip;
+  FleetDemand demand;
+  wire::NodeHeartbeat heartbeat;
+  *heartbeat.mutable_self() = front.Self;
+  NodeMessages out;
+  handleNodeHeartbeat(peer, gossip, demand, heartbeat, Start, out);
+  CHECK(std::any_of(out.begin(), out.end(), [](const NodeMessage &it) {
+    return it.Message.crash_notice().accusations_size() > 0;
+  }));
+}
