--- a/tests/front/test_crash_notices.cpp
+++ b/tests/front/test_crash_notices.cpp
@@ -530,7 +530,7 @@
   CHECK(findQuarantined(state, features, now));
 }
 
-TEST_CASE("front that is first heard of from others is told of crashes, too") {
+TEST_CASE("front that others name first is told of crashes") {
   FrontState peer;
   peer.Self.set_name("peer");
   peer.Self.set_address("10.0.0.1:7600");
