Tell a front of crashes at its first heartbeat

Cause: accusations and the table went to a process that was new in the roster. One that a roster update or a zone summary had named before was not new. Now the first heartbeat of each process counts.

--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -329,7 +329,11 @@
     send(Out, self.address(), std::move(message));
     return;
   }
-  bool isNew = recordNodeHeartbeat(State.Roster, self, Now);
+  recordNodeHeartbeat(State.Roster, self, Now);
+  // Others may have named the process before.
+  uint64_t &heard = Gossip.HeardIncarnations[self.name()];
+  bool isNew = heard != self.incarnation();
+  heard = self.incarnation();
   State.Roster.Nodes[self.name()].IsLeaving = Heartbeat.is_leaving();
   if (Heartbeat.is_leader() && isNewerLeader(State, Heartbeat, Now))
     setLeader(State, Heartbeat, Now, Out);
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -52,6 +52,8 @@
   /// Observations to pass on with the next broadcast heartbeat.
   std::vector<wire::EndpointObservation> PendingObservations;
   std::map<std::string, TimePoint> NextResync; ///< By address and subject.
+  /// Processes that a heartbeat was received from, by node.
+  std::map<std::string, uint64_t> HeardIncarnations;
   /// Digest of the models last sent for each endpoint.
   std::map<std::string, uint64_t> SentModelDigests;
   TimePoint NextBroadcast;
