Origin histories and lookups that prove what they claim

A lookup now ends in the only version if each front asked has answered, by name, and would know of a record; the history is used only while all fronts that may serve are in view.

--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -92,13 +92,17 @@
 ObservationResult applyObservation(EndpointDirectory &Directory,
                                    const wire::EndpointObservation &Observation,
                                    TimePoint Now) {
-  if (Observation.id().empty() || isOutdated(Directory, Observation))
+  if (Observation.id().empty())
+    return ObservationResult::Ignored;
+  TimePoint heardAt = Now - Millis(Observation.heard_ago_ms());
+  // An outdated observation tells what has been there, too.
+  if (!Observation.has_left())
+    recordVersion(Directory, Observation.service(),
+                  Observation.software_version(), heardAt);
+  if (isOutdated(Directory, Observation))
     return ObservationResult::Ignored;
   if (Observation.has_left())
     return applyLeave(Directory, Observation, Now);
-  TimePoint heardAt = Now - Millis(Observation.heard_ago_ms());
-  recordVersion(Directory, Observation.service(),
-                Observation.software_version(), heardAt);
   KnownEndpoint &known = Directory.Endpoints[Observation.id()];
   bool isNew = known.Id.empty() || known.BornMs != Observation.born_ms();
   // The sequence orders the announcements of one process.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -434,7 +434,8 @@
     break;
   }
   case wire::Envelope::kStreamOriginReply:
-    handleOriginReply(state, Message.stream_origin_reply(), now);
+    handleOriginReply(state, Message.from(), Message.stream_origin_reply(),
+                      now);
     IsDispatchDue = true;
     break;
   case wire::Envelope::kSendPermitRequest: {
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -123,8 +123,9 @@
 /// Replies of other fronts that are waited for.
 struct OriginLookup {
   TimePoint Deadline;
-  size_t Unanswered = 0;
+  std::set<std::string> Unanswered; ///< Names of fronts.
   uint32_t Queries = 0;
+  bool HasForgetful = false; ///< One that answered may have lost its record.
 };
 
 struct StreamOrigins {
@@ -133,7 +134,7 @@
   std::map<std::string, OriginLookup> Lookups; ///< By the same.
   /// Those recorded here for which too few other fronts were known.
   std::set<std::string> Unshared;
-  size_t FrontsAtShare = 0; ///< Other fronts when they were sent last.
+  size_t FrontsAtShare = 0;  ///< Other fronts when they were sent last.
   uint64_t DroppedCount = 0; ///< Origins above the limit, not yet logged.
 };
 
@@ -143,10 +144,12 @@
   /// Since then it has known all endpoints and has been in contact with all
   /// fronts.
   TimePoint KnownSince;
-  /// Latest time at which the history has begun anew here.
-  TimePoint BegunAt;
-  /// A resumable route led to other services before.
+  /// Before it, a route of streams led to other services.
   TimePoint RoutesChangedAt;
+  TimePoint CheckedAt; ///< Contact to the other fronts was checked last.
+  bool WasInContact = false;
+  bool HasLostContact = false; ///< After it had been in contact.
+  bool IsIsolated = false;     ///< All other fronts were lost.
 };
 
 struct KnownLeader {
--- a/front/origin_history.h
+++ b/front/origin_history.h
@@ -11,6 +11,9 @@
 
 #include "front/front_state.h"
 
+#include <set>
+#include <string>
+
 namespace sassafras {
 
 /// An origin is kept for this long after the latest event that is known. No
@@ -20,7 +23,10 @@
 /// Begins the history anew: earlier endpoints and routes may be unknown. Not
 /// thread safe, as the other functions that change \p State.
 void beginOriginHistory(FrontState &State, TimePoint Now);
-/// Begins the history anew while a front that may be serving is out of view.
+/// The services at which streams of \p Route may begin. Pure.
+std::set<std::string> listServices(const ServingRoute &Route);
+/// Begins the history anew while a front that may be serving is out of view,
+/// or after a pause of this process. Call at least once in NodeTimeout.
 void checkOriginContact(FrontState &State, TimePoint Now);
 /// Compares the routes of a table that is about to replace the one in force.
 void recordRouteChanges(FrontState &State, const ServingTable &After,
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -76,8 +76,7 @@
 }
 
 void keepOrigin(FrontState &State, const std::string &Attempt,
-                const std::string &Service, const std::string &Version,
-                TimePoint ExpiresAt) {
+                const StreamOrigin &Origin) {
   StreamOrigins &origins = State.Origins;
   if (origins.Known.size() >= MaxStreamOrigins &&
       !origins.Known.contains(Attempt)) {
@@ -85,7 +84,9 @@
     return;
   }
   StreamOrigin &known = origins.Known[Attempt];
-  known = {Service, Version, std::max(known.ExpiresAt, ExpiresAt)};
+  TimePoint expiresAt = std::max(known.ExpiresAt, Origin.ExpiresAt);
+  known = Origin;
+  known.ExpiresAt = expiresAt;
 }
 
 wire::StreamOrigin toWire(const std::string &Attempt,
@@ -103,16 +104,22 @@
   auto lifetime = static_cast<uint64_t>(StreamOriginLifetime.count());
   if (Origin.attempt().empty() || Origin.age_ms() >= lifetime)
     return;
-  keepOrigin(State, Origin.attempt(), Origin.service(),
-             Origin.software_version(),
-             Now + StreamOriginLifetime - Millis(Origin.age_ms()));
+  keepOrigin(State, Origin.attempt(),
+             {Origin.service(), Origin.software_version(),
+              Now + StreamOriginLifetime - Millis(Origin.age_ms())});
 }
 
 /// Binds the request to the only service and version at which its stream can
-/// have begun. False if there may have been others.
-bool bindToOnlyOrigin(const FrontState &State, FrontRequest &Request,
-                      TimePoint Now) {
-  if (Request.Route->Services.size() > 1 || !isHistoryWhole(State, Now))
+/// have begun. False if there may have been others. \p Lookup found nothing.
+bool bindToOnlyOrigin(FrontState &State, const OriginLookup &Lookup,
+                      FrontRequest &Request, TimePoint Now) {
+  bool isLookupWhole = Lookup.Unanswered.empty() && !Lookup.HasForgetful;
+  bool mayOutliveHistory = 2 * Request.Route->Timeout > StreamOriginLifetime;
+  if (!isLookupWhole || mayOutliveHistory ||
+      listServices(*Request.Route).size() > 1)
+    return false;
+  checkOriginContact(State, Now);
+  if (!isHistoryWhole(State, Now))
     return false;
   auto known = State.Directory.Versions.find(Request.Service);
   if (known == State.Directory.Versions.end())
@@ -149,11 +156,11 @@
   message.mutable_stream_origin_query()->set_attempt(Attempt);
   OriginLookup &lookup = State.Origins.Lookups[Attempt];
   lookup.Deadline = Now + OriginQueryTimeout;
-  lookup.Unanswered = 0;
+  lookup.Unanswered.clear();
   for (const ZoneFront &it :
        listFrontsToAsk(State, Attempt, lookup.Queries, Now)) {
     Out.push_back({it.Address, message});
-    ++lookup.Unanswered;
+    lookup.Unanswered.insert(it.Name);
   }
   ++lookup.Queries;
 }
@@ -197,7 +204,7 @@
                         NodeMessages &Out) {
   auto known = State.Directory.Endpoints.find(Endpoint);
   if (known == State.Directory.Endpoints.end())
-    return !Request.StreamVersion;
+    return false;
   const std::string &version = known->second.SoftwareVersion;
   if (Request.StreamVersion && *Request.StreamVersion != version)
     return false;
@@ -205,11 +212,11 @@
   if (!Request.Route->IsResumable)
     return true;
   const std::string &attempt = originKeyOf(Request);
-  keepOrigin(State, attempt, Request.Service, version,
-             Now + StreamOriginLifetime);
+  StreamOrigin origin{Request.Service, version, Now + StreamOriginLifetime};
+  keepOrigin(State, attempt, origin);
   wire::Envelope message;
   *message.mutable_stream_origins()->add_origins() =
-      toWire(attempt, State.Origins.Known[attempt], Now);
+      toWire(attempt, origin, Now);
   std::vector<ZoneFront> fronts = rankFronts(State, attempt, Now);
   fronts.resize(std::min(fronts.size(), OriginCopies));
   for (const ZoneFront &it : fronts)
@@ -242,9 +249,9 @@
       startLookup(State, attempt, Now, Out);
     lookup = State.Origins.Lookups[attempt];
     if (!isPast(lookup.Deadline, Now) &&
-        (lookup.Unanswered > 0 || isLearning(State, Now)))
+        (!lookup.Unanswered.empty() || isLearning(State, Now)))
       return Result{lookup.Deadline};
-    bool mayHaveMissed = lookup.Unanswered > 0 || isLearning(State, Now) ||
+    bool mayHaveMissed = !lookup.Unanswered.empty() || isLearning(State, Now) ||
                          (lookup.Queries == 1 && asksKeepersFirst(State, Now));
     if (mayHaveMissed && lookup.Queries < MaxOriginQueries &&
         lookup.Deadline + OriginQueryTimeout < Request.FirstByteDeadline) {
@@ -252,14 +259,14 @@
       return Result{Now + OriginQueryTimeout};
     }
   }
-  if (bindToOnlyOrigin(State, Request, Now))
+  if (bindToOnlyOrigin(State, lookup, Request, Now))
     return std::nullopt;
   // The version cannot be proved, and another one would break the stream.
   logEvent(LogLevel::Warning, "stream_origin_unknown",
            {{"id", Request.Attributes.Id},
             {"resumed", attempt},
             {"queries", std::to_string(lookup.Queries)},
-            {"unanswered", std::to_string(lookup.Unanswered)},
+            {"unanswered", std::to_string(lookup.Unanswered.size())},
             {"fronts", std::to_string(countFronts(State, Now))},
             {"history_whole", isHistoryWhole(State, Now) ? "yes" : "no"},
             {"origins", std::to_string(State.Origins.Known.size())}});
@@ -320,6 +327,8 @@
   wire::StreamOriginReply out;
   auto known = State.Origins.Known.find(Query.attempt());
   out.set_is_known(known != State.Origins.Known.end());
+  out.set_remembers_all(Now - State.StartedAt >= StreamOriginLifetime &&
+                        isHistoryWhole(State, Now));
   if (out.is_known())
     *out.mutable_origin() = toWire(Query.attempt(), known->second, Now);
   else
@@ -327,13 +336,15 @@
   return out;
 }
 
-void handleOriginReply(FrontState &State, const wire::StreamOriginReply &Reply,
-                       TimePoint Now) {
+void handleOriginReply(FrontState &State, const std::string &From,
+                       const wire::StreamOriginReply &Reply, TimePoint Now) {
   if (Reply.is_known())
     keepOrigin(State, Reply.origin(), Now);
   auto lookup = State.Origins.Lookups.find(Reply.origin().attempt());
-  if (lookup != State.Origins.Lookups.end() && lookup->second.Unanswered > 0)
-    --lookup->second.Unanswered;
+  if (lookup == State.Origins.Lookups.end())
+    return;
+  lookup->second.Unanswered.erase(From);
+  lookup->second.HasForgetful |= !Reply.is_known() && !Reply.remembers_all();
 }
 
 void shareStreamOrigins(FrontState &State, TimePoint Now, NodeMessages &Out) {
--- a/front/stream_origins.h
+++ b/front/stream_origins.h
@@ -61,9 +61,9 @@
 wire::StreamOriginReply answerOriginQuery(const FrontState &State,
                                           const wire::StreamOriginQuery &Query,
                                           TimePoint Now);
-/// Applies the answer of another front. Not thread safe.
-void handleOriginReply(FrontState &State, const wire::StreamOriginReply &Reply,
-                       TimePoint Now);
+/// Applies the answer of the front named \p From. Not thread safe.
+void handleOriginReply(FrontState &State, const std::string &From,
+                       const wire::StreamOriginReply &Reply, TimePoint Now);
 /// Appends the origins that were recorded while too few other fronts were
 /// known, if there are more of them now. Not thread safe.
 void shareStreamOrigins(FrontState &State, TimePoint Now, NodeMessages &Out);
