--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace sassafras {
@@ -115,6 +116,16 @@
   return out;
 }
 
+/// Service and version of the engine that made \p Run, which is named
+/// SERVICE-INDEX-START/VERSION/BORN/NUMBER.
+std::string originOf(const std::string &Run) {
+  size_t version = Run.find('/');
+  std::string out = Run.substr(0, Run.find('-'));
+  if (version == std::string::npos)
+    return out;
+  return out + Run.substr(version, Run.find('/', version + 1) - version);
+}
+
 /// Returns why \p Event may not follow the events before it, or an empty text.
 std::string checkEvent(const std::map<std::string, const EngineRun *> &Runs,
                        const StreamEvent &Event, const StreamEvent &Last,
@@ -260,6 +271,52 @@
   return out;
 }
 
+std::vector<std::string> findJoinedVersions(const SoakRecords &Records) {
+  struct Part {
+    std::string Origin;
+    std::string Run;
+    const CallerRecord *Request = nullptr;
+  };
+  std::map<std::string, Part> firstParts;
+  std::set<std::string> joined;
+  std::vector<std::string> out;
+  for (const CallerRecord &it : Records.Requests) {
+    if (!it.IsStream || it.Status != 200)
+      continue;
+    // Without Last-Event-Id the stream begins anew.
+    if (it.LastEvent < 0)
+      firstParts.erase(it.StreamId);
+    std::string rest;
+    for (const StreamEvent &event : parseEvents(it.Body, rest)) {
+      Part part{originOf(event.Run), event.Run, &it};
+      const Part &first = firstParts.emplace(it.StreamId, part).first->second;
+      if (first.Origin == part.Origin || !joined.insert(it.StreamId).second)
+        continue;
+      out.push_back("joined versions: event " + std::to_string(event.Id) +
+                    " of " + event.Run + " in a stream of " + first.Run + ": " +
+                    describe(it, Records) + "; begun by " +
+                    describe(*first.Request, Records));
+    }
+  }
+  return out;
+}
+
+std::map<std::string, uint64_t> countResumptions(const SoakRecords &Records) {
+  std::map<std::string, uint64_t> out;
+  for (const CallerRecord &it : Records.Requests) {
+    if (it.LastEvent < 0 || it.End == CallerEnd::NotConnected)
+      continue;
+    ++out["resumed"];
+    if (it.End != CallerEnd::Refused)
+      continue;
+    ++out["resumed_refused"];
+    for (const char *reason : {"stream_version_unknown", "stream_version_gone"})
+      if (it.Body.find(reason) != std::string::npos)
+        ++out[reason];
+  }
+  return out;
+}
+
 std::vector<std::string> findUntrueResponses(const SoakRecords &Records) {
   RunsById runs = indexById(Records);
   std::vector<std::string> out;
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -20,6 +20,14 @@
 /// from each other, and those that end as complete before their last event.
 std::vector<std::string> findDisorder(const SoakRecords &Records);
 
+/// Streams that hold, over all requests that resume them, events of more than
+/// one service or software version.
+std::vector<std::string> findJoinedVersions(const SoakRecords &Records);
+
+/// Number of requests that resumed a stream after an event, of those that were
+/// refused, and of those refused for each reason that concerns versions.
+std::map<std::string, uint64_t> countResumptions(const SoakRecords &Records);
+
 /// Responses of another request or without seal, requests that ran more often
 /// than they may, and refused ones that ran.
 std::vector<std::string> findUntrueResponses(const SoakRecords &Records);
--- a/tests/soak/test_soak_checks.cpp
+++ b/tests/soak/test_soak_checks.cpp
@@ -158,6 +158,72 @@
   CHECK(findDisorder(records).size() == 1);
 }
 
+namespace {
+
+/// A stream that \p First began, cut after its first event, and its resumption
+/// with events of \p Second.
+SoakRecords resumedStream(const std::string &First, const std::string &Second) {
+  SoakRecords out = cutStream();
+  out.Requests[0].Body = eventsOf(First, 1, 1);
+  CallerRecord again = wholeStream().Requests[0];
+  again.Id = "b";
+  again.LastEvent = 1;
+  again.Body = eventsOf(Second, 2, 3);
+  out.Requests.push_back(again);
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("stream of two versions or services is found over its resumptions") {
+  const std::string first = "runs-2-1/v1/10/1";
+  CHECK(findJoinedVersions(resumedStream(first, "runs-3-4/v1/20/7")).empty());
+  CHECK(findJoinedVersions(resumedStream(first, "runs-2-1/v2/20/1")).size() ==
+        1);
+  CHECK(findJoinedVersions(resumedStream(first, "others-2-1/v1/20/1")).size() ==
+        1);
+
+  SoakRecords third = resumedStream(first, first);
+  third.Requests.push_back(third.Requests[1]);
+  third.Requests[1].Body.clear();
+  third.Requests[2].Id = "c";
+  third.Requests[2].Body = eventsOf("runs-2-1/v2/20/1", 2, 3);
+  CHECK(findJoinedVersions(third).size() == 1);
+
+  SoakRecords other = resumedStream(first, "runs-2-1/v2/20/1");
+  other.Requests[1].StreamId = "b";
+  CHECK(findJoinedVersions(other).empty());
+}
+
+TEST_CASE("stream of two versions is found within one response") {
+  SoakRecords records = wholeStream();
+  records.Requests[0].Body =
+      eventsOf("runs-2-1/v1/10/1", 1, 1) + eventsOf("runs-3-1/v2/10/1", 2, 3);
+  CHECK(findJoinedVersions(records).size() == 1);
+}
+
+TEST_CASE("stream that begins anew may be of another version") {
+  SoakRecords records = resumedStream("runs-2-1/v1/10/1", "runs-2-1/v2/20/1");
+  records.Requests[1].LastEvent = -1;
+  records.Requests[1].Body = eventsOf("runs-2-1/v2/20/1", 1, 3);
+  CHECK(findJoinedVersions(records).empty());
+}
+
+TEST_CASE("refusals of resumed streams are counted by reason") {
+  SoakRecords records = resumedStream("runs-2-1/v1/10/1", "");
+  records.Requests[1].Status = 503;
+  records.Requests[1].End = CallerEnd::Refused;
+  records.Requests[1].Body = R"({"error":{"reason":"stream_version_gone"}})";
+  records.Requests.push_back(records.Requests[1]);
+  records.Requests[2].Body = R"({"error":{"reason":"queue_full"}})";
+  records.Requests.push_back(records.Requests[1]);
+  records.Requests[3].LastEvent = -1;
+  CHECK(countResumptions(records) ==
+        std::map<std::string, uint64_t>{{"resumed", 2},
+                                        {"resumed_refused", 2},
+                                        {"stream_version_gone", 1}});
+}
+
 TEST_CASE("untrue responses are found") {
   SoakRecords twice = wholeStream();
   twice.Runs.push_back(twice.Runs[0]);
