--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -14,7 +14,12 @@
 namespace {
 
 constexpr int FirstEngineHost = 70;
-constexpr int EngineCount = 3;
+/// Hosts of an engine, which uses one after the other.
+constexpr int HostsPerEngine = 2;
+constexpr int MinEngineCount = 4;
+constexpr int MaxEngineCount = 6;
+constexpr int OtherEngineCount = 2; ///< Of these, of the service OtherRuns.
+constexpr int AnnouncementTimes[] = {200, 400, 1'200};
 constexpr int EnginePort = 7;
 /// Stop grace of a front plus time for a busy machine.
 constexpr seconds StopTimeout{10};
@@ -28,13 +33,28 @@
   return out.str();
 }
 
+void endFaultOf(SoakRecords &Records, const std::string &Target) {
+  for (FaultSpan &it : Records.Faults)
+    if (it.Target == Target && it.To == TimePoint::max())
+      it.To = Clock::now();
+}
+
+std::string otherVersion(const std::string &Version) {
+  return Version == "v1" ? "v2" : "v1";
+}
+
 } // namespace
 
-PlannedWorker::PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks)
-    : Parts(std::move(Parts)), Random(Seed), Engines(EngineCount),
-      FillsDisks(FillsDisks) {
+PlannedWorker::PlannedWorker(Dependencies Parts, uint64_t Seed, bool HasFaults)
+    : Parts(std::move(Parts)), Random(Seed),
+      NextEngineWork(static_cast<int>(Seed % 3)), HasFaults(HasFaults) {
+  Engines.resize(
+      static_cast<size_t>(randomInt(MinEngineCount, MaxEngineCount)));
   for (size_t i = 0; i < Engines.size(); ++i) {
     Engines[i].Name = "run-engine-" + std::to_string(i);
+    Engines[i].Service = i < OtherEngineCount ? OtherRuns : "runs";
+    Engines[i].Version = randomInt(0, 1) ? "v1" : "v2";
+    Engines[i].Host = FirstEngineHost + static_cast<int>(i) * HostsPerEngine;
     startEngine(i);
   }
 }
@@ -126,12 +146,38 @@
     Parts.Fleet.kill(name);
   for (int i = randomInt(0, 5); i > 4; --i)
     stopEarly(Ended.Front);
+  startFront(Ended.Front);
+}
+
+void PlannedWorker::startFront(int Front) {
   try {
-    Parts.Fleet.start(Ended.Front, false);
+    Parts.Fleet.start(Front, false);
   } catch (const std::runtime_error &error) {
     Parts.AddViolation(std::string("restart: ") + error.what());
+    Parts.Fleet.kill(FrontFleet::frontName(Front));
+    Parts.Fleet.start(Front, false);
+  }
+}
+
+/// Kills half of the fronts, or those of them that have no fault, and starts
+/// them at once.
+void PlannedWorker::replaceHalfOfFronts() {
+  int count = Parts.Fleet.frontCount();
+  int first = randomInt(1, count);
+  std::vector<int> killed;
+  for (int i = 0; i < count / 2; ++i) {
+    int front = 1 + (first + i) % count;
+    std::string name = FrontFleet::frontName(front);
+    if (!Parts.IsFree(name) || isBusy(name))
+      continue;
+    Parts.Records.Faults.push_back({name, Clock::now()});
     Parts.Fleet.kill(name);
-    Parts.Fleet.start(Ended.Front, false);
+    Parts.Log("kill " + name + " and start it again");
+    killed.push_back(front);
+  }
+  for (int it : killed) {
+    startFront(it);
+    endFaultOf(Parts.Records, FrontFleet::frontName(it));
   }
 }
 
@@ -205,15 +251,13 @@
 // ---- Disks ----
 
 void PlannedWorker::stepDisks(TimePoint Now) {
-  if (!FillsDisks || !isPast(NextDiskAt, Now))
+  if (!HasFaults || !isPast(NextDiskAt, Now))
     return;
   if (FullDisk != 0) {
     std::string name = FrontFleet::frontName(FullDisk);
     Parts.Fleet.limitFileSize(name, std::nullopt);
     Parts.Log("disk has room " + name);
-    for (FaultSpan &it : Parts.Records.Faults)
-      if (it.Target == name && it.To == TimePoint::max())
-        it.To = Clock::now();
+    endFaultOf(Parts.Records, name);
     FullDisk = 0;
     NextDiskAt = Clock::now() + Millis(randomInt(500, 4'000));
     return;
@@ -233,21 +277,25 @@
 
 // ---- Engines ----
 
-std::string PlannedWorker::engineAddress(size_t Index) const {
-  return Parts.Fleet.addressOf(FirstEngineHost + static_cast<int>(Index),
-                               EnginePort);
-}
-
 void PlannedWorker::startEngine(size_t Index) {
   Engine &engine = Engines[Index];
+  if (!engine.KeepsId)
+    ++engine.Starts;
+  std::string id = engine.Service + "-" + std::to_string(Index) + "-" +
+                   std::to_string(engine.Starts);
+  std::string interval = std::to_string(AnnouncementTimes[randomInt(0, 2)]);
   std::vector<std::string> arguments{
       RUN_ENGINE_PROGRAM,
       "-i",
-      engine.Name + "-" + std::to_string(++engine.Starts),
+      id,
       "-s",
-      "runs",
+      engine.Service,
+      "-v",
+      engine.Version,
+      "-a",
+      interval,
       "-l",
-      engineAddress(Index),
+      Parts.Fleet.addressOf(engine.Host, EnginePort),
       "-j",
       Parts.Fleet.folder() + "/" + engine.Name + ".journal"};
   for (int i = 1; i <= Parts.Fleet.frontCount(); ++i) {
@@ -256,37 +304,76 @@
   }
   Parts.Fleet.startProgram(engine.Name, std::move(arguments));
   engine.IsRunning = true;
+  Parts.Log("start " + engine.Name + " as " + id + " " + engine.Version +
+            (engine.KeepsId ? " again" : "") + ", announced every " + interval +
+            " ms");
 }
 
-void PlannedWorker::killEngine(TimePoint Now) {
-  auto index = static_cast<size_t>(randomInt(0, EngineCount - 1));
-  Engine &engine = Engines[index];
-  Millis pause(randomInt(50, 1'500));
+/// Kills an engine. Its next process has \p Version.
+void PlannedWorker::replaceEngine(size_t Index, const std::string &Version,
+                                  Millis Pause) {
+  Engine &engine = Engines[Index];
+  engine.KeepsId = randomInt(0, 1) == 0;
+  engine.Version = Version;
+  bool changesHost = !engine.KeepsId && randomInt(0, 2) == 0;
   if (!engine.IsRunning)
     return;
-  Parts.Records.Faults.push_back({engine.Name, Now});
+  if (changesHost)
+    engine.Host = FirstEngineHost + static_cast<int>(Index) * HostsPerEngine +
+                  randomInt(0, HostsPerEngine - 1);
+  Parts.Records.Faults.push_back({engine.Name, Clock::now()});
   Parts.Fleet.kill(engine.Name);
   engine.IsRunning = false;
-  engine.StartsAt = Now + pause;
-  Parts.Log("kill " + engine.Name + " for " + std::to_string(pause.count()) +
+  engine.StartsAt = Clock::now() + Pause;
+  Parts.Log("kill " + engine.Name + " for " + std::to_string(Pause.count()) +
             " ms");
 }
 
-void PlannedWorker::stepEngines(TimePoint Now) {
+void PlannedWorker::replaceSomeEngine() {
+  auto index =
+      static_cast<size_t>(randomInt(0, static_cast<int>(Engines.size()) - 1));
+  const std::string &version = Engines[index].Version;
+  replaceEngine(index, randomInt(0, 1) ? version : otherVersion(version),
+                Millis(randomInt(50, 1'500)));
+}
+
+/// All engines go over to one version. Half of the fronts start anew before
+/// them or right behind them.
+void PlannedWorker::changeVersion(bool HasFrontsFirst) {
+  std::string version = otherVersion(Engines.back().Version);
+  Parts.Log("all engines go over to " + version +
+            (HasFrontsFirst ? " after the fronts" : ""));
+  if (HasFaults && HasFrontsFirst)
+    replaceHalfOfFronts();
   for (size_t i = 0; i < Engines.size(); ++i) {
-    if (Engines[i].IsRunning || !isPast(Engines[i].StartsAt, Now))
-      continue;
-    startEngine(i);
-    for (FaultSpan &it : Parts.Records.Faults)
-      if (it.Target == Engines[i].Name && it.To == TimePoint::max())
-        it.To = Clock::now();
+    replaceEngine(i, version, Millis(0));
+    if (!Engines[i].IsRunning)
+      startEngineNow(i);
   }
-  if (!isPast(NextEngineKillAt, Now) || Now == TimePoint::max())
+  if (HasFaults && !HasFrontsFirst)
+    replaceHalfOfFronts();
+}
+
+void PlannedWorker::startEngineNow(size_t Index) {
+  startEngine(Index);
+  endFaultOf(Parts.Records, Engines[Index].Name);
+}
+
+void PlannedWorker::stepEngines(TimePoint Now) {
+  for (size_t i = 0; i < Engines.size(); ++i)
+    if (!Engines[i].IsRunning && isPast(Engines[i].StartsAt, Now))
+      startEngineNow(i);
+  if (!isPast(NextEngineWorkAt, Now) || Now == TimePoint::max())
     return;
   // The first call only sets the time.
-  if (NextEngineKillAt != TimePoint())
-    killEngine(Now);
-  NextEngineKillAt = Now + Millis(randomInt(400, 6'000));
+  if (NextEngineWorkAt != TimePoint()) {
+    if (NextEngineWork % 3 == 0)
+      replaceSomeEngine();
+    else
+      changeVersion(NextEngineWork % 3 == 1);
+    NextEngineWork = std::max(0, randomInt(-2, 2));
+  }
+  NextEngineWorkAt = Clock::now() + Millis(randomInt(400, 4'000));
 }
 
 std::vector<EngineRun> PlannedWorker::readRuns() const {
--- a/tests/soak/planned_work.h
+++ b/tests/soak/planned_work.h
@@ -1,7 +1,7 @@
 /// \file
 /// Seeded operator of a soak run: stops and restarts fronts, signals changes of
-/// their settings, and kills and restarts engine processes, in series that
-/// overlap.
+/// their settings, and kills and restarts engine processes of two services and
+/// two software versions, in series that overlap.
 #ifndef SASSAFRAS_TESTS_SOAK_PLANNED_WORK_H
 #define SASSAFRAS_TESTS_SOAK_PLANNED_WORK_H
 
@@ -27,10 +27,11 @@
   };
 
   /// Starts the engine processes. Methods must not be called concurrently.
-  /// With \p FillsDisks, disks of fronts are full for a while.
-  PlannedWorker(Dependencies Parts, uint64_t Seed, bool FillsDisks);
+  /// With \p HasFaults, disks of fronts are full for a while, and half of the
+  /// fronts are killed when the engines go over to another version.
+  PlannedWorker(Dependencies Parts, uint64_t Seed, bool HasFaults);
 
-  /// Does what is due. Returns after at most the start of one process.
+  /// Does what is due. Returns after at most the start of half of the fronts.
   void step(TimePoint Now);
   /// Whether \p Process is being stopped, or killed, by this worker.
   bool isBusy(const std::string &Process) const;
@@ -48,7 +49,11 @@
   };
   struct Engine {
     std::string Name;
-    TimePoint StartsAt; ///< While the process is not running.
+    std::string Service;
+    std::string Version; ///< Of the software, once it runs.
+    int Host = 0;
+    bool KeepsId = false; ///< At the next start.
+    TimePoint StartsAt;   ///< While the process is not running.
     bool IsRunning = false;
     int Starts = 0;
   };
@@ -60,18 +65,22 @@
   };
 
   int randomInt(int Min, int Max);
-  std::string engineAddress(size_t Index) const;
   void startEngine(size_t Index);
+  void startEngineNow(size_t Index);
   void beginStop(int Front, TimePoint Now);
   void stepStops(TimePoint Now);
   void endStop(const Stop &Ended, int Code);
   void stopEarly(int Front);
+  void startFront(int Front);
+  void replaceHalfOfFronts();
   void signalFront(int Front, int Signal);
   void changeSettings(int Front, TimePoint Now);
   void writeHalves(TimePoint Now);
   void stepDisks(TimePoint Now);
   void stepEngines(TimePoint Now);
-  void killEngine(TimePoint Now);
+  void replaceEngine(size_t Index, const std::string &Version, Millis Pause);
+  void replaceSomeEngine();
+  void changeVersion(bool HasFrontsFirst);
 
   Dependencies Parts;
   std::mt19937_64 Random;
@@ -79,8 +88,9 @@
   std::vector<Engine> Engines;
   std::vector<HalfFile> Halves;
   TimePoint NextWorkAt;
-  TimePoint NextEngineKillAt;
-  bool FillsDisks;
+  TimePoint NextEngineWorkAt;
+  int NextEngineWork; ///< Remainder of 3 chooses the kind.
+  bool HasFaults;
   int FullDisk = 0; ///< Front whose disk is full, or 0.
   TimePoint NextDiskAt;
   int SettingsCount = 0;
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -80,11 +80,13 @@
   std::vector<EngineRun> Runs;
   std::vector<FaultSpan> Faults;
   std::vector<PlannedWork> Works;
-  TimePoint Begin;
+  TimePoint Begin = Clock::now();
 };
 
 /// Fault target that stands for all fronts.
 inline constexpr const char *AllFronts = "all fronts";
+/// Second service of engine processes, beside "runs".
+inline constexpr const char *OtherRuns = "others";
 
 } // namespace sassafras
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -30,11 +30,27 @@
 /// Minimum time between two lost disks, in which the group repairs itself.
 constexpr Millis MinDiskLossInterval{8'000};
 constexpr Millis StepInterval{20};
+/// The resumable route leads elsewhere after this many versions of the table,
+/// or two or three times as many, by the seed.
+constexpr uint64_t TablesPerTarget = 7;
 /// A read of the table that is sent this long after a version was acknowledged,
 /// or read, returns that version or a newer one.
 constexpr seconds TableDelay{2};
 
-std::string soakTable(int Version) {
+/// Where the resumable route leads: to one service of engine processes, then
+/// to both, then to the other one and back.
+std::string resumableTarget(int Version, uint64_t Seed) {
+  constexpr const char *Targets[] = {
+      R"("service":"runs")",
+      (R"("split":[{"service":"runs","weight":50},)"
+       R"({"service":"others","weight":50}])"),
+      R"("service":"others")"};
+  uint64_t tables = TablesPerTarget * (1 + Seed % 3);
+  uint64_t step = static_cast<uint64_t>(Version) / tables + Seed;
+  return Targets[step % std::size(Targets)];
+}
+
+std::string soakTable(int Version, uint64_t Seed) {
   std::string version = std::to_string(Version);
   return R"({"version":)" + version +
          R"(,"routes":[{"name":"s","host":"h.example","path-prefix":"/p/",)"
@@ -47,8 +63,9 @@
          R"(/","kind":"non_idempotent","timeout-ms":4000,"slo-ms":500,"max-attempts":3,)"
          R"("service":"desk"},{"name":"r","host":"h.example",)"
          R"("path-prefix":"/r/","kind":"streaming","resumable":true,)"
-         R"("timeout-ms":11000,"max-attempts":3,"slo-ms":1000,"service":"runs"},)"
-         R"({"name":"k","host":"h.example","path-prefix":"/k/",)"
+         R"("timeout-ms":11000,"max-attempts":3,"slo-ms":1000,)" +
+         resumableTarget(Version, Seed) +
+         R"(},{"name":"k","host":"h.example","path-prefix":"/k/",)"
          R"("kind":"streaming","timeout-ms":11000,"max-attempts":3,)"
          R"("slo-ms":1000,"service":"runs"},{"name":"i","host":"h.example",)"
          R"("path-prefix":"/i/","kind":"idempotent","timeout-ms":5000,)"
@@ -57,7 +74,8 @@
          R"("timeout-ms":5000,"max-attempts":3,"slo-ms":1000,)"
          R"("service":"runs"}],"limits":{"idle-timeout-ms":)" +
          std::to_string(SoakIdleTimeout.count()) +
-         R"(},"services":[{"name":"desk"},{"name":"runs","health-path":"/health"},{"name":"chat",)"
+         R"(},"services":[{"name":"desk"},{"name":"runs","health-path":"/health"},)"
+         R"({"name":"others","health-path":"/health"},{"name":"chat",)"
          R"("engine":{"slots":8,"weights-mb":100,"adapter-slots":2,)"
          R"("loads-per-s":5,"models":[{"name":"warm","weights-mb":30,)"
          R"("load-s":1,"disk-load-s":0.1},{"name":"cold","weights-mb":30,)"
@@ -147,7 +165,9 @@
     std::lock_guard guard(Mutex);
     for (const CallerRecord &it : Records.Requests)
       ++Report.Ends[nameOf(it.End)];
-    for (auto *check : {findLostRequests, findDisorder, findUntrueResponses})
+    Report.Ends.merge(countResumptions(Records));
+    for (auto *check : {findLostRequests, findDisorder, findJoinedVersions,
+                        findUntrueResponses})
       for (const std::string &it : check(Records))
         addViolation(it);
   }
@@ -234,7 +254,6 @@
                 [this](const std::string &it) { log(it); },
                 [this](const auto &it) { Invariants.check(false, it); }},
                Options.Seed + 1, Options.HasFaults) {
-    Records.Begin = Clock::now();
     for (int i = 0; i < EngineCount; ++i) {
       bool isFirst = i == 0;
       int host = FirstEngineHost + i;
@@ -251,7 +270,7 @@
 
   SoakReport run() {
     bool isTableAccepted = waitUntil(RecoveryTimeout, [&] {
-      return Fleet.putTable(1, soakTable(1)) == 200;
+      return Fleet.putTable(1, soakTable(1, Options.Seed)) == 200;
     });
     Invariants.check(isTableAccepted,
                      "first table was not accepted within 30 s");
@@ -300,7 +319,7 @@
   void updateTables() {
     for (int version = 2; !IsStopped; ++version) {
       if (Fleet.putTable(1 + version % Fleet.frontCount(),
-                         soakTable(version)) == 200)
+                         soakTable(version, Options.Seed)) == 200)
         Invariants.recordTable(version);
       std::this_thread::sleep_for(Millis(300));
     }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -31,7 +31,8 @@
   uint64_t Refused = 0;
   uint64_t FaultCount = 0;
   uint64_t TablesAcknowledged = 0;
-  /// How the requests of kept connections ended, by name of the end.
+  /// How the requests of kept connections ended, by name of the end, and how
+  /// many resumed a stream and were refused (see countResumptions).
   std::map<std::string, uint64_t> Ends;
   std::string Folder; ///< Logs, if KEEP_FLEET_FOLDER is set.
   /// One line for each violated invariant.
