--- a/tests/soak/caller_crowd.cpp
+++ b/tests/soak/caller_crowd.cpp
@@ -80,12 +80,14 @@
   /// The request that resumes the stream of \p Broken.
   static CallerRecord resumptionOf(const CallerRecord &Broken) {
     CallerRecord out;
-    out.StreamId = Broken.StreamId;
     out.Target = Broken.Target;
     out.IsStream = true;
     out.MayRepeat = true;
     out.EventCount = Broken.EventCount;
     out.LastEvent = lastEventOf(Broken);
+    // A stream is named by the request that brought its first event.
+    if (out.LastEvent >= 0)
+      out.StreamId = Broken.StreamId;
     return out;
   }
 
