An instance is proved to run by its id or a refusal only

A stream without framing was ended as complete if anything but a 421 answered the health check, also an answer 200 or 404 that names no instance.

Cause: isFromInstance took the absence of another id for the id. An endpoint that is not the expected one answers 421, so that a refusal without an id proves the instance, and an answer without either proves nothing. That it is leaving or fails (503 with its id) or is full does not count against it: it lives.

Not covered: an endpoint that was killed and has started again under its id before the check. Its health answer does not tell the two apart.

--- a/front/instance_check.h
+++ b/front/instance_check.h
@@ -19,9 +19,9 @@
   TimePoint Deadline; ///< Without an answer by then, it counts as gone.
 };
 
-/// Calls \p Done once with true if the instance has answered, whatever the
-/// status. The call may be cancelled; then \p Done is not called. Call on the
-/// thread that runs the client.
+/// Calls \p Done once with true if the instance has answered, also if it is
+/// leaving or refuses the check. The call may be cancelled; then \p Done is not
+/// called. Call on the thread that runs the client.
 std::shared_ptr<HttpCall>
 startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
                    std::function<void(bool IsRunning)> Done);
--- a/tests/harness/scripted_endpoint.cpp
+++ b/tests/harness/scripted_endpoint.cpp
@@ -57,15 +57,31 @@
   ::shutdown(Acceptor.native_handle(), SHUT_RDWR);
 }
 
-void ScriptedEndpoint::answerHealthCheck(Tcp::socket &Socket) {
+namespace {
+
+/// Value of a field of \p Head, which is in lower case; empty without it.
+std::string valueOf(const std::string &Head, const std::string &Name) {
+  size_t at = Head.find(Name + ": ");
+  if (at == std::string::npos)
+    return "";
+  at += Name.size() + 2;
+  return Head.substr(at, Head.find('\r', at) - at);
+}
+
+} // namespace
+
+void ScriptedEndpoint::answerHealthCheck(Tcp::socket &Socket,
+                                         const std::string &Instance) {
   ++HealthChecks;
   unsigned status = HealthStatus;
   if (status == 0) {
     Socket.close();
     return;
   }
-  sendText(Socket, "HTTP/1.1 " + std::to_string(status) +
-                       " Health\r\nContent-Length: 0\r\n\r\n");
+  sendText(Socket, "HTTP/1.1 " + std::to_string(status) + " Health\r\n" +
+                       (HasHealthId ? "Sassafrasseam-Instance-Id: " + Instance
+                                    : "Sassafrasseam-Not-Executed: 1") +
+                       "\r\nContent-Length: 0\r\n\r\n");
 }
 
 void ScriptedEndpoint::run() {
@@ -88,14 +104,12 @@
         asio::read_until(Socket, asio::dynamic_buffer(buf), "\r\n\r\n", ec);
     if (ec)
       return;
-    const std::string key = "attempt-id: ";
     std::string head = buf.substr(0, n);
     buf.erase(0, n);
     for (char &it : head)
       it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
-    size_t at = head.find(key);
     if (head.starts_with(std::string("get ") + ScriptedHealthPath + " ")) {
-      answerHealthCheck(Socket);
+      answerHealthCheck(Socket, valueOf(head, "sassafrasseam-expect-instance"));
       continue;
     }
     ++Requests;
@@ -103,10 +117,7 @@
       std::scoped_lock guard(HeadsLock);
       Heads.push_back(head);
     }
-    Reply(Socket, at == std::string::npos
-                      ? ""
-                      : head.substr(at + key.size(),
-                                    head.find('\r', at) - at - key.size()));
+    Reply(Socket, valueOf(head, "sassafrasseam-attempt-id"));
   }
 }
 
--- a/tests/harness/scripted_endpoint.h
+++ b/tests/harness/scripted_endpoint.h
@@ -46,9 +46,12 @@
   size_t countRequests() const { return Requests; }
   /// Heads of the requests received, in lower case. Thread safe.
   std::vector<std::string> heads() const;
-  /// Answers health checks with \p Status; 0 closes their connections. Thread
-  /// safe.
-  void setHealthStatus(unsigned Status) { HealthStatus = Status; }
+  /// Answers health checks with \p Status and the expected instance's id if
+  /// \p HasId, as refused otherwise; 0 closes their connections. Thread safe.
+  void setHealthAnswer(unsigned Status, bool HasId) {
+    HealthStatus = Status;
+    HasHealthId = HasId;
+  }
   /// Number of health checks received. Thread safe.
   size_t countHealthChecks() const { return HealthChecks; }
   /// Refuses new connections from now on, as when the process is gone. Thread
@@ -58,13 +61,15 @@
 private:
   void run();
   void serve(boost::asio::ip::tcp::socket &Socket);
-  void answerHealthCheck(boost::asio::ip::tcp::socket &Socket);
+  void answerHealthCheck(boost::asio::ip::tcp::socket &Socket,
+                         const std::string &Instance);
 
   boost::asio::io_context Io;
   Script Reply;
   std::atomic<size_t> Requests{0};
   std::atomic<size_t> HealthChecks{0};
   std::atomic<unsigned> HealthStatus{200};
+  std::atomic<bool> HasHealthId{true};
   mutable std::mutex HeadsLock;
   std::vector<std::string> Heads; ///< Guarded by HeadsLock.
   std::atomic<bool> IsStopping{false};
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -329,8 +329,37 @@
   CHECK(fieldOf(request.Fields, "sassafrasseam-expect-instance") == "i-1");
   const HttpField own{"sassafrasseam-instance-id", "i-1"};
   const HttpField other{"sassafrasseam-instance-id", "i-2"};
-  CHECK(platform::isFromInstance(200, {own}, "i-1"));
-  CHECK(platform::isFromInstance(503, {}, "i-1"));
-  CHECK_FALSE(platform::isFromInstance(200, {other}, "i-1"));
-  CHECK_FALSE(platform::isFromInstance(421, {}, "i-1"));
+  const HttpField refused{"sassafrasseam-not-executed", "1"};
+  struct Case {
+    unsigned Status;
+    std::vector<HttpField> Fields;
+    bool IsRunning;
+  };
+  const Case cases[] = {
+      {200, {own}, true},
+      {200, {}, false},
+      {200, {other}, false},
+      {200, {refused}, false},
+      // It is leaving, failing, or full.
+      {503, {own}, true},
+      {500, {own}, true},
+      {503, {refused}, true},
+      {429, {refused}, true},
+      {400, {refused}, true},
+      // Anything that is not an endpoint may answer so.
+      {503, {}, false},
+      {404, {}, false},
+      {400, {}, false},
+      {503, {other}, false},
+      {503, {other, refused}, false},
+      // The status says that another instance has the address.
+      {421, {}, false},
+      {421, {refused}, false},
+      {421, {own}, false},
+  };
+  for (const Case &it : cases) {
+    INFO(it.Status << " with " << it.Fields.size() << " fields");
+    CHECK(platform::isFromInstance(it.Status, it.Fields, "i-1") ==
+          it.IsRunning);
+  }
 }
--- a/tests/process/test_stream_order.cpp
+++ b/tests/process/test_stream_order.cpp
@@ -308,21 +308,24 @@
   struct Case {
     const char *What;
     unsigned HealthStatus;
+    bool HasHealthId;
     bool IsGone;
     bool IsComplete;
   };
   const Case cases[] = {
-      {"lives", 200, false, true},
-      {"is full", 503, false, true},
-      {"is gone", 200, true, false},
-      {"another instance has its address", 421, false, false},
-      {"does not answer", 0, false, false},
+      {"lives", 200, true, false, true},
+      {"is leaving or fails", 503, true, false, true},
+      {"is full", 503, false, false, true},
+      {"is gone", 200, true, true, false},
+      {"another instance has its address", 421, false, false, false},
+      {"something without its id has its address", 200, false, false, false},
+      {"does not answer", 0, false, false, false},
   };
   for (const Case &it : cases) {
     INFO(it.What);
     Play play({{eventsOf({1, 2}), true, Unframed}});
     for (const auto &endpoint : play.Endpoints)
-      endpoint->setHealthStatus(it.HealthStatus);
+      endpoint->setHealthAnswer(it.HealthStatus, it.HasHealthId);
     play.IsGoneAfterwards = it.IsGone;
     TimePoint start = Clock::now();
     std::string response = play.call("stream");
@@ -336,7 +339,7 @@
 TEST_CASE("stream of an endpoint that was killed goes on at another") {
   Play play({{eventsOf({1, 2}), true, Unframed}, {eventsOf({3, 4})}});
   for (const auto &it : play.Endpoints)
-    it->setHealthStatus(421);
+    it->setHealthAnswer(421, false);
   std::string response = play.call("resume");
   INFO(response);
   CHECK(bodyOf(response) == eventsOf({1, 2, 3, 4}));
