run_engine: cut an unframed stream in order, too

No sentence of the users' pages says that a living engine resets: "a faulty engine may truncate a response". close=1 ends the connection in order; without it the soak's plays stay as they are.

--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -5,11 +5,11 @@
 /// run, ID/VERSION/BORN/NUMBER, is the data of its events.
 ///
 /// GET /health names the instance. An unframed stream that is cut between
-/// events is reset: an end in good order would complete it.
+/// events is reset, or with close=1 closed in order, as a whole one is.
 ///
 /// Query of a request: n=EVENTS gap=MS form=chunked|unframed|plain wait=MS
-/// cut=EVENT (ends the connection before this event) tear=EVENT (within it)
-/// forget=1 (starts over in spite of Last-Event-Id) leave=MS (ends the
+/// cut=EVENT (ends the connection before this event) close=1 tear=EVENT (within
+/// it) forget=1 (starts over in spite of Last-Event-Id) leave=MS (ends the
 /// connection this long after the response). cut and tear apply to requests
 /// without Last-Event-Id only.
 ///
@@ -190,8 +190,7 @@
     return "gone";
   for (int64_t i = First; i <= numberOf(query, "n", 10); ++i) {
     if (i == cut) {
-      // In good order, the end of an unframed response would complete it.
-      if (!isChunked)
+      if (!isChunked && numberOf(query, "close", 0) == 0)
         resetOnClose(Socket);
       return "broke";
     }
