Only chunks frame a stream without a length

Callers saw: nothing yet; found by reading. A stream with another transfer encoding, such as identity, ends with its connection (the parser reads it so), but the front took any Transfer-Encoding field for a frame: an end in order was complete without a look at the instance.

Evidence: test "encoding other than chunks does not frame a stream" fails before (2 of 2) and passes; test_stream_order 9 of 9.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -9,6 +9,8 @@
 #include "front/stream_origins.h"
 #include "platform/caller_codec.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 
 namespace sassafras {
@@ -46,6 +48,16 @@
   return fieldOf(Head.Fields, "content-type").starts_with("text/event-stream");
 }
 
+/// Other encodings have no end of their own.
+bool isChunked(const HttpResponseHead &Head) {
+  constexpr std::string_view Chunked = "chunked";
+  std::string_view last = fieldOf(Head.Fields, "transfer-encoding");
+  if (last.size() < Chunked.size())
+    return false;
+  last.remove_prefix(last.size() - Chunked.size());
+  return boost::beast::iequals(last, Chunked);
+}
+
 std::string textOf(const std::optional<uint64_t> &Id) {
   return Id ? std::to_string(*Id) : "";
 }
@@ -260,8 +272,7 @@
   AnsweredAt = now;
   HasHead = true;
   IsNotRun = fields.IsNotRun;
-  IsUnframed =
-      !NewHead.Length && fieldOf(NewHead.Fields, "transfer-encoding").empty();
+  IsUnframed = !NewHead.Length && !isChunked(NewHead);
   // After the first event only a stream can go on, whatever the status says.
   bool isStreaming = Request.Route->Kind == RequestKind::Streaming &&
                      isSuccess(NewHead.Status) &&
--- a/tests/process/test_stream_order.cpp
+++ b/tests/process/test_stream_order.cpp
@@ -336,6 +336,19 @@
   }
 }
 
+TEST_CASE("encoding other than chunks does not frame a stream") {
+  for (const char *encoding : {"identity", "gzip"}) {
+    INFO(encoding);
+    std::string framing = "Transfer-Encoding: " + std::string(encoding);
+    Play play({{eventsOf({1, 2}), false, framing.c_str()}});
+    for (const auto &it : play.Endpoints)
+      it->setHealthAnswer(421, false);
+    std::string response = play.call("stream");
+    INFO(response);
+    CHECK_FALSE(isCompleteSuccess(response));
+  }
+}
+
 TEST_CASE("stream of an endpoint that was killed goes on at another") {
   Play play({{eventsOf({1, 2}), true, Unframed}, {eventsOf({3, 4})}});
   for (const auto &it : play.Endpoints)
