Tests that fail: streams joined to engines that started again as others

On: a stream that is resumed at another front or the same one, right after its engine started again under its id with another version, got the new version's events (both fronts); so did a stream that the front itself went on with in one response; and a stream that such an engine began before its first announcement was resumed at an engine of the version of the process before.

--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -4,7 +4,9 @@
 /// a test can compare what callers got with what engines made. The name of a
 /// run, ID/VERSION/BORN/NUMBER, is the data of its events.
 ///
-/// GET /health names the instance. An unframed stream that is cut between
+/// GET /health names the instance, GET /report states the start of the process
+/// unless -q is given. With -d, the first announcement is that much later than
+/// the start. An unframed stream that is cut between
 /// events is reset: an end in good order would complete it.
 ///
 /// Query of a request: n=EVENTS gap=MS form=chunked|unframed|plain wait=MS
@@ -53,6 +55,8 @@
   std::string Version = "v1"; ///< Of the software.
   std::string Listen;
   Millis HeartbeatInterval = DefaultHeartbeatInterval;
+  Millis FirstHeartbeatDelay{0};
+  bool HasReport = true; ///< It answers GET /report.
   std::vector<std::string> Controls;
   int Journal = -1;
   uint64_t Born = 0;
@@ -222,6 +226,17 @@
   if (Request.Path == "/health")
     return sendText(Socket, "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: " +
                                 Engine.Id + "\r\nContent-Length: 0\r\n\r\n");
+  if (Request.Path == "/report") {
+    std::string report =
+        R"({"phase":"colocated","models":[],"busy":false,"seq":0,"born":)" +
+        std::to_string(Engine.Born) + "}";
+    return sendText(Socket, Engine.HasReport
+                                ? "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                      std::to_string(report.size()) +
+                                      "\r\n\r\n" + report
+                                : "HTTP/1.1 404 Not Found\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+  }
   const std::string &query = Request.Query;
   std::string run = Engine.Id + "/" + Engine.Version + "/" +
                     std::to_string(Engine.Born) + "/" +
@@ -273,6 +288,7 @@
 
 void announce(const RunEngine &Engine) {
   uint64_t count = 0;
+  std::this_thread::sleep_for(Engine.FirstHeartbeatDelay);
   for (size_t i = 0;; ++i) {
     boost::json::object body{{"service", Engine.Service},
                              {"address", Engine.Listen},
@@ -298,7 +314,7 @@
 int main(int Count, char **Arguments) {
   RunEngine engine;
   int code = 0;
-  while ((code = getopt(Count, Arguments, "i:s:l:c:j:v:a:")) != -1) {
+  while ((code = getopt(Count, Arguments, "i:s:l:c:j:v:a:d:q")) != -1) {
     if (code == 'i')
       engine.Id = optarg;
     else if (code == 's')
@@ -311,6 +327,10 @@
       engine.Version = optarg;
     else if (code == 'a')
       engine.HeartbeatInterval = Millis(std::atoi(optarg));
+    else if (code == 'd')
+      engine.FirstHeartbeatDelay = Millis(std::atoi(optarg));
+    else if (code == 'q')
+      engine.HasReport = false;
     else if (code == 'j')
       engine.Journal =
           ::open(optarg, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
@@ -320,7 +340,8 @@
   auto address = parseAddress(engine.Listen);
   if (!address || engine.Controls.empty() || engine.Journal < 0) {
     std::fputs("usage: run_engine -i ID -s SERVICE -l ADDRESS -j JOURNAL "
-               "-c CONTROL... [-v VERSION] [-a ANNOUNCEMENT-MS]\n",
+               "-c CONTROL... [-v VERSION] [-a ANNOUNCEMENT-MS] "
+               "[-d FIRST-ANNOUNCEMENT-MS] [-q]\n",
                stderr);
     return 2;
   }
--- a/tests/process/test_resumed_streams.cpp
+++ b/tests/process/test_resumed_streams.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <thread>
 
 using namespace sassafras;
@@ -19,14 +20,22 @@
 constexpr int FirstEngineHost = 70;
 constexpr Millis StreamDeadline{10'000};
 
-/// The resumable route "/r/" leads to \p Service.
-std::string tableLeadingTo(const std::string &Service, int Version) {
+/// States the parameters of a model engine.
+constexpr const char *EngineSpecText =
+    R"("engine":{"slots":64,"weights-mb":100,"adapter-slots":2,)"
+    R"("loads-per-s":5,"models":[{"name":"warm","weights-mb":30,"load-s":1,)"
+    R"("disk-load-s":0.1}]},)";
+
+/// The resumable route "/r/" leads to \p Service. "runs" has model engines
+/// with \p EngineText.
+std::string tableLeadingTo(const std::string &Service, int Version,
+                           const std::string &EngineText = "") {
   return R"({"version":)" + std::to_string(Version) +
          R"(,"routes":[{"name":"r","host":"h.example","path-prefix":"/r/",)"
          R"("kind":"streaming","resumable":true,"timeout-ms":11000,)"
          R"("max-attempts":3,"slo-ms":1000,"service":")" +
-         Service +
-         R"("}],"services":[{"name":"runs","health-path":"/health"},)"
+         Service + R"("}],"services":[{"name":"runs",)" + EngineText +
+         R"("health-path":"/health"},)"
          R"({"name":"others","health-path":"/health"}],"tenants":[)"
          R"({"name":"first","api-keys":["secret-key"]}]})";
 }
@@ -36,14 +45,17 @@
   std::string Service = "runs";
   std::string Version = "v1";
   int Host = FirstEngineHost;
+  /// From the start to the first announcement.
+  Millis AnnouncedAfter{0};
+  bool HasReport = true; ///< It answers GET /report.
 };
 
 /// Three fronts with disks, and the engines that a test starts.
 class ResumeFleet {
 public:
-  ResumeFleet() {
+  explicit ResumeFleet(const std::string &EngineText = "") {
     REQUIRE(waitUntil(seconds(20), [&] {
-      return Fleet.putTable(1, tableLeadingTo("runs", 1)) == 200;
+      return Fleet.putTable(1, tableLeadingTo("runs", 1, EngineText)) == 200;
     }));
     for (int i = 1; i <= Fleet.frontCount(); ++i)
       waitForFront(i);
@@ -55,23 +67,7 @@
 
   /// Starts an engine process and waits until all fronts know it.
   void startEngine(const EngineProcess &Engine) {
-    std::vector<std::string> arguments{RUN_ENGINE_PROGRAM,
-                                       "-i",
-                                       Engine.Id,
-                                       "-s",
-                                       Engine.Service,
-                                       "-v",
-                                       Engine.Version,
-                                       "-l",
-                                       Fleet.addressOf(Engine.Host, EnginePort),
-                                       "-j",
-                                       Fleet.folder() + "/" + Engine.Id +
-                                           ".journal"};
-    for (int i = 1; i <= Fleet.frontCount(); ++i) {
-      arguments.emplace_back("-c");
-      arguments.push_back(Fleet.controlAddress(i));
-    }
-    Fleet.startProgram(Engine.Id, std::move(arguments));
+    launchEngine(Engine);
     for (int i = 1; i <= Fleet.frontCount(); ++i)
       REQUIRE(waitUntil(seconds(5), [&] {
         std::string id = "known-" + std::to_string(Probes++);
@@ -80,6 +76,40 @@
       }));
   }
 
+  /// Starts an engine process again, and waits until it takes connections.
+  void restartEngine(const EngineProcess &Engine) {
+    Fleet.kill(Engine.Id);
+    launchEngine(Engine);
+    REQUIRE(waitUntil(seconds(5), [&] {
+      SoakCaller caller;
+      return caller.connect(Fleet.addressOf(Engine.Host, EnginePort));
+    }));
+  }
+
+  void launchEngine(const EngineProcess &Engine) {
+    std::vector<std::string> arguments{
+        RUN_ENGINE_PROGRAM,
+        "-i",
+        Engine.Id,
+        "-s",
+        Engine.Service,
+        "-v",
+        Engine.Version,
+        "-l",
+        Fleet.addressOf(Engine.Host, EnginePort),
+        "-j",
+        Fleet.folder() + "/" + Engine.Id + ".journal",
+        "-d",
+        std::to_string(Engine.AnnouncedAfter.count())};
+    if (!Engine.HasReport)
+      arguments.emplace_back("-q");
+    for (int i = 1; i <= Fleet.frontCount(); ++i) {
+      arguments.emplace_back("-c");
+      arguments.push_back(Fleet.controlAddress(i));
+    }
+    Fleet.startProgram(Engine.Id, std::move(arguments));
+  }
+
   /// Restarts a front that is lost with all that it has in memory.
   void replaceFront(int Front) {
     Fleet.kill(FrontFleet::frontName(Front));
@@ -121,6 +151,14 @@
     return callAt(Front, "again", Broken.Target, Broken);
   }
 
+  /// Sends enough requests to a front to let it send others again.
+  void earnRetries(int Front) {
+    for (int i = 0; i < 30; ++i)
+      CHECK(
+          callAt(Front, "early-" + std::to_string(i), "/r/x?n=1", std::nullopt)
+              .Status == 200);
+  }
+
   static int64_t lastEventOf(const CallerRecord &Record) {
     size_t at = Record.Body.rfind("id: ");
     return at == std::string::npos ? -1
@@ -168,3 +206,99 @@
   CHECK(again.Body.find("moved/") == std::string::npos);
   CHECK(again.End == CallerEnd::Refused);
 }
+
+// An engine starts again under its id with another version. Its announcements
+// of before still hold at all fronts.
+TEST_CASE("stream is not resumed at an engine that started again as another") {
+  ResumeFleet fleet(EngineSpecText);
+  fleet.startEngine({.Id = "twice"});
+  CallerRecord broken = fleet.breakStream("twice");
+  fleet.restartEngine(
+      {.Id = "twice", .Version = "v2", .AnnouncedAfter = Millis(4'000)});
+  for (int i : {3, 1}) {
+    CallerRecord again = fleet.resumeAt(i, broken);
+    INFO(fleet.Fleet.log(FrontFleet::frontName(i)));
+    CHECK(again.Status != 200);
+    CHECK(again.Body.find("twice/v2") == std::string::npos);
+  }
+}
+
+// An engine that states its start in its announcements only.
+TEST_CASE("stream is not resumed at an engine that announces another process") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "twice", .HasReport = false});
+  CallerRecord broken = fleet.breakStream("twice");
+  fleet.restartEngine({.Id = "twice",
+                       .Version = "v2",
+                       .AnnouncedAfter = Millis(100),
+                       .HasReport = false});
+  CallerRecord again = fleet.resumeAt(3, broken);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(again.Status != 200);
+  CHECK(again.Body.find("twice/v2") == std::string::npos);
+}
+
+// The same within one response: the front itself goes on with the stream.
+TEST_CASE(
+    "response does not go on at an engine that started again as another") {
+  ResumeFleet fleet(EngineSpecText);
+  fleet.startEngine({.Id = "twice"});
+  fleet.earnRetries(1);
+  CallerRecord first;
+  std::thread caller([&] {
+    first = fleet.callAt(1, "first", "/r/x?n=60&gap=50", std::nullopt);
+  });
+  std::this_thread::sleep_for(Millis(500));
+  // The front finds out only after the new process listens.
+  fleet.Fleet.signal(FrontFleet::frontName(1), SIGSTOP);
+  fleet.restartEngine(
+      {.Id = "twice", .Version = "v2", .AnnouncedAfter = Millis(4'000)});
+  fleet.Fleet.signal(FrontFleet::frontName(1), SIGCONT);
+  caller.join();
+  INFO(fleet.Fleet.log(FrontFleet::frontName(1)));
+  CHECK(ResumeFleet::lastEventOf(first) > 0);
+  CHECK(first.Body.find("twice/v2") == std::string::npos);
+  CHECK(first.End == CallerEnd::Broken);
+}
+
+// A stream that such an engine begins before its first announcement.
+TEST_CASE("stream of an engine that started again keeps no earlier version") {
+  ResumeFleet fleet(EngineSpecText);
+  fleet.startEngine({.Id = "twice"});
+  fleet.startEngine({.Id = "old", .Host = FirstEngineHost + 1});
+  fleet.Fleet.kill("old");
+  fleet.restartEngine(
+      {.Id = "twice", .Version = "v2", .AnnouncedAfter = Millis(700)});
+  CallerRecord first;
+  std::thread caller([&] {
+    first = fleet.callAt(1, "first", "/r/x?n=200&gap=50", std::nullopt);
+  });
+  std::this_thread::sleep_for(Millis(2'000));
+  fleet.Fleet.kill("twice");
+  fleet.launchEngine({.Id = "old", .Host = FirstEngineHost + 1});
+  caller.join();
+  CHECK(first.Body.find("twice/v2") != std::string::npos);
+  CHECK(first.Body.find("old/v1") == std::string::npos);
+  CHECK(first.End == CallerEnd::Broken);
+  REQUIRE(waitUntil(seconds(5), [&] {
+    return fleet.callAt(3, "probe", "/r/x?n=1", std::nullopt).Status == 200;
+  }));
+  CallerRecord again = fleet.resumeAt(3, first);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(again.Status != 200);
+  CHECK(again.Body.find("old/v1") == std::string::npos);
+}
+
+// What has no reports and never starts again is served as before.
+TEST_CASE("stream goes on at an engine without reports") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "old", .HasReport = false});
+  fleet.startEngine(
+      {.Id = "other", .Host = FirstEngineHost + 1, .HasReport = false});
+  fleet.earnRetries(1);
+  CallerRecord first =
+      fleet.callAt(1, "first", "/r/x?n=60&gap=20&cut=10", std::nullopt);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(1)));
+  CHECK(first.End == CallerEnd::Whole);
+  CHECK(ResumeFleet::lastEventOf(first) == 60);
+}
