Resumed streams go on only at a process whose version is known

Cause: the directory has the version of the process before until the first announcement of the new one has arrived, and Expect-Instance names the id only. Class: an id is taken for a process.

Ruled out: fronts that had just started (all stay up in the tests), and a missing record (stream_resumed: has_record=yes bound_to=v1).

Change, only for exchanges that go on with a stream: - When the head arrives, the exchange is held until the process is proved (front/process_proof). A model engine is asked GET /report after the head: the process that was announced before the request and lives after the head sent the head. Others are not asked, they might run the call as a request; for them, an announcement heard after the head, or a connection older than the last announcement, proves it. Without either they are used after 300 ms, and without a wait if they never state 'born', unless a connection to them was lost since they were heard; then their next announcement is needed. - No stream is sent where an agent reports a later process. - A record names endpoint and process. It is refused where another process of another version follows and the one that is named was not heard from after it; if a connection had been lost before the record was made, it is used once the process is heard again. Each front decides this by its own directory, so that nothing has to be corrected elsewhere. A connection that outlives a lost one ends the doubt: engines that break off single answers stay in use.

--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -107,7 +107,10 @@
     return ObservationResult::Ignored;
   }
   if (isNew) {
-    known = {};
+    KnownEndpoint fresh;
+    fresh.PreviousBornMs = known.BornMs;
+    fresh.PreviousHeardAt = known.HeardAt;
+    known = fresh;
     Directory.Announced.erase(Observation.id());
   }
   bool isChanged = isNew || known.IsDraining != Observation.is_draining() ||
@@ -235,6 +238,13 @@
   return isServing(Endpoint, Now) && !Endpoint.IsDraining;
 }
 
+bool hasNewerProcess(const EndpointDirectory &Directory,
+                     const KnownEndpoint &Endpoint) {
+  auto report = Directory.AgentReports.find(Endpoint.Address);
+  return report != Directory.AgentReports.end() && Endpoint.BornMs != 0 &&
+         report->second.BornMs > Endpoint.BornMs;
+}
+
 const EngineState *findEngineState(const EndpointDirectory &Directory,
                                    const KnownEndpoint &Endpoint) {
   auto report = Directory.AgentReports.find(Endpoint.Address);
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -59,6 +59,8 @@
   std::string SoftwareVersion;
   uint64_t BornMs = 0; ///< Start time by the endpoint's wall clock.
   uint64_t Sequence = 0;
+  uint64_t PreviousBornMs = 0; ///< Of the process before it under its id.
+  TimePoint PreviousHeardAt;   ///< That process was last heard from.
   uint32_t Slots = 1;
   bool IsDraining = false;
   bool HasLeft = false;
@@ -120,6 +122,10 @@
 bool isServing(const KnownEndpoint &Endpoint, TimePoint Now);
 /// True while new work may be sent to the endpoint.
 bool isUsable(const KnownEndpoint &Endpoint, TimePoint Now);
+/// True if an agent has reported a later process at the endpoint's address: the
+/// endpoint's process has ended. Thread safe while nothing changes.
+bool hasNewerProcess(const EndpointDirectory &Directory,
+                     const KnownEndpoint &Endpoint);
 /// Newest known state of the endpoint's engine, or null.
 const EngineState *findEngineState(const EndpointDirectory &Directory,
                                    const KnownEndpoint &Endpoint);
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -128,7 +128,8 @@
   EndpointSurvey out;
   for (const auto &[id, known] : State.Directory.Endpoints) {
     if (known.Service != Request.Service || !takesRequests(State, known, Now) ||
-        !matchesStream(Request, known) || Request.FailedEndpoints.contains(id))
+        !matchesStream(State, Request, known) ||
+        Request.FailedEndpoints.contains(id))
       continue;
     ++out.UsableCount;
     const EngineState *engine =
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -118,6 +118,10 @@
   std::string Service;
   std::string Version; ///< Of the software.
   TimePoint ExpiresAt;
+  std::string Endpoint; ///< The latest one that brought events.
+  uint64_t BornMs = 0;  ///< Its process, as the directory had it.
+  /// That process may have ended before; holds once it is heard from again.
+  bool IsUnsettled = false;
 };
 
 /// Replies of other fronts that are waited for.
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -6,6 +6,7 @@
 #include "front/crash_notices.h"
 #include "front/endpoint_statements.h"
 #include "front/instance_check.h"
+#include "front/process_query.h"
 #include "front/stream_origins.h"
 #include "platform/caller_codec.h"
 
@@ -31,6 +32,8 @@
 constexpr size_t MaxEventBytes = 256ULL * 1024;
 /// A health check is answered within a round trip, or after a wait for a slot.
 constexpr Millis InstanceCheckTimeout{1'000};
+/// Between looks at what is known of a process.
+constexpr Millis ProofPollInterval{10};
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusClientClosed = 499; ///< For the log only.
 constexpr unsigned StatusInternalError = 500;
@@ -64,8 +67,8 @@
     : Core(Core), Request(std::move(Request)), Message(std::move(Message)),
       RequestBody(
           std::make_shared<const std::string>(std::move(this->Message.Body))),
-      Exchange(std::move(Exchange)), Timer(Core.Io), BufferCharge(Core.Memory) {
-}
+      Exchange(std::move(Exchange)), Timer(Core.Io), BufferCharge(Core.Memory),
+      ProofTimer(Core.Io) {}
 
 void Relay::start() {
   Core.Relays[Request.Number] = shared_from_this();
@@ -176,18 +179,22 @@
   Endpoint = Chosen.Endpoint;
   SentAt = now;
   AnsweredAt = TimePoint();
+  ConnectedAt = TimePoint();
   HasHead = false;
   IsProven = false;
   IsNotRun = false;
   IsStream = false;
   HasOrigin = false;
   IsTailDue = false;
+  dropProof();
   // Endpoints of other routes do not go on with a stream, whatever its caller
   // asks for.
   beginExchange(Order,
                 Request.Route->IsResumable ? Request.LastEvent : std::nullopt);
   Body.clear();
   DiscardedBytes = 0;
+  Claim = makeClaim(Core.State, Endpoint,
+                    findEngineSpec(Core.State, Request.Service) != nullptr);
   if (Order.LastHad)
     logStreamResumption(Core.State, Request, Endpoint, now);
   recordDispatch(Core.State, Request, Endpoint, now);
@@ -258,6 +265,8 @@
   if (!fields.RequestId.empty())
     recordStatements(fields, now);
   AnsweredAt = now;
+  ConnectedAt = NewHead.ConnectedAt;
+  recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   HasHead = true;
   IsNotRun = fields.IsNotRun;
   IsUnframed =
@@ -271,11 +280,115 @@
     Head = std::move(NewHead);
   if (IsNotRun || !isStreaming)
     return;
+  if (needsProof())
+    startProof();
+  else
+    startStream();
+}
+
+void Relay::startStream() {
   IsStream = true;
   IsStreamStarted = true;
   startResponse();
 }
 
+/// True if the caller has events that must not be joined to those of another
+/// software version.
+bool Relay::needsProof() const { return Order.LastHad.has_value(); }
+
+/// Finds out whether the exchange runs at the process whose version is known;
+/// what it brings is held meanwhile.
+void Relay::startProof() {
+  beginProof(Core.State, Claim, ConnectedAt, Unproven.contains(Endpoint),
+             AnsweredAt);
+  IsProofPending = true;
+  Call->pause();
+  if (Claim.IsQueried && Claim.BornMs != 0)
+    ProofCall = startProcessQuery(
+        Core.Client, Target.Address, Endpoint,
+        std::min(Request.Deadline, Claim.QueryDeadline),
+        [self = shared_from_this()](const ProcessAnswer &Answer) {
+          self->guard([&] {
+            self->ProofAnswer = Answer;
+            self->continueProof();
+          });
+        });
+  continueProof();
+}
+
+void Relay::continueProof() {
+  if (IsOver || !IsProofPending)
+    return;
+  ProcessVerdict verdict =
+      judgeProcess(Core.State, Claim, ProofAnswer, Clock::now());
+  if (verdict != ProcessVerdict::Pending) {
+    endProof(verdict);
+    return;
+  }
+  ProofTimer.expires_after(ProofPollInterval);
+  ProofTimer.async_wait([self = shared_from_this()](auto ec) {
+    if (!ec)
+      self->guard([&] { self->continueProof(); });
+  });
+}
+
+void Relay::endProof(ProcessVerdict Verdict) {
+  TimePoint now = Clock::now();
+  std::string verdict(nameOf(Verdict));
+  Core.Counts.count("stream_processes_checked_total",
+                    "process=\"" + verdict + '"');
+  logEvent(Verdict == ProcessVerdict::Ended ? LogLevel::Warning
+                                            : LogLevel::Info,
+           "stream_process_checked",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"address", Target.Address},
+            {"process", verdict},
+            {"born_ms", std::to_string(Claim.BornMs)},
+            {"answered", ProofAnswer && ProofAnswer->IsAnswered ? "yes" : "no"},
+            {"stated_born_ms",
+             std::to_string(ProofAnswer ? ProofAnswer->StatedBornMs : 0)},
+            {"waited_ms", std::to_string(toMillis(now - Claim.HeadAt))},
+            {"last_event", textOf(Request.LastEvent)}});
+  std::string bytes = std::move(HeldBytes);
+  std::optional<HttpFailure> failure = HeldFailure;
+  bool isEnded = IsEndHeld;
+  dropProof();
+  if (Verdict == ProcessVerdict::Ended) {
+    recordConnectionLoss(Core.State, Endpoint, now);
+    cancelExchange(ExchangeFailure::Broken);
+    return;
+  }
+  if (Verdict == ProcessVerdict::Unproven)
+    Unproven.insert(Endpoint);
+  if (Verdict == ProcessVerdict::Same)
+    recordSameProcess(Core.State, Endpoint);
+  startStream();
+  std::shared_ptr<HttpCall> call = Call;
+  if (!bytes.empty())
+    handleBody(bytes);
+  if (IsOver || Call != call)
+    return;
+  if (failure)
+    handleFailure(*failure);
+  else if (isEnded)
+    handleEnd();
+  else if (Exchange->hasRoom())
+    Call->resume();
+}
+
+void Relay::dropProof() {
+  IsProofPending = false;
+  ProofTimer.cancel();
+  if (ProofCall)
+    ProofCall->cancel();
+  ProofCall.reset();
+  ProofAnswer.reset();
+  HeldBytes.clear();
+  HeldFailure.reset();
+  IsEndHeld = false;
+}
+
 /// Records what the endpoint states of itself in a trusted answer.
 void Relay::recordStatements(const platform::ResponseFields &Fields,
                              TimePoint Now) {
@@ -306,6 +419,12 @@
 void Relay::handleBody(std::string_view Bytes) {
   if (IsOver)
     return;
+  if (IsProofPending) {
+    HeldBytes += Bytes;
+    if (!BufferCharge.tryResize(HeldBytes.size()))
+      cancelOversized(ExchangeFailure::Broken, HeldBytes.size());
+    return;
+  }
   if (IsStream) {
     bool isInOrder = forwardEvents(takeCompleteEvents(EventBuffer, Bytes));
     // The caller may have been found to be too slow meanwhile.
@@ -360,7 +479,7 @@
 }
 
 void Relay::handleRoom() {
-  if (Call)
+  if (Call && !IsProofPending)
     Call->resume();
 }
 
@@ -439,6 +558,7 @@
     LongestGap = std::max(LongestGap, now - LastEventAt);
   }
   LastEventAt = now;
+  recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   if (now - AnsweredAt >= ProvenRunTime)
     recordProof();
   writeToCaller(std::move(Events));
@@ -458,6 +578,10 @@
 void Relay::handleEnd() {
   if (IsOver)
     return;
+  if (IsProofPending) {
+    IsEndHeld = true;
+    return;
+  }
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
   // Without framing, the end of the connection is the only sign of the end, and
@@ -594,6 +718,12 @@
 void Relay::handleFailure(HttpFailure CallFailure) {
   if (IsOver)
     return;
+  if (IsProofPending) {
+    HeldFailure = CallFailure;
+    return;
+  }
+  if (CallFailure.IsRefused || (CallFailure.WasSent && !CallFailure.IsTimeout))
+    recordConnectionLoss(Core.State, Endpoint, Clock::now());
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
   bool isBroken = CallFailure.WasSent && !CallFailure.IsTimeout && !IsNotRun;
@@ -619,6 +749,7 @@
 
 /// Cancels an exchange whose response is not trusted.
 void Relay::cancelExchange(ExchangeFailure Failure) {
+  dropProof();
   if (Call)
     Call->cancel();
   Call.reset();
@@ -751,6 +882,7 @@
     return;
   IsOver = true;
   Timer.cancel();
+  dropProof();
   if (EndCheck)
     EndCheck->cancel();
   EndCheck.reset();
--- a/front/relay.h
+++ b/front/relay.h
@@ -8,6 +8,7 @@
 #include "front/dispatch.h"
 #include "front/event_order.h"
 #include "front/front_core.h"
+#include "front/process_proof.h"
 #include "front/sse_buffer.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -63,6 +64,13 @@
   void recordOrderBreak(OrderBreak Found, std::optional<uint64_t> Received);
   void recordJoint();
   bool isOrderWhole();
+  /// Begins to forward the events of the exchange.
+  void startStream();
+  bool needsProof() const;
+  void startProof();
+  void continueProof();
+  void endProof(ProcessVerdict Verdict);
+  void dropProof();
   void checkInstance();
   void handleInstanceCheck(bool IsRunning);
   void finishStream();
@@ -105,8 +113,19 @@
   std::shared_ptr<HttpCall> EndCheck; ///< Whether the endpoint still runs.
   MemoryCharge BufferCharge;          ///< For the two above.
   size_t DiscardedBytes = 0;          ///< Of this exchange's response.
+  /// Process that a resumed stream is sent to.
+  ProcessClaim Claim;
+  std::shared_ptr<HttpCall> ProofCall;
+  std::optional<ProcessAnswer> ProofAnswer;
+  boost::asio::steady_timer ProofTimer;
+  std::string HeldBytes; ///< Read before the process was proved.
+  std::optional<HttpFailure> HeldFailure;
+  bool IsEndHeld = false;
+  bool IsProofPending = false;
+  std::set<std::string> Unproven; ///< Endpoints that were used without a proof.
   TimePoint SentAt;
-  TimePoint AnsweredAt; ///< Head of this exchange's response; or zero.
+  TimePoint ConnectedAt; ///< Connection of this exchange; or zero.
+  TimePoint AnsweredAt;  ///< Head of this exchange's response; or zero.
   TimePoint FirstByteAt;
   TimePoint LastEventAt;
   Clock::duration LongestGap{0}; ///< Between forwarded events.
--- a/front/stream_origins.cpp
+++ b/front/stream_origins.cpp
@@ -4,6 +4,7 @@
 #include "core/logging.h"
 #include "fleet/zone_relays.h"
 #include "front/endpoint_statements.h"
+#include "front/process_proof.h"
 
 #include <algorithm>
 #include <set>
@@ -20,6 +21,10 @@
 constexpr uint32_t MaxOriginQueries = 3;
 /// Origins that are handed over in one message.
 constexpr int MaxOriginsPerMessage = 500;
+/// The next announcement of an endpoint that runs has arrived by then.
+constexpr Millis SettleTime{2'000};
+constexpr Millis SettleRecheckPeriod{50};
+
 struct RankedFront {
   uint64_t Rank = 0;
   ZoneFront Front;
@@ -76,8 +81,7 @@
 }
 
 void keepOrigin(FrontState &State, const std::string &Attempt,
-                const std::string &Service, const std::string &Version,
-                TimePoint ExpiresAt) {
+                const StreamOrigin &Origin) {
   StreamOrigins &origins = State.Origins;
   if (origins.Known.size() >= MaxStreamOrigins &&
       !origins.Known.contains(Attempt)) {
@@ -85,7 +89,9 @@
     return;
   }
   StreamOrigin &known = origins.Known[Attempt];
-  known = {Service, Version, std::max(known.ExpiresAt, ExpiresAt)};
+  // Records may arrive in another order than they were made.
+  if (Origin.ExpiresAt >= known.ExpiresAt)
+    known = Origin;
 }
 
 wire::StreamOrigin toWire(const std::string &Attempt,
@@ -95,6 +101,9 @@
   out.set_service(Origin.Service);
   out.set_software_version(Origin.Version);
   out.set_age_ms(toMillis(Now + StreamOriginLifetime - Origin.ExpiresAt));
+  out.set_endpoint(Origin.Endpoint);
+  out.set_born_ms(Origin.BornMs);
+  out.set_is_unsettled(Origin.IsUnsettled);
   return out;
 }
 
@@ -103,9 +112,10 @@
   auto lifetime = static_cast<uint64_t>(StreamOriginLifetime.count());
   if (Origin.attempt().empty() || Origin.age_ms() >= lifetime)
     return;
-  keepOrigin(State, Origin.attempt(), Origin.service(),
-             Origin.software_version(),
-             Now + StreamOriginLifetime - Millis(Origin.age_ms()));
+  keepOrigin(State, Origin.attempt(),
+             {Origin.service(), Origin.software_version(),
+              Now + StreamOriginLifetime - Millis(Origin.age_ms()),
+              Origin.endpoint(), Origin.born_ms(), Origin.is_unsettled()});
 }
 
 /// Binds the request to the only service and version at which its stream can
@@ -123,6 +133,32 @@
   return true;
 }
 
+enum class OriginTrust {
+  Holds,
+  Unsettled,  ///< Until the endpoint is heard from again.
+  Overturned, ///< Another process may have made the events.
+};
+
+/// Whether the process that a record names is the one that made the events. The
+/// record has what the directory had, which may have been late.
+OriginTrust judgeOrigin(const FrontState &State, const StreamOrigin &Origin) {
+  OriginTrust unheard =
+      Origin.IsUnsettled ? OriginTrust::Unsettled : OriginTrust::Holds;
+  auto known = State.Directory.Endpoints.find(Origin.Endpoint);
+  if (known == State.Directory.Endpoints.end() ||
+      known->second.BornMs < Origin.BornMs)
+    return unheard;
+  const KnownEndpoint &it = known->second;
+  TimePoint recordedAt = Origin.ExpiresAt - StreamOriginLifetime;
+  if (it.BornMs == Origin.BornMs)
+    return it.HeardAt > recordedAt ? OriginTrust::Holds : unheard;
+  bool wasHeardLater =
+      it.PreviousBornMs == Origin.BornMs && it.PreviousHeardAt > recordedAt;
+  return wasHeardLater || it.SoftwareVersion == Origin.Version
+             ? OriginTrust::Holds
+             : OriginTrust::Overturned;
+}
+
 /// Moves the request to the service and the version of its stream.
 std::optional<FrontRefusal> applyOrigin(const StreamOrigin &Origin,
                                         FrontRequest &Request) {
@@ -138,6 +174,36 @@
   return std::nullopt;
 }
 
+/// Applies a record to a request that goes on with its stream. Returns a time
+/// to wait until or a refusal; nothing if the request can go on.
+std::optional<std::variant<TimePoint, FrontRefusal>>
+useOrigin(const FrontState &State, const StreamOrigin &Origin,
+          FrontRequest &Request, TimePoint Now) {
+  using Result = std::variant<TimePoint, FrontRefusal>;
+  OriginTrust trust = judgeOrigin(State, Origin);
+  TimePoint end = std::min(Origin.ExpiresAt - StreamOriginLifetime + SettleTime,
+                           Request.FirstByteDeadline);
+  if (trust == OriginTrust::Unsettled && !isPast(end, Now))
+    return Result{std::min(end, Now + SettleRecheckPeriod)};
+  if (trust != OriginTrust::Holds) {
+    logEvent(
+        LogLevel::Warning, "stream_origin_overturned",
+        {{"id", Request.Attributes.Id},
+         {"resumed", Request.Attributes.ResumedRequest},
+         {"endpoint", Origin.Endpoint},
+         {"born_ms", std::to_string(Origin.BornMs)},
+         {"software_version", Origin.Version},
+         {"reason", trust == OriginTrust::Overturned ? "other_process"
+                                                     : "not_heard_again"}});
+    return Result{FrontRefusal{RefusalReason::StreamVersionUnknown, {}}};
+  }
+  if (Request.StreamVersion)
+    return std::nullopt;
+  if (auto refusal = applyOrigin(Origin, Request))
+    return Result{*refusal};
+  return std::nullopt;
+}
+
 /// True while this front, which has just started, may not know all others.
 bool isLearning(const FrontState &State, TimePoint Now) {
   return !isPast(State.EndpointDiscoveryEnd, Now);
@@ -173,8 +239,9 @@
   if (!Request.Route->IsResumable)
     return true;
   const std::string &attempt = originKeyOf(Request);
-  keepOrigin(State, attempt, Request.Service, version,
-             Now + StreamOriginLifetime);
+  keepOrigin(State, attempt,
+             {Request.Service, version, Now + StreamOriginLifetime, Endpoint,
+              known->second.BornMs, mayHaveEnded(State, known->second)});
   wire::Envelope message;
   *message.mutable_stream_origins()->add_origins() =
       toWire(attempt, State.Origins.Known[attempt], Now);
@@ -190,15 +257,14 @@
                     NodeMessages &Out) {
   using Result = std::variant<TimePoint, FrontRefusal>;
   const std::string &attempt = Request.Attributes.ResumedRequest;
-  if (!Request.Attributes.LastEvent || !Request.Route->IsResumable ||
-      Request.StreamVersion)
+  if (!Request.Route->IsResumable ||
+      (!Request.Attributes.LastEvent && !Request.StreamVersion))
     return std::nullopt;
-  auto known = State.Origins.Known.find(attempt);
-  if (known != State.Origins.Known.end()) {
-    if (auto refusal = applyOrigin(known->second, Request))
-      return Result{*refusal};
+  auto known = State.Origins.Known.find(originKeyOf(Request));
+  if (known != State.Origins.Known.end())
+    return useOrigin(State, known->second, Request, Now);
+  if (Request.StreamVersion)
     return std::nullopt;
-  }
   OriginLookup lookup;
   if (!attempt.empty()) {
     if (!State.Origins.Lookups.contains(attempt))
@@ -229,9 +295,11 @@
   return Result{FrontRefusal{RefusalReason::StreamVersionUnknown, {}}};
 }
 
-bool matchesStream(const FrontRequest &Request, const KnownEndpoint &Endpoint) {
+bool matchesStream(const FrontState &State, const FrontRequest &Request,
+                   const KnownEndpoint &Endpoint) {
   return !Request.StreamVersion ||
-         *Request.StreamVersion == Endpoint.SoftwareVersion;
+         (*Request.StreamVersion == Endpoint.SoftwareVersion &&
+          !hasNewerProcess(State.Directory, Endpoint));
 }
 
 bool isStreamVersionServing(const FrontState &State,
@@ -240,7 +308,7 @@
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &it) {
     return it.second.Service == Request.Service &&
            takesRequests(State, it.second, Now) &&
-           matchesStream(Request, it.second);
+           matchesStream(State, Request, it.second);
   });
 }
 
--- a/front/stream_origins.h
+++ b/front/stream_origins.h
@@ -43,9 +43,10 @@
 std::optional<std::variant<TimePoint, FrontRefusal>>
 resolveStreamOrigin(FrontState &State, FrontRequest &Request, TimePoint Now,
                     NodeMessages &Out);
-/// True if an endpoint of \p Endpoint's version may serve \p Request. Thread
-/// safe while nothing changes.
-bool matchesStream(const FrontRequest &Request, const KnownEndpoint &Endpoint);
+/// True if \p Endpoint may serve \p Request by its version. Thread safe while
+/// nothing changes.
+bool matchesStream(const FrontState &State, const FrontRequest &Request,
+                   const KnownEndpoint &Endpoint);
 /// True if an endpoint that serves now has the version of \p Request's stream.
 /// Thread safe while \p State does not change.
 bool isStreamVersionServing(const FrontState &State,
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -58,6 +58,7 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   std::string Address;
+  TimePoint ConnectedAt;
   TimePoint IdleSince;
   TimePoint IdleEnd;
 };
@@ -234,6 +235,7 @@
   void setSocketOptions() {
     if (IsFinished)
       return;
+    Conn->ConnectedAt = Clock::now();
     boost::system::error_code ignored;
     Conn->Stream.socket().set_option(Tcp::no_delay(true), ignored);
     exchange();
@@ -344,6 +346,7 @@
     HttpResponseHead head;
     head.Status = Parser->Status;
     head.IsFirstOnConnection = !IsReused;
+    head.ConnectedAt = Conn->ConnectedAt;
     head.Fields = std::move(Parser->Fields);
     if (Parser->content_length())
       head.Length = *Parser->content_length();
--- a/http/client.h
+++ b/http/client.h
@@ -34,6 +34,7 @@
   std::optional<uint64_t> Length; ///< Bytes of the body, if declared.
   /// No other response was due on this connection before.
   bool IsFirstOnConnection = true;
+  TimePoint ConnectedAt; ///< The connection was established.
 };
 
 struct HttpCallbacks {
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -65,6 +65,7 @@
   double FailureRate = 0;    ///< Exponentially smoothed.
   uint32_t ConsecutiveFailures = 0;
   TimePoint PausedUntil;
+  TimePoint ConnectionLostAt; ///< The latest one that was refused or broken.
 };
 
 struct EndpointCandidate {
--- a/tests/front/test_stream_origins.cpp
+++ b/tests/front/test_stream_origins.cpp
@@ -3,6 +3,7 @@
 /// serve: at any front, also after the one that began them was killed. Messages
 /// between fronts take MessageTime.
 #include "front/dispatch.h"
+#include "front/process_proof.h"
 #include "front/stream_origins.h"
 
 #include <catch2/catch.hpp>
@@ -389,6 +390,96 @@
       recordStreamOrigin(state, request, "i-1", Start + Millis(200), out));
 }
 
+namespace {
+
+/// Stream "a" that has one event, recorded at \p At as one of endpoint i-1.
+FrontRequest beginStream(FrontState &State, TimePoint At) {
+  FrontRequest out = admit(State, makeAttributes("a"), At);
+  NodeMessages messages;
+  REQUIRE(recordStreamOrigin(State, out, "i-1", At, messages));
+  return out;
+}
+
+DispatchResult resumeStream(FrontState &State, TimePoint At) {
+  RequestAttributes attributes = makeAttributes("b");
+  attributes.LastEvent = 1;
+  attributes.ResumedRequest = "a";
+  FrontRequest again = admit(State, attributes, At);
+  return decideDispatch(State, again, At);
+}
+
+RefusalReason reasonOf(const DispatchResult &Result) {
+  REQUIRE(std::holds_alternative<FrontRefusal>(Result.Decision));
+  return std::get<FrontRefusal>(Result.Decision).Reason;
+}
+
+} // namespace
+
+TEST_CASE("record of a process that had ended is not used") {
+  FrontState state;
+  state.Table = makeTable();
+  addEndpoint(state, "i-1", "v1", Start);
+  addEndpoint(state, "i-2", "v1", Start);
+  FrontRequest first = beginStream(state, Start + Millis(100));
+  // The process that made the events announces itself only now.
+  addEndpoint(state, "i-1", "v2", Start + Millis(200), 2);
+  TimePoint now = Start + Millis(300);
+  CHECK(reasonOf(resumeStream(state, now)) ==
+        RefusalReason::StreamVersionUnknown);
+  // Nor by the front itself, within the response.
+  first.LastEvent = 1;
+  CHECK(reasonOf(decideDispatch(state, first, now)) ==
+        RefusalReason::StreamVersionUnknown);
+}
+
+TEST_CASE("record holds if its process was heard from after it") {
+  FrontState state;
+  state.Table = makeTable();
+  addEndpoint(state, "i-1", "v1", Start);
+  addEndpoint(state, "i-2", "v1", Start);
+  beginStream(state, Start + Millis(100));
+  addEndpoint(state, "i-1", "v1", Start + Millis(150));
+  addEndpoint(state, "i-1", "v2", Start + Millis(200), 2);
+  DispatchResult result = resumeStream(state, Start + Millis(300));
+  REQUIRE(std::holds_alternative<SendTo>(result.Decision));
+  CHECK(std::get<SendTo>(result.Decision).Endpoint == "i-2");
+}
+
+TEST_CASE(
+    "record behind a broken connection is used once its process is heard") {
+  FrontState state;
+  state.Table = makeTable();
+  addEndpoint(state, "i-1", "v1", Start);
+  addEndpoint(state, "i-2", "v1", Start);
+  recordConnectionLoss(state, "i-1", Start + Millis(50));
+  beginStream(state, Start + Millis(100));
+  CHECK(std::holds_alternative<WaitUntil>(
+      resumeStream(state, Start + Millis(200)).Decision));
+  SECTION("heard again") {
+    addEndpoint(state, "i-1", "v1", Start + Millis(300));
+    CHECK(std::holds_alternative<SendTo>(
+        resumeStream(state, Start + Millis(310)).Decision));
+  }
+  SECTION("not heard again") {
+    CHECK(reasonOf(resumeStream(state, Start + Millis(2'200))) ==
+          RefusalReason::StreamVersionUnknown);
+  }
+}
+
+TEST_CASE("resumed stream is not sent where an agent saw a later process") {
+  FrontState state;
+  state.Table = makeTable();
+  addEndpoint(state, "i-1", "v1", Start);
+  beginStream(state, Start + Millis(100));
+  wire::EngineReport report;
+  report.set_address("10.1.0.1:1");
+  report.set_number(1);
+  report.set_born_ms(2);
+  REQUIRE(applyReport(state.Directory, report, Start + Millis(200)));
+  CHECK(reasonOf(resumeStream(state, Start + Millis(300))) ==
+        RefusalReason::StreamVersionGone);
+}
+
 TEST_CASE("stream on a split route goes on at the service that began it") {
   FrontState state;
   state.Table = makeTable();
