Announcements that are passed on say how long ago they were heard

Cause: an announcement waits for the next heartbeat, and at zone relays for the next summary, but is sent without its age. A front that gets it so counts the process as heard from up to about a second later than it was, after its end.

Change: the sender states the time since the process was last heard from (heard_ago_ms, which whole views had already).

--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -100,6 +100,20 @@
   sentDigest = digest;
 }
 
+/// Sets how long ago the observed process was last heard from, so that the time
+/// that a message waits does not make it look alive later than it was.
+void setAge(const FrontState &State, TimePoint Now,
+            wire::EndpointObservation &Observation) {
+  auto known = State.Directory.Endpoints.find(Observation.id());
+  if (known == State.Directory.Endpoints.end())
+    return;
+  const KnownEndpoint &it = known->second;
+  if (it.BornMs == Observation.born_ms())
+    Observation.set_heard_ago_ms(toMillis(Now - it.HeardAt));
+  else if (it.PreviousBornMs == Observation.born_ms())
+    Observation.set_heard_ago_ms(toMillis(Now - it.PreviousHeardAt));
+}
+
 bool isNewerLeader(const FrontState &State,
                    const wire::NodeHeartbeat &Heartbeat, TimePoint Now) {
   return Heartbeat.term() >= State.Leader.Term ||
@@ -241,6 +255,7 @@
   if (isBroadcast) {
     for (wire::EndpointObservation &it : Gossip.PendingObservations) {
       dropUnchangedModels(Gossip, it);
+      setAge(State, Now, it);
       recordZoneObservation(Gossip, it);
       *message.mutable_node_heartbeat()->add_alive() = it;
     }
@@ -399,13 +414,14 @@
 namespace {
 
 /// Moves the observations that are due into \p Summary and drops the others.
-void takeZoneObservations(GossipState &Gossip, TimePoint Now,
-                          wire::ZoneSummary &Summary) {
+void takeZoneObservations(const FrontState &State, GossipState &Gossip,
+                          TimePoint Now, wire::ZoneSummary &Summary) {
   for (auto &[id, it] : Gossip.ZoneObservations) {
     TimePoint &next = Gossip.NextInSummary[id];
     if (!it.has_models() && !it.has_left() && !isPast(next, Now))
       continue;
     next = Now + SummaryRefreshPeriod;
+    setAge(State, Now, it);
     *Summary.add_alive() = std::move(it);
   }
   Gossip.ZoneObservations.clear();
@@ -468,7 +484,7 @@
     entry = it.Entry;
     entry.set_heard_ago_ms(toMillis(Now - it.HeardAt));
   }
-  takeZoneObservations(Gossip, Now, summary);
+  takeZoneObservations(State, Gossip, Now, summary);
   addZoneLoads(State, Now, summary);
   // Each relay of this zone sends to another relay of the other zones, so that
   // the two paths share no host.
--- a/tests/front/test_process_proof.cpp
+++ b/tests/front/test_process_proof.cpp
@@ -1,3 +1,4 @@
+#include "front/fleet_view.h"
 #include "front/process_proof.h"
 
 #include <catch2/catch.hpp>
@@ -131,3 +132,29 @@
   recordLifeSign(replay.State, "i-1", Start, lostAt + Millis(110));
   CHECK_FALSE(mayHaveEnded(replay.State, known));
 }
+
+// An announcement waits for the next heartbeat, and its process may end
+// meanwhile.
+TEST_CASE("passed on announcement says how long ago it was heard") {
+  Replay replay(false);
+  wire::EndpointObservation it;
+  it.set_id("i-1");
+  it.set_service("chat");
+  it.set_address("10.1.0.1:1");
+  it.set_born_ms(Born);
+  it.set_sequence(2);
+  GossipState gossip;
+  gossip.Seeds = {"10.1.0.9:1"};
+  gossip.PendingObservations.push_back(it);
+  applyObservation(replay.State.Directory, it, Start + Millis(100));
+  SECTION("of the latest process") {}
+  SECTION("of the process before it") {
+    replay.announce(1, Start + Millis(400), Born + 1);
+  }
+  NodeMessages out;
+  sendHeartbeats(replay.State, gossip, false, 0, Start + Millis(800), out);
+  REQUIRE_FALSE(out.empty());
+  const wire::NodeHeartbeat &sent = out.front().Message.node_heartbeat();
+  REQUIRE(sent.alive_size() == 1);
+  CHECK(sent.alive(0).heard_ago_ms() == 700);
+}
