Merge the fix of streams at endpoints that started again under their id

A report does not name the instance: its answer counts as another instance's only by its status or another id, not for want of the id, as health checks now do.

--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -357,6 +357,10 @@
       {421, {refused}, false},
       {421, {own}, false},
   };
+  CHECK(platform::isFromOtherInstance(421, {}, "i-1"));
+  CHECK(platform::isFromOtherInstance(200, {other}, "i-1"));
+  CHECK_FALSE(platform::isFromOtherInstance(200, {own}, "i-1"));
+  CHECK_FALSE(platform::isFromOtherInstance(200, {}, "i-1"));
   for (const Case &it : cases) {
     INFO(it.Status << " with " << it.Fields.size() << " fields");
     CHECK(platform::isFromInstance(it.Status, it.Fields, "i-1") ==
