Resumed stream without framing that has no more events is whole

Cause: an unframed exchange that ends before its first event was taken for broken, also where the caller has all events. It is now judged like one that ends between two events: by whether the instance runs.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -597,9 +597,9 @@
   recordExchangeEnd(Core.State, Request, Endpoint);
   // Without framing, the end of the connection is the only sign of the end, and
   // an endpoint that fails may close it as well, within an event or before the
-  // first one.
+  // first one. Nothing follows the last event that a caller may have.
   if (IsStream && IsUnframed &&
-      (!EventBuffer.Incomplete.empty() || !HasOrigin)) {
+      (!EventBuffer.Incomplete.empty() || (!HasOrigin && !Order.LastHad))) {
     recordBreak();
     failExchange(ExchangeFailure::Broken);
     return;
--- a/tests/process/test_stream_order.cpp
+++ b/tests/process/test_stream_order.cpp
@@ -336,6 +336,15 @@
   }
 }
 
+// A caller may resume a stream of which only the end was lost.
+TEST_CASE("stream without framing that is resumed after its last event ends") {
+  Play play({{"", true, Unframed}});
+  std::string response = play.call("resume", "Last-Event-Id: 2\r\n");
+  INFO(response);
+  CHECK(isCompleteSuccess(response));
+  CHECK(bodyOf(response).empty());
+}
+
 TEST_CASE("encoding other than chunks does not frame a stream") {
   for (const char *encoding : {"identity", "gzip"}) {
     INFO(encoding);
