Endpoint without proof is not used while versions change

Cause: such an endpoint is not asked for its start; without an announcement within 300 ms it was used as not proved. Now, while several versions of the service were seen, its next announcement is needed, for up to 1.5 s.

Open: the first replacement by a version that no front has heard of.

--- a/front/process_proof.cpp
+++ b/front/process_proof.cpp
@@ -19,6 +19,15 @@
 /// time.
 constexpr Millis LastBytesTime{100};
 
+/// True if an endpoint whose process is not proved must not be used.
+bool needsProof(const FrontState &State, const KnownEndpoint &Endpoint) {
+  // Endpoints are being replaced by others of another version.
+  auto versions = State.Directory.Versions.find(Endpoint.Service);
+  bool hasSeveralVersions =
+      versions != State.Directory.Versions.end() && versions->second.size() > 1;
+  return hasSeveralVersions || mayHaveEnded(State, Endpoint);
+}
+
 } // namespace
 
 std::string_view nameOf(ProcessVerdict Verdict) {
@@ -52,7 +61,7 @@
                 TimePoint ConnectedAt, bool HasWaited, TimePoint Now) {
   auto known = State.Directory.Endpoints.find(Claim.Endpoint);
   bool isInDoubt = known != State.Directory.Endpoints.end() &&
-                   mayHaveEnded(State, known->second);
+                   needsProof(State, known->second);
   Claim.ConnectedAt = ConnectedAt;
   Claim.HeadAt = Now;
   Claim.QueryDeadline = Now + ProcessQueryTimeout;
@@ -91,8 +100,8 @@
     return ProcessVerdict::Same;
   if (!isPast(Claim.AnnouncementEnd, Now))
     return ProcessVerdict::Pending;
-  return mayHaveEnded(State, it) ? ProcessVerdict::Ended
-                                 : ProcessVerdict::Unproven;
+  return needsProof(State, it) ? ProcessVerdict::Ended
+                               : ProcessVerdict::Unproven;
 }
 
 void recordConnectionLoss(FrontState &State, const std::string &Endpoint,
--- a/tests/front/test_process_proof.cpp
+++ b/tests/front/test_process_proof.cpp
@@ -69,6 +69,14 @@
     replay.begin(Start + HeadAfter, true);
     CHECK(replay.judge(Millis(0)) == ProcessVerdict::Unproven);
   }
+  SECTION("another version serves, too") {
+    recordVersion(replay.State.Directory, "chat", "v2", Start);
+    replay.begin(Start + HeadAfter, true);
+    CHECK(replay.judge(Millis(1'499)) == ProcessVerdict::Pending);
+    CHECK(replay.judge(Millis(1'500)) == ProcessVerdict::Ended);
+    replay.announce(2, Start + HeadAfter + Millis(400));
+    CHECK(replay.judge(Millis(400)) == ProcessVerdict::Same);
+  }
   SECTION("a connection was lost") {
     recordConnectionLoss(replay.State, "i-1", Start + Millis(50));
     replay.begin(Start + HeadAfter);
--- a/tests/process/test_resumed_streams.cpp
+++ b/tests/process/test_resumed_streams.cpp
@@ -2,6 +2,7 @@
 /// Streams that callers resume at a front that did not begin them, while
 /// endpoints are replaced by others that make different events. Fronts and
 /// engines are real processes.
+#include "front/origin_history.h"
 #include "tests/harness/front_fleet.h"
 #include "tests/soak/soak_caller.h"
 #include "tests/soak/soak_checks.h"
@@ -238,6 +239,25 @@
   CHECK(again.Body.find("twice/v2") == std::string::npos);
 }
 
+// Its announcement comes late, but another version is known to serve.
+TEST_CASE("stream is not resumed at an engine without proof beside others") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "twice", .HasReport = false});
+  CallerRecord broken = fleet.breakStream("twice");
+  fleet.startEngine({.Id = "other",
+                     .Version = "v2",
+                     .Host = FirstEngineHost + 1,
+                     .HasReport = false});
+  fleet.restartEngine({.Id = "twice",
+                       .Version = "v2",
+                       .AnnouncedAfter = Millis(800),
+                       .HasReport = false});
+  CallerRecord again = fleet.resumeAt(3, broken);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(again.Status != 200);
+  CHECK(again.Body.find("/v2") == std::string::npos);
+}
+
 // The same within one response: the front itself goes on with the stream.
 TEST_CASE(
     "response does not go on at an engine that started again as another") {
@@ -302,3 +322,24 @@
   CHECK(first.End == CallerEnd::Whole);
   CHECK(ResumeFleet::lastEventOf(first) == 60);
 }
+
+// No front has a record of the stream, and one version has served throughout.
+TEST_CASE("stream that nobody recorded goes on once fronts know long enough") {
+  ResumeFleet fleet;
+  fleet.startEngine({.Id = "old"});
+  CallerRecord lost;
+  lost.StreamId = "lost";
+  lost.Target = "/r/x?n=6";
+  lost.Body = "id: 3\n";
+  CHECK(fleet.resumeAt(1, lost).End == CallerEnd::Refused);
+  std::this_thread::sleep_for(StreamOriginLifetime + Millis(1'000));
+  CHECK(fleet.resumeAt(1, lost).End == CallerEnd::Whole);
+  // A front that has just started takes over what the others know.
+  fleet.replaceFront(3);
+  CallerRecord atNewFront = fleet.resumeAt(3, lost);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(3)));
+  CHECK(atNewFront.End == CallerEnd::Whole);
+  // It may have had the record of another one before it started.
+  lost.StreamId = "lost with it";
+  CHECK(fleet.resumeAt(1, lost).End == CallerEnd::Refused);
+}
