--- a/front/origin_history.cpp
+++ b/front/origin_history.cpp
@@ -41,7 +41,7 @@
 uint64_t routesChangedMs(const FrontState &State, TimePoint Now) {
   Clock::duration age = Now - State.History.RoutesChangedAt;
   return age < StreamOriginLifetime
-             ? static_cast<uint64_t>(std::max<int64_t>(toMillis(age), 1))
+             ? toMillis(std::max<Clock::duration>(age, Millis(1)))
              : 0;
 }
 
@@ -146,7 +146,7 @@
       it.set_service(service);
       it.set_software_version(version);
       it.set_seen_ago_ms(
-          static_cast<uint64_t>(std::max<int64_t>(toMillis(Now - seenAt), 0)));
+          toMillis(std::max<Clock::duration>(Now - seenAt, Millis(0))));
     }
   Out.set_history_ms(static_cast<uint64_t>(historyOf(State, Now).count()));
   Out.set_table_version(State.Table ? State.Table->Version : 0);
