--- a/tests/process/test_endpoints_in_trouble.cpp
+++ b/tests/process/test_endpoints_in_trouble.cpp
@@ -445,9 +445,10 @@
   std::mutex lock;
   ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
     std::scoped_lock guard(lock);
+    // Counted before the front may answer, and its caller send the next one.
+    ++runs;
     if (!kept.insert(Socket.remote_endpoint().port()).second)
       sendText(Socket, refusalOf(""));
-    ++runs;
     sendText(Socket, headOf(Id, "Content-Length: 2") + "ok");
   });
   TestedFront front(endpoint.address());
