--- /dev/null
+++ b/policy/caller_order.h
@@ -0,0 +1,35 @@
+/// \file
+/// The one order in which callers get scarce room: slots and memory of engines,
+/// tokens of a quota, places at the weight store.
+///
+/// Load pattern: more requests wait than can be served before their callers
+/// give up. Urgent requests go first; among equals, those that lose most by
+/// waiting longer, and no organisation takes the room of the others.
+#ifndef SASSAFRAS_POLICY_CALLER_ORDER_H
+#define SASSAFRAS_POLICY_CALLER_ORDER_H
+
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace sassafras {
+
+/// A request that waits for room.
+struct CallerPosition {
+  uint32_t Rank = 0; ///< 0 is the most urgent.
+  /// Requests of its organisation that are served or go before it, beyond the
+  /// organisation's even part of the room.
+  uint32_t ExcessOfOrganisation = 0;
+  /// Latest time at which it must begin for its caller to be served on time.
+  TimePoint LatestStart;
+  uint64_t Number = 0; ///< Order of arrival.
+};
+
+/// True if \p A is served before \p B. A strict weak order. Pure and thread
+/// safe.
+bool isServedBefore(const CallerPosition &A, const CallerPosition &B,
+                    TimePoint Now);
+
+} // namespace sassafras
+
+#endif
--- /dev/null
+++ b/policy/endpoint_estimate.cpp
@@ -0,0 +1,49 @@
+#include "policy/endpoint_estimate.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+namespace {
+
+Millis scaled(Millis Time, double Factor) {
+  return Millis(
+      static_cast<int64_t>(static_cast<double>(Time.count()) * Factor));
+}
+
+/// Time until \p Missing units are free when \p Total of them are given back
+/// within \p Turnover.
+Millis timeUntilFree(double Missing, double Total, Millis Turnover) {
+  if (Missing <= 0 || Total <= 0)
+    return Millis(0);
+  return scaled(Turnover, Missing / Total);
+}
+
+} // namespace
+
+double memoryOf(const RequestSize &Size) {
+  return static_cast<double>(Size.PromptTokens + Size.MaxOutput);
+}
+
+EndpointEstimate estimateEndpoint(const EndpointFigures &Figures,
+                                  const RequestSize &Size) {
+  EndpointEstimate out;
+  double needed = memoryOf(Size);
+  bool hasMemory = Figures.MemoryTokens > 0;
+  out.FreeSlots = Figures.Slots - Figures.Held;
+  out.FreeTokens = Figures.MemoryTokens - Figures.HeldTokens;
+  out.IsTooLarge = hasMemory && needed > Figures.MemoryTokens;
+  out.HasRoom = !out.IsTooLarge && out.FreeSlots >= 1 &&
+                (!hasMemory || needed <= out.FreeTokens);
+  Millis service = scaled(Figures.MeanServiceTime, Figures.Pace);
+  out.Wait = timeUntilFree(1 - out.FreeSlots, Figures.Slots, service);
+  if (hasMemory)
+    out.Wait = std::max(out.Wait, timeUntilFree(needed - out.FreeTokens,
+                                                Figures.MemoryTokens, service));
+  out.FirstPiece = out.Wait + 2 * Figures.OneWayDelay +
+                   scaled(Figures.MeanFirstPiece, Figures.Pace);
+  out.LastPiece = out.Wait + 2 * Figures.OneWayDelay + service;
+  return out;
+}
+
+} // namespace sassafras
