Load of an endpoint is read figure by figure

A load with a fourth figure was taken for one with a malformed slot count, and its numbers of running and waiting requests were dropped with it: endpoints that state how long work takes there now had no known load at all. Each figure is now read by itself; figures that are not valid are left out, counted and logged at most once every 5 s. The test failed before.

--- a/front/front_core.h
+++ b/front/front_core.h
@@ -53,6 +53,7 @@
   std::map<const HttpExchange *, uint64_t> ByExchange;
   std::set<WaitingKey> Waiting;
   uint64_t NextNumber = 1;
+  TimePoint NextInvalidLoadLog;
 };
 
 } // namespace sassafras
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -266,6 +266,8 @@
     cancelExchange(ExchangeFailure::Broken);
     return;
   }
+  if (fields.HasInvalidLoad)
+    recordInvalidLoad(now);
   if (fields.Load)
     recordLoadReport(Core.State.Records[Endpoint],
                      fields.Load->Running + fields.Load->Waiting,
@@ -297,6 +299,17 @@
     startStream();
 }
 
+void Relay::recordInvalidLoad(TimePoint Now) {
+  Core.Counts.count("endpoint_loads_invalid_total");
+  if (!isPast(Core.NextInvalidLoadLog, Now))
+    return;
+  Core.NextInvalidLoadLog = Now + InvalidLoadLogPeriod;
+  logEvent(LogLevel::Warning, "endpoint_load_invalid",
+           {{"endpoint", Endpoint},
+            {"count", std::to_string(
+                          Core.Counts.read("endpoint_loads_invalid_total"))}});
+}
+
 void Relay::startStream() {
   IsStream = true;
   IsStreamStarted = true;
--- a/front/relay.h
+++ b/front/relay.h
@@ -27,6 +27,9 @@
 /// immediately.
 inline constexpr Millis StoppingRetryAfter{100};
 
+/// Interval of the log lines on endpoints' loads that are not valid.
+inline constexpr Millis InvalidLoadLogPeriod{5'000};
+
 /// Not thread safe: all methods run on the io_context's thread.
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
@@ -66,6 +69,9 @@
   bool isOrderWhole();
   /// Begins to forward the events of the exchange.
   void startStream();
+  /// Counts a load with figures that are not valid; logs one for all endpoints
+  /// in each period.
+  void recordInvalidLoad(TimePoint Now);
   bool needsProof() const;
   void startProof();
   void continueProof();
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -85,6 +85,56 @@
   }
 }
 
+TEST_CASE("load of an endpoint is read figure by figure") {
+  auto read = [](const std::string &Text) {
+    return platform::readResponseFields(200,
+                                        {{"sassafrasseam-server-load", Text}});
+  };
+  auto usual = read("3,1,8");
+  REQUIRE(usual.Load);
+  CHECK(usual.Load->Slots == 8);
+  CHECK_FALSE(usual.Load->PacePercent);
+  CHECK_FALSE(usual.HasInvalidLoad);
+  // A figure that is added leaves the others known.
+  auto paced = read("12,2,48,240");
+  REQUIRE(paced.Load);
+  CHECK(paced.Load->Running == 12);
+  CHECK(paced.Load->Waiting == 2);
+  CHECK(paced.Load->Slots == 48);
+  CHECK(paced.Load->PacePercent == 240U);
+  CHECK_FALSE(paced.HasInvalidLoad);
+  auto longer = read("12, 2, 48, 240, 7,x");
+  REQUIRE(longer.Load);
+  CHECK(longer.Load->PacePercent == 240U);
+  CHECK_FALSE(longer.HasInvalidLoad);
+  // Figures that are not valid are left out, and reported.
+  for (const char *text : {"3,1,0,100", "3,1,-8,100", "3,1,,100", "3,1,1e3"}) {
+    CAPTURE(text);
+    auto fields = read(text);
+    REQUIRE(fields.Load);
+    CHECK(fields.Load->Waiting == 1);
+    CHECK(fields.Load->Slots == 0);
+    CHECK(fields.HasInvalidLoad);
+  }
+  for (const char *text : {"3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,99999999"}) {
+    CAPTURE(text);
+    auto fields = read(text);
+    REQUIRE(fields.Load);
+    CHECK(fields.Load->Slots == 8);
+    CHECK_FALSE(fields.Load->PacePercent);
+    CHECK(fields.HasInvalidLoad);
+  }
+  for (const char *text : {"", "3", "x,1,8", "-3,1,8", "99999999999,1,8,100"}) {
+    CAPTURE(text);
+    CHECK_FALSE(read(text).Load);
+    CHECK(read(text).HasInvalidLoad);
+  }
+  CHECK_FALSE(platform::readResponseFields(
+                  200, {{"sassafrasseam-server-load", "3,1,8"},
+                        {"sassafrasseam-server-load", "9,1,8"}})
+                  .Load);
+}
+
 TEST_CASE("operator's table sets the sizes and load times of models") {
   std::string problem;
   auto table =
