Candidates carry the estimate of their endpoint; stated pace is kept

Endpoint figures are built in one place from the front's state. The pace that an endpoint states with its load counts in full for a tenth of a second and then fades to a learned one. The choice itself does not use the estimate yet.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "core/logging.h"
 #include "front/crash_notices.h"
+#include "front/endpoint_figures.h"
 #include "front/send_permits.h"
 #include "front/stream_origins.h"
 
@@ -101,8 +102,9 @@
 }
 
 EndpointCandidate makeCandidate(FrontState &State, const FrontRequest &Request,
-                                const KnownEndpoint &Known, bool IsEngine,
-                                TimePoint Now) {
+                                const KnownEndpoint &Known,
+                                const EngineState *Engine,
+                                const EngineSpec *Spec, TimePoint Now) {
   EndpointCandidate out;
   out.Id = Known.Id;
   out.Zone = Known.Zone;
@@ -110,8 +112,8 @@
   out.PausedUntil = pauseEndOf(State, Known);
   out.Slots = out.RequestLimit
                   ? slotsWithinLimit(Known.Slots, *out.RequestLimit,
-                                     IsEngine ? MeanEngineServiceTime
-                                              : MeanPlainServiceTime)
+                                     Engine ? MeanEngineServiceTime
+                                            : MeanPlainServiceTime)
                   : Known.Slots;
   out.IsWarmingUp = !isPast(Known.WarmingUpUntil, Now);
   if (!Request.Attributes.PromptHead.empty())
@@ -120,12 +122,16 @@
             checksumOf(Request.Attributes.PromptHead + Known.Id) % 1'000) /
         1'000.0;
   out.Record = &State.Records[Known.Id];
+  out.Estimate = estimateEndpoint(
+      makeFigures(State, Known, Engine, Spec, out.Slots, Now), sizeOf(Request));
   return out;
 }
 
 EndpointSurvey surveyEndpoints(FrontState &State, const FrontRequest &Request,
                                bool IsEngine, TimePoint Now) {
   EndpointSurvey out;
+  const EngineSpec *spec =
+      IsEngine ? findEngineSpec(State, Request.Service) : nullptr;
   for (const auto &[id, known] : State.Directory.Endpoints) {
     if (known.Service != Request.Service || !takesRequests(State, known, Now) ||
         !matchesStream(State, Request, known) ||
@@ -146,7 +152,7 @@
       ++out.EnginesWithModel;
     }
     out.Candidates.push_back(
-        makeCandidate(State, Request, known, IsEngine, Now));
+        makeCandidate(State, Request, known, engine, spec, Now));
     out.Engines.push_back(engine);
     out.Endpoints.push_back(&known);
   }
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -21,6 +21,8 @@
 /// Connecting within the fleet takes a few milliseconds, and less than this
 /// even when one packet is lost.
 constexpr Millis ConnectTimeout{700};
+/// Stated pace of an endpoint at which work takes as long as usual.
+constexpr double UsualPacePercent = 100;
 /// Persistent connections that were idle for longer are not used for requests
 /// that must not run twice: the endpoint may be closing them.
 constexpr Millis MaxIdleNonRepeatable{1'500};
@@ -275,6 +277,10 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
+  if (fields.Load && fields.Load->PacePercent)
+    recordPace(
+        Core.State.Records[Endpoint],
+        static_cast<double>(*fields.Load->PacePercent) / UsualPacePercent, now);
   // An answer without an id may belong to another request.
   if (!fields.RequestId.empty())
     recordStatements(fields, now);
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -14,6 +14,8 @@
 /// in the same unit.
 constexpr double WarmUpPenalty = 0.5;
 constexpr double AffinityBonus = 0.05;
+/// Smoothing factor of the learned pace: weight of the newest statement.
+constexpr double PaceWeight = 0.05;
 
 double secondsOf(Clock::duration Span) {
   return std::chrono::duration<double>(Span).count();
@@ -114,6 +116,25 @@
   Record.ReportExpiresAt = Now + Life.Max;
 }
 
+void recordPace(EndpointRecord &Record, double Pace, TimePoint Now) {
+  Record.LearnedPace =
+      Record.StatedPace
+          ? Record.LearnedPace * (1 - PaceWeight) + Pace * PaceWeight
+          : Pace;
+  Record.StatedPace = Pace;
+  Record.PaceStatedAt = Now;
+}
+
+double paceOf(const EndpointRecord &Record, TimePoint Now) {
+  if (!Record.StatedPace)
+    return 1;
+  Clock::duration age = Now - Record.PaceStatedAt;
+  double fading = secondsOf(PaceLifetime.Max - age) /
+                  secondsOf(PaceLifetime.Max - PaceLifetime.Full);
+  double weight = std::clamp(fading, 0.0, 1.0);
+  return weight * *Record.StatedPace + (1 - weight) * Record.LearnedPace;
+}
+
 void recordSuccess(EndpointRecord &Record) {
   Record.FailureRate *= 1 - OutcomeWeight;
   Record.ConsecutiveFailures = 0;
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -15,6 +15,7 @@
 #define SASSAFRAS_POLICY_ENDPOINT_CHOICE_H
 
 #include "core/time.h"
+#include "policy/endpoint_estimate.h"
 
 #include <cstdint>
 #include <map>
@@ -66,8 +67,16 @@
   uint32_t ConsecutiveFailures = 0;
   TimePoint PausedUntil;
   TimePoint ConnectionLostAt; ///< The latest one that was refused or broken.
+  /// Time that work takes there against the usual, as it stated last.
+  std::optional<double> StatedPace;
+  TimePoint PaceStatedAt;
+  double LearnedPace = 1; ///< The same, smoothed over its statements.
 };
 
+/// A stated pace counts in full for Full and then less and less until Max; it
+/// changes many times a second.
+inline constexpr ReportLifetime PaceLifetime{Millis(100), Millis(600)};
+
 struct EndpointCandidate {
   std::string Id;
   std::string Zone;
@@ -78,6 +87,7 @@
   /// Requests that it starts per second, where it states a limit.
   std::optional<double> RequestLimit = std::nullopt;
   TimePoint PausedUntil = {}; ///< It asked for a pause until then.
+  EndpointEstimate Estimate = {};
 };
 
 /// Estimates the number of requests that the endpoint holds from its last
@@ -94,6 +104,12 @@
 /// Records the load that an endpoint or its agent reported.
 void recordLoadReport(EndpointRecord &Record, uint32_t Load,
                       ReportLifetime Life, TimePoint Now);
+/// Records the pace that an endpoint stated, as a multiple of the usual time.
+void recordPace(EndpointRecord &Record, double Pace, TimePoint Now);
+/// Time that work takes at the endpoint now against the usual: what it stated
+/// last, and what was learned the longer ago that is. 1 if it never stated any.
+/// Pure and thread safe.
+double paceOf(const EndpointRecord &Record, TimePoint Now);
 void recordSuccess(EndpointRecord &Record);
 /// Records a failed request. \p IsCertain: the endpoint is known to be
 /// unavailable, for example because it refuses connections, and is paused at
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -66,6 +66,25 @@
 
 } // namespace
 
+// ---- Pace of endpoints ----
+
+TEST_CASE("pace that an endpoint stated fades to the learned one") {
+  EndpointRecord record;
+  CHECK(paceOf(record, Start) == 1);
+  TimePoint now = Start;
+  for (int i = 0; i < 200; ++i) {
+    now += Millis(50);
+    // Its host is shared: every tenth time work takes five times as long.
+    recordPace(record, i % 10 == 9 ? 5 : 1, now);
+  }
+  CHECK(paceOf(record, now) == 5);
+  double learned = paceOf(record, now + Millis(800));
+  CHECK(learned > 1.2);
+  CHECK(learned < 1.8);
+  CHECK(paceOf(record, now + Millis(350)) > learned);
+  CHECK(paceOf(record, now + Millis(350)) < 5);
+}
+
 // ---- Placement ----
 
 TEST_CASE("cold model is loaded where access to its weights is fastest") {
