Leaving the zone is decided by estimates where settings give its terms

With crossing_wait_ms_per_mb in the front's settings, and for endpoints that state how long work takes there, policy/zone_crossing decides whether a request may leave its zone; the chosen reason is counted and logged with the request. Connect times give the delay between zones. Without the setting, or without stated paces, the fixed penalty remains.

--- a/core/settings.h
+++ b/core/settings.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,9 @@
   /// asks for a pause, and one that states that it leaves.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  /// Time that a caller may wait longer to keep a megabyte within its zone.
+  /// Absent: leaving the zone has a fixed penalty instead.
+  std::optional<Millis> CrossingWaitPerMegabyte;
   Millis StopGrace{8'000}; ///< From the stop signal to the exit.
 };
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -6,6 +6,7 @@
 #include "front/endpoint_figures.h"
 #include "front/send_permits.h"
 #include "front/stream_origins.h"
+#include "front/zone_departure.h"
 
 #include <algorithm>
 #include <cmath>
@@ -562,19 +563,27 @@
   std::optional<size_t> Chosen; ///< Index in the survey.
   bool NeedsPermit = false;
   bool HasAlternative = false; ///< Another endpoint needs no permit.
+  std::optional<CrossingDecision> Crossing;
 };
 
-EndpointDecision decideEndpoint(FrontState &State, const EndpointSurvey &Found,
-                                TimePoint Now) {
+EndpointDecision decideEndpoint(FrontState &State, const FrontRequest &Request,
+                                const EndpointSurvey &Found, TimePoint Now) {
   std::vector<SendPermission> permissions;
   for (const KnownEndpoint *it : Found.Endpoints)
     permissions.push_back(checkPermission(State, *it, Now));
   EndpointDecision out;
+  ZoneDeparture departure = decideDeparture(
+      State, Request, Found.Candidates,
+      [&](size_t I) { return permissions[I] != SendPermission::Closed; }, Now);
+  out.Crossing = departure.Decision;
+  auto isAllowed = [&](size_t I) {
+    return departure.IsAllowed.empty() || departure.IsAllowed[I];
+  };
   // A permit was obtained for a request that waits; it must not be wasted.
   out.Chosen = chooseAmong(
       State, Found,
       [&](size_t I) {
-        return Found.Candidates[I].RequestLimit &&
+        return isAllowed(I) && Found.Candidates[I].RequestLimit &&
                permissions[I] == SendPermission::Open;
       },
       Now);
@@ -582,15 +591,21 @@
     return out;
   out.Chosen = chooseAmong(
       State, Found,
-      [&](size_t I) { return permissions[I] != SendPermission::Closed; }, Now);
+      [&](size_t I) {
+        return isAllowed(I) && permissions[I] != SendPermission::Closed;
+      },
+      Now);
   out.NeedsPermit =
       out.Chosen && permissions[*out.Chosen] == SendPermission::Asking;
   out.HasAlternative =
-      out.NeedsPermit &&
-      chooseAmong(
-          State, Found,
-          [&](size_t I) { return permissions[I] == SendPermission::Open; }, Now)
-          .has_value();
+      out.NeedsPermit && chooseAmong(
+                             State, Found,
+                             [&](size_t I) {
+                               return isAllowed(I) &&
+                                      permissions[I] == SendPermission::Open;
+                             },
+                             Now)
+                             .has_value();
   return out;
 }
 
@@ -695,7 +710,7 @@
       return wait;
     }
   }
-  EndpointDecision decision = decideEndpoint(State, found, Now);
+  EndpointDecision decision = decideEndpoint(State, Request, found, Now);
   if (!decision.Chosen || decision.NeedsPermit) {
     DispatchResult wait =
         decision.NeedsPermit
@@ -720,8 +735,8 @@
       record.ReportedAt == TimePoint()
           ? Millis(0)
           : std::chrono::duration_cast<Millis>(Now - record.ReportedAt);
-  out.Decision =
-      SendTo{target.Id, target.Address, estimateLoad(record, Now), age};
+  out.Decision = SendTo{target.Id, target.Address, estimateLoad(record, Now),
+                        age, decision.Crossing};
   return out;
 }
 
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -36,6 +36,8 @@
   std::string Address;
   double Load = 0;   ///< Estimated number of requests at the endpoint.
   Millis LoadAge{0}; ///< Age of the load report behind the estimate.
+  /// Why it stays in the zone or leaves it; absent where that is not decided.
+  std::optional<CrossingDecision> Crossing = std::nullopt;
 };
 /// Decision: decide again when the state changes, at Until at the latest.
 struct WaitUntil {
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -208,6 +208,9 @@
                       Settings.RateSlack};
   limits.LongestPause = Settings.LongestPause;
   limits.LongestLeaving = Settings.LongestLeaving;
+  limits.Crossing.reset();
+  if (Settings.CrossingWaitPerMegabyte)
+    limits.Crossing = CrossingTerms{*Settings.CrossingWaitPerMegabyte};
 }
 
 bool FrontShell::bindServer(std::unique_ptr<HttpServer> &Server,
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -14,6 +14,7 @@
 #include "policy/retry_budget.h"
 #include "policy/row_demand.h"
 #include "policy/send_pace.h"
+#include "policy/zone_crossing.h"
 
 #include <map>
 #include <optional>
@@ -44,6 +45,14 @@
   /// Bounds of how long an endpoint's word keeps it without requests.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  /// Terms of leaving the availability zone; absent: a fixed penalty applies.
+  std::optional<CrossingTerms> Crossing;
+};
+
+/// Time that connections to a zone took to establish, smoothed.
+struct ZoneDelay {
+  double RoundTripMs = 0;
+  TimePoint MeasuredAt;
 };
 
 /// Use of one model or plain service at this front.
@@ -184,6 +193,9 @@
   OriginHistory History;
   /// By model, or "service NAME" for plain services.
   std::map<std::string, ModelUsage> ModelUsages;
+  /// Shares of the requests that leave the zone, by the same names.
+  std::map<std::string, CrossingShare> CrossingShares;
+  std::map<std::string, ZoneDelay> ZoneDelays; ///< By availability zone.
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
   std::map<std::string, TimePoint> NextAdapterRequests;
   /// All running endpoints have announced themselves by then.
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -8,6 +8,7 @@
 #include "front/instance_check.h"
 #include "front/process_query.h"
 #include "front/stream_origins.h"
+#include "front/zone_departure.h"
 #include "platform/caller_codec.h"
 
 #include <boost/beast/core/string.hpp>
@@ -212,6 +213,10 @@
   if (Order.LastHad)
     logStreamResumption(Core.State, Request, Endpoint, now);
   recordDispatch(Core.State, Request, Endpoint, now);
+  if (Target.Crossing)
+    Core.Counts.count("zone_decisions_total",
+                      "reason=\"" +
+                          std::string(nameOf(Target.Crossing->Reason)) + "\"");
   if (Request.Sends == 1)
     observe("queue_seconds", now - Request.ArrivedAt);
   Millis left = std::chrono::duration_cast<Millis>(Request.Deadline - now);
@@ -286,6 +291,7 @@
     recordStatements(fields, now);
   AnsweredAt = now;
   ConnectedAt = NewHead.ConnectedAt;
+  recordConnection(NewHead, now);
   recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   HasHead = true;
   IsNotRun = fields.IsNotRun;
@@ -305,6 +311,15 @@
     startStream();
 }
 
+void Relay::recordConnection(const HttpResponseHead &NewHead, TimePoint Now) {
+  auto known = Core.State.Directory.Endpoints.find(Endpoint);
+  if (!NewHead.IsFirstOnConnection || NewHead.ConnectedAt < SentAt ||
+      known == Core.State.Directory.Endpoints.end())
+    return;
+  recordConnectTime(Core.State, known->second.Zone,
+                    NewHead.ConnectedAt - SentAt, Now);
+}
+
 void Relay::recordInvalidLoad(TimePoint Now) {
   Core.Counts.count("endpoint_loads_invalid_total");
   if (!isPast(Core.NextInvalidLoadLog, Now))
@@ -938,6 +953,8 @@
        {"last_event", textOf(Request.LastEvent)},
        {"load", std::to_string(static_cast<int>(Target.Load))},
        {"load_age_ms", std::to_string(Target.LoadAge.count())},
+       {"zone_reason",
+        Target.Crossing ? std::string(nameOf(Target.Crossing->Reason)) : ""},
        {"endpoint_limit", StatedLimit ? std::to_string(*StatedLimit) : ""},
        {"sends", std::to_string(Request.Sends)},
        {"runs", std::to_string(Request.Runs)},
--- a/front/relay.h
+++ b/front/relay.h
@@ -69,6 +69,8 @@
   bool isOrderWhole();
   /// Begins to forward the events of the exchange.
   void startStream();
+  /// Records how long a new connection took to establish.
+  void recordConnection(const HttpResponseHead &NewHead, TimePoint Now);
   /// Counts a load with figures that are not valid; logs one for all endpoints
   /// in each period.
   void recordInvalidLoad(TimePoint Now);
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -61,6 +61,14 @@
     Value = Millis(n * MsPerSecond);
   }
 
+  /// Reads whole milliseconds. \p Value is unchanged without the key.
+  void readMillis(const char *Key, std::optional<Millis> &Value) {
+    int64_t n = -1;
+    readInteger(Key, n, 0, MaxCount);
+    if (n >= 0)
+      Value = Millis(n);
+  }
+
   void readBool(const char *Key, bool &Value) {
     const toml::node *node = findNode(Key, false);
     if (!node)
@@ -241,6 +249,7 @@
   reader.readNonNegative("rate_slack", Out.RateSlack);
   reader.readSeconds("longest_pause_s", Out.LongestPause);
   reader.readSeconds("longest_leaving_s", Out.LongestLeaving);
+  reader.readMillis("crossing_wait_ms_per_mb", Out.CrossingWaitPerMegabyte);
   reader.readSeconds("stop_grace_s", Out.StopGrace);
   reader.checkUnknownKeys();
 }
