Requests to cold endpoints are paced with permits, as stated limits are

Cause: nothing read cold-left-ms, the cold time in answers or the rate in the serving table, so that a returning endpoint got as much as a warm one at once. The limit in force is now the lower one of what the endpoint states and its cold pace. Cold times are statements with an end; they travel with observations, too. A later process in an agent's report, or a connection that broke since the endpoint was heard from, counts as cold. The planner goes by stated limits only. requestLimitOf takes the time: existing tests of it pass it, else unchanged.

--- a/core/settings.h
+++ b/core/settings.h
@@ -7,6 +7,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,10 @@
   Millis RateWindow{8'000};   ///< Limits are checked over this window.
   double RateOvershoot = 0.1; ///< Allowed over rate and burst, as a fraction.
   double RateSlack = 0;       ///< Allowed beyond that, in tokens.
+  /// Requests to a cold endpoint in one second: allowed as a multiple of the
+  /// rate that it states, and beyond that. There is a bound if both are set.
+  std::optional<double> ColdOvershoot;
+  std::optional<double> ColdSlack;
   /// Bounds of how long an endpoint's word keeps it without requests: one that
   /// asks for a pause, and one that states that it leaves.
   Millis LongestPause{60'000};
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -68,6 +68,7 @@
 struct EngineStatements {
   platform::StatedLimit Limit;
   bool IsLeaving = false;
+  platform::StatedCold Cold;
 };
 
 class EngineAgentShell : public RoleShell,
@@ -90,6 +91,7 @@
   void poll();
   void handleStateResponse(const std::string &Text,
                            const EngineStatements &Stated);
+  void recordCold(Millis Left, TimePoint Now);
   void handleEngineLoss(const std::string &Reason);
   void sendNextCommand();
   void sendCommand(const PlannedCommand &Planned);
@@ -118,6 +120,7 @@
   bool WasBusy = false;         ///< As of the last report.
   /// Requests per second that the engine states as its limit.
   std::optional<double> RequestLimit;
+  TimePoint ColdUntil; ///< The engine states that it is cold until then.
   bool IsEngineLeaving = false; ///< It states that it takes no new requests.
   std::string LastOrderSender;  ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
@@ -222,7 +225,8 @@
   callbacks.OnHead = [status, stated](const HttpResponseHead &Head) {
     *status = Head.Status;
     *stated = {platform::readRequestLimit(Head.Fields),
-               platform::readLeaving(Head.Fields)};
+               platform::readLeaving(Head.Fields),
+               platform::readColdTime(Head.Fields)};
   };
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
   callbacks.OnEnd = [self = shared_from_this(), text, status, stated] {
@@ -263,6 +267,10 @@
   else
     RequestLimit = Stated.Limit.PerSecond;
   IsEngineLeaving = Stated.IsLeaving;
+  if (Stated.Cold.IsInvalid)
+    Counts.count("statements_invalid_total", "kind=\"cold\"");
+  else
+    recordCold(Stated.Cold.Left.value_or(Millis(0)), Clock::now());
   applyEngineReport(State, report);
   uint64_t done = State.OrderDone;
   sendNextCommand();
@@ -282,6 +290,15 @@
     schedulePoll(isActive ? ActivePollInterval : IdlePollInterval);
 }
 
+void EngineAgentShell::recordCold(Millis Left, TimePoint Now) {
+  bool wasCold = !isPast(ColdUntil, Now);
+  ColdUntil = Left > Millis(0) ? Now + Left : TimePoint();
+  if (Left > Millis(0) && !wasCold)
+    logEvent(LogLevel::Info, "engine_cold",
+             {{"engine", Options.EngineAgentRole.Engine},
+              {"for_ms", std::to_string(Left.count())}});
+}
+
 void EngineAgentShell::handleEngineLoss(const std::string &Reason) {
   if (!IsSilent)
     logEvent(LogLevel::Warning, "engine_lost",
@@ -289,6 +306,7 @@
   IsSilent = true;
   RequestLimit.reset();
   IsEngineLeaving = false;
+  ColdUntil = {};
   clearEngineReport(State);
   publishReport(Clock::now());
   schedulePoll(IdlePollInterval);
@@ -369,6 +387,8 @@
   out.set_has_limit(RequestLimit.has_value());
   out.set_requests_per_s(RequestLimit.value_or(0));
   out.set_is_leaving(IsEngineLeaving);
+  if (TimePoint now = Clock::now(); !isPast(ColdUntil, now))
+    out.set_cold_left_ms(toMillis(ColdUntil - now));
   out.set_order_done(State.OrderDone);
   out.set_number(NextReportNumber++);
   return out;
@@ -395,6 +415,7 @@
   urgentFields.set_has_limit(fullReport.has_limit());
   urgentFields.set_requests_per_s(fullReport.requests_per_s());
   urgentFields.set_is_leaving(fullReport.is_leaving());
+  urgentFields.set_cold_left_ms(fullReport.cold_left_ms() > 0 ? 1 : 0);
   std::string serialized = urgentFields.SerializeAsString();
   bool isDue = isPast(NextFullReport, Now);
   bool isChanged = serialized != LastUrgentFields;
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -297,6 +297,8 @@
     observation.set_is_draining(it.IsDraining);
     observation.set_has_left(it.HasLeft);
     observation.set_heard_ago_ms(toMillis(Now - it.HeardAt));
+    if (it.WarmingUpUntil > it.HeardAt)
+      observation.set_cold_left_ms(toMillis(it.WarmingUpUntil - it.HeardAt));
     if (it.TerminatesAt != TimePoint())
       observation.set_remaining_ms(std::max<uint64_t>(
           toMillis(it.TerminatesAt - Now) + observation.heard_ago_ms(), 1));
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -66,7 +66,7 @@
   bool HasLeft = false;
   TimePoint TerminatesAt; ///< Set after a notice of termination.
   TimePoint HeardAt;
-  TimePoint WarmingUpUntil; ///< It is slower just after its start.
+  TimePoint WarmingUpUntil; ///< It is cold and slower, by its announcements.
 };
 
 /// Latest report of an agent on the engine at an address.
--- a/fleet/serving_table.h
+++ b/fleet/serving_table.h
@@ -71,6 +71,10 @@
   std::string Name;
   std::string HealthPath = "/"; ///< Of its endpoints' health checks.
   uint32_t MaxConnections = 0;
+  Millis ColdTime{0}; ///< Its endpoints are cold for this long from the start.
+  /// Requests per second that a cold endpoint bears, over all fronts; 0: no
+  /// less than a warm one.
+  double ColdPerSecond = 0;
   std::optional<EngineSpec> Engine; ///< Absent without model engines.
 };
 
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -108,14 +108,14 @@
   EndpointCandidate out;
   out.Id = Known.Id;
   out.Zone = Known.Zone;
-  out.RequestLimit = requestLimitOf(State, Known);
+  out.RequestLimit = requestLimitOf(State, Known, Now);
   out.PausedUntil = pauseEndOf(State, Known);
   out.Slots = out.RequestLimit
                   ? slotsWithinLimit(Known.Slots, *out.RequestLimit,
                                      Engine ? MeanEngineServiceTime
                                             : MeanPlainServiceTime)
                   : Known.Slots;
-  out.IsWarmingUp = !isPast(Known.WarmingUpUntil, Now);
+  out.IsWarmingUp = coldTimeLeft(State, Known, Now) > Millis(0);
   if (!Request.Attributes.PromptHead.empty())
     out.Affinity =
         static_cast<double>(
--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -2,6 +2,9 @@
 
 #include "core/hash.h"
 #include "core/logging.h"
+#include "front/send_permits.h"
+
+#include <algorithm>
 
 #include <cmath>
 
@@ -88,6 +91,60 @@
   return true;
 }
 
+/// Applies that the process that started at \p BornMs is cold until \p Until;
+/// in the past: warm. Returns true if the other fronts are to be told.
+bool applyCold(FrontState &State, const std::string &Endpoint, uint64_t BornMs,
+               TimePoint Until, TimePoint StatedAt, const char *Source,
+               TimePoint Now) {
+  bool isCold = !isPast(Until, Now);
+  if (!isCold && !State.Statements.contains(Endpoint))
+    return false;
+  EndpointStatement *known = findStatement(State, Endpoint, BornMs);
+  if (!known)
+    return false;
+  // Two that were made at about the same time may arrive in any order.
+  bool mayShorten = StatedAt >= known->ColdStatedAt + StatementMargin;
+  if (Until <= known->ColdUntil && !mayShorten)
+    return false;
+  bool wasCold = !isPast(known->ColdUntil, Now);
+  bool isLonger = Until > known->ColdUntil + StatementMargin;
+  known->ColdUntil = isCold ? Until : TimePoint();
+  known->ColdStatedAt = std::max(known->ColdStatedAt, StatedAt);
+  if (isCold != wasCold)
+    logEvent(LogLevel::Info, isCold ? "endpoint_cold" : "endpoint_warm",
+             {{"endpoint", Endpoint},
+              {"for_ms", std::to_string(toMillis(Until - Now))},
+              {"stated_ago_ms", std::to_string(toMillis(Now - StatedAt))},
+              {"source", Source}});
+  return isCold && (!wasCold || isLonger);
+}
+
+const ServingService *findService(const FrontState &State,
+                                  const KnownEndpoint &Endpoint) {
+  if (!State.Table)
+    return nullptr;
+  auto it = State.Table->Services.find(Endpoint.Service);
+  return it == State.Table->Services.end() ? nullptr : &it->second;
+}
+
+/// How long a new process of the endpoint's service is cold.
+Millis coldTimeOf(const FrontState &State, const KnownEndpoint &Endpoint) {
+  const ServingService *service = findService(State, Endpoint);
+  return service ? std::min(service->ColdTime, LongestColdTime) : Millis(0);
+}
+
+/// End of the time in which a process that nothing is known of may be cold.
+TimePoint suspectedColdUntil(const FrontState &State,
+                             const KnownEndpoint &Endpoint) {
+  auto record = State.Records.find(Endpoint.Id);
+  if (record == State.Records.end())
+    return {};
+  TimePoint lostAt = record->second.ConnectionLostAt;
+  if (lostAt == TimePoint() || Endpoint.HeardAt > lostAt)
+    return {};
+  return lostAt + coldTimeOf(State, Endpoint);
+}
+
 bool isValidLimit(double Limit) {
   return std::isfinite(Limit) && Limit >= 0 && Limit <= MaxRequestLimit;
 }
@@ -101,19 +158,62 @@
   out.set_has_limit(Known.RequestLimit.has_value());
   out.set_requests_per_s(Known.RequestLimit.value_or(0));
   out.set_is_leaving(Known.LeavingUntil != TimePoint());
+  if (!isPast(Known.ColdUntil, Now))
+    out.set_cold_left_ms(toMillis(Known.ColdUntil - Now));
   return out;
 }
 
 } // namespace
 
-std::optional<double> requestLimitOf(const FrontState &State,
-                                     const KnownEndpoint &Endpoint) {
+std::optional<double> statedLimitOf(const FrontState &State,
+                                    const KnownEndpoint &Endpoint) {
   auto it = State.Statements.find(Endpoint.Id);
   if (it == State.Statements.end() || it->second.BornMs != Endpoint.BornMs)
     return std::nullopt;
   return it->second.RequestLimit;
 }
 
+Millis coldTimeLeft(const FrontState &State, const KnownEndpoint &Endpoint,
+                    TimePoint Now) {
+  TimePoint until = Endpoint.WarmingUpUntil;
+  auto it = State.Statements.find(Endpoint.Id);
+  // What is known of a later process holds for this endpoint, too.
+  if (it != State.Statements.end() && it->second.BornMs >= Endpoint.BornMs &&
+      it->second.ColdStatedAt != TimePoint())
+    until = it->second.ColdUntil;
+  until = std::max(until, suspectedColdUntil(State, Endpoint));
+  return isPast(until, Now) ? Millis(0)
+                            : std::chrono::ceil<Millis>(until - Now);
+}
+
+std::optional<double> coldLimitOf(const FrontState &State,
+                                  const KnownEndpoint &Endpoint,
+                                  TimePoint Now) {
+  const ServingService *service = findService(State, Endpoint);
+  if (!service || service->ColdPerSecond <= 0 ||
+      coldTimeLeft(State, Endpoint, Now) <= Millis(0))
+    return std::nullopt;
+  return coldPace(service->ColdPerSecond, State.Limits.Cold, PermitLifetime);
+}
+
+std::optional<double> requestLimitOf(const FrontState &State,
+                                     const KnownEndpoint &Endpoint,
+                                     TimePoint Now) {
+  auto stated = statedLimitOf(State, Endpoint);
+  auto cold = coldLimitOf(State, Endpoint, Now);
+  if (!stated || !cold)
+    return stated ? stated : cold;
+  return std::min(*stated, *cold);
+}
+
+size_t countColdEndpoints(const FrontState &State, TimePoint Now) {
+  return std::count_if(State.Directory.Endpoints.begin(),
+                       State.Directory.Endpoints.end(), [&](const auto &it) {
+                         return isServing(it.second, Now) &&
+                                coldLimitOf(State, it.second, Now).has_value();
+                       });
+}
+
 bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
                    TimePoint Now) {
   if (!isUsable(Endpoint, Now))
@@ -168,12 +268,61 @@
     State.ChangedStatements.insert(Endpoint);
 }
 
+void recordStatedCold(FrontState &State, const std::string &Endpoint,
+                      Millis Left, TimePoint Now) {
+  const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
+  if (endpoint &&
+      applyCold(State, Endpoint, endpoint->BornMs,
+                Now + std::min(Left, LongestColdTime), Now, "answer", Now))
+    State.ChangedStatements.insert(Endpoint);
+}
+
+ObservationResult
+recordObservation(FrontState &State,
+                  const wire::EndpointObservation &Observation, bool IsOwn,
+                  TimePoint Now) {
+  ObservationResult result =
+      applyObservation(State.Directory, Observation, Now);
+  if (result == ObservationResult::Ignored || Observation.has_left())
+    return result;
+  TimePoint heardAt = Now - Millis(Observation.heard_ago_ms());
+  Millis left(std::min<uint64_t>(Observation.cold_left_ms(),
+                                 toMillis(LongestColdTime)));
+  bool isNews =
+      applyCold(State, Observation.id(), Observation.born_ms(), heardAt + left,
+                heardAt, IsOwn ? "announcement" : "front", Now);
+  // Observations that change the directory reach all fronts by themselves.
+  if (isNews && IsOwn && result == ObservationResult::Refreshed)
+    State.ChangedStatements.insert(Observation.id());
+  return result;
+}
+
+void recordRegainedEngine(FrontState &State, const wire::EngineReport &Report,
+                          TimePoint Now) {
+  auto id = State.Directory.IdByAddress.find(Report.address());
+  if (id != State.Directory.IdByAddress.end() && Report.born_ms() == 0)
+    State.Records[id->second].ConnectionLostAt = Now;
+}
+
 void recordReportedStatements(FrontState &State,
                               const wire::EngineReport &Report, TimePoint Now) {
   auto id = State.Directory.IdByAddress.find(Report.address());
   if (id == State.Directory.IdByAddress.end() || Report.is_silent())
     return;
   const KnownEndpoint *endpoint = findEndpoint(State, id->second);
+  Millis cold(
+      std::min<uint64_t>(Report.cold_left_ms(), toMillis(LongestColdTime)));
+  if (endpoint && Report.born_ms() > endpoint->BornMs) {
+    auto known = State.Statements.find(endpoint->Id);
+    bool isNew = known == State.Statements.end() ||
+                 known->second.BornMs < Report.born_ms();
+    // It has not announced itself yet.
+    if (isNew)
+      cold = std::max(cold, coldTimeOf(State, *endpoint));
+  }
+  if (endpoint && Report.born_ms() >= endpoint->BornMs && cold > Millis(0))
+    applyCold(State, endpoint->Id, Report.born_ms(), Now + cold, Now, "agent",
+              Now);
   bool isSameProcess = endpoint && Report.born_ms() == endpoint->BornMs;
   if (!isSameProcess || !isValidLimit(Report.requests_per_s()))
     return;
@@ -206,6 +355,11 @@
       continue;
     if (it.is_leaving())
       applyLeaving(State, it.endpoint(), it.born_ms(), "front", Now);
+    if (it.cold_left_ms() > 0)
+      applyCold(State, it.endpoint(), it.born_ms(),
+                Now + Millis(std::min<uint64_t>(it.cold_left_ms(),
+                                                toMillis(LongestColdTime))),
+                Now, "front", Now);
     LimitStatement stated{std::nullopt,
                           Now - Millis(std::min(it.age_ms(), MaxAgeMs))};
     if (it.has_limit())
@@ -238,21 +392,30 @@
 uint64_t digestStatements(const FrontState &State) {
   uint64_t digest = 0;
   for (const auto &[id, it] : State.Statements)
-    if (it.RequestLimit || it.LeavingUntil != TimePoint())
+    if (it.RequestLimit || it.LeavingUntil != TimePoint() ||
+        it.ColdUntil != TimePoint())
       digest += checksumOf(id + '/' + std::to_string(it.BornMs) + '/' +
                            textOf(it.RequestLimit) +
-                           (it.LeavingUntil != TimePoint() ? "/leaving" : ""));
+                           (it.LeavingUntil != TimePoint() ? "/leaving" : "") +
+                           (it.ColdUntil != TimePoint() ? "/cold" : ""));
   return digest;
 }
 
 void expireStatements(FrontState &State, TimePoint Now) {
+  for (auto &[id, it] : State.Statements)
+    if (it.ColdUntil != TimePoint() && isPast(it.ColdUntil, Now)) {
+      it.ColdUntil = {};
+      logEvent(LogLevel::Info, "endpoint_warm",
+               {{"endpoint", id}, {"source", "time"}});
+    }
   std::erase_if(State.Statements, [&](const auto &it) {
     bool hasEnded = !it.second.RequestLimit &&
                     isPast(it.second.LeavingUntil, Now) &&
-                    isPast(it.second.PausedUntil, Now);
+                    isPast(it.second.PausedUntil, Now) &&
+                    it.second.ColdUntil == TimePoint();
+    TimePoint statedAt = std::max(it.second.StatedAt, it.second.ColdStatedAt);
     bool isKnown = State.Directory.Endpoints.contains(it.first);
-    return (hasEnded || !isKnown) &&
-           Now - it.second.StatedAt > EndedStatementRetention;
+    return (hasEnded || !isKnown) && Now - statedAt > EndedStatementRetention;
   });
 }
 
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -8,6 +8,10 @@
 /// one that missed it learns it from the next heartbeat with another digest,
 /// and the agents of engines report it too. A statement ends when the endpoint
 /// states otherwise or starts again.
+///
+/// Load pattern: a zone of endpoints returns at once, cold, while callers wait
+/// for it at all fronts. That an endpoint is cold is a statement with an end of
+/// its own. A process that has started but is not yet known counts as cold.
 #ifndef SASSAFRAS_FRONT_ENDPOINT_STATEMENTS_H
 #define SASSAFRAS_FRONT_ENDPOINT_STATEMENTS_H
 
@@ -26,10 +30,29 @@
 /// An ended statement is remembered for this long, against late notices.
 inline constexpr Millis EndedStatementRetention{10'000};
 
-/// Request limit in force for \p Endpoint, per second over all fronts; nothing
+/// Longest cold time that is believed at once; one that lasts longer is stated
+/// again.
+inline constexpr Millis LongestColdTime{60'000};
+
+/// Request limit that \p Endpoint states, per second over all fronts; nothing
 /// if there is none. Thread safe while \p State does not change.
+std::optional<double> statedLimitOf(const FrontState &State,
+                                    const KnownEndpoint &Endpoint);
+/// Time for which \p Endpoint stays cold, as it stated or because a new process
+/// may run there; 0 if it is warm. Thread safe while \p State does not change.
+Millis coldTimeLeft(const FrontState &State, const KnownEndpoint &Endpoint,
+                    TimePoint Now);
+/// Request limit of \p Endpoint because it is cold; nothing if it is warm or
+/// its service states no rate for cold endpoints. Thread safe while \p State
+/// does not change.
+std::optional<double> coldLimitOf(const FrontState &State,
+                                  const KnownEndpoint &Endpoint, TimePoint Now);
+/// Request limit in force for \p Endpoint, per second over all fronts: the
+/// lower one of the two above. Nothing if there is none. Thread safe while
+/// \p State does not change.
 std::optional<double> requestLimitOf(const FrontState &State,
-                                     const KnownEndpoint &Endpoint);
+                                     const KnownEndpoint &Endpoint,
+                                     TimePoint Now);
 /// True while new requests may be sent to \p Endpoint, within its limit: it is
 /// usable and has not stated that it leaves. Thread safe while \p State does
 /// not change.
@@ -53,6 +76,24 @@
 void recordStatedLimit(FrontState &State, const std::string &Endpoint,
                        std::optional<double> Limit, TimePoint SentAt,
                        TimePoint Now);
+/// Records that \p Endpoint stated in an answer that it stays cold for \p Left.
+/// Not thread safe.
+void recordStatedCold(FrontState &State, const std::string &Endpoint,
+                      Millis Left, TimePoint Now);
+/// Applies an observation to the directory, and what it says of being cold.
+/// \p IsOwn: the endpoint announced itself here, so that the other fronts are
+/// to be told if it has become cold. Not thread safe.
+ObservationResult
+recordObservation(FrontState &State,
+                  const wire::EndpointObservation &Observation, bool IsOwn,
+                  TimePoint Now);
+/// Records that the engine at \p Address answers its agent again: where it is
+/// not stated which process that is, it may be a new one. Not thread safe.
+void recordRegainedEngine(FrontState &State, const wire::EngineReport &Report,
+                          TimePoint Now);
+/// Number of endpoints that are cold. Thread safe while \p State does not
+/// change.
+size_t countColdEndpoints(const FrontState &State, TimePoint Now);
 /// Records what the agent of the engine at the report's address read. Not
 /// thread safe.
 void recordReportedStatements(FrontState &State,
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -356,7 +356,7 @@
   adoptFrontCount(State, Heartbeat, Now);
   applyHistory(State, Heartbeat, Now);
   for (const wire::EndpointObservation &it : Heartbeat.alive()) {
-    applyObservation(State.Directory, it, Now);
+    recordObservation(State, it, false, Now);
     if (self.zone() == State.Self.zone())
       recordZoneObservation(Gossip, it);
   }
@@ -528,7 +528,7 @@
   for (const wire::NodeEntry &it : Summary.nodes())
     mergeNode(State.Roster, it, State.Self.name(), Now);
   for (const wire::EndpointObservation &it : Summary.alive())
-    applyObservation(State.Directory, it, Now);
+    recordObservation(State, it, false, Now);
   for (const wire::EngineLoad &it : Summary.loads())
     if (applyLoad(State.Directory, it, Now))
       recordEngineLoad(State, it.address(), it.active() + it.queued(), Now);
@@ -548,8 +548,13 @@
     message.mutable_engine_report()->set_pass_on(false);
     sendWithinZone(State, message, Now, Out);
   }
+  auto known = State.Directory.AgentReports.find(Report.address());
+  bool wasSilent = known != State.Directory.AgentReports.end() &&
+                   known->second.State.IsSilent;
   if (!applyReport(State.Directory, Report, Now))
     return false;
+  if (wasSilent && !Report.is_silent())
+    recordRegainedEngine(State, Report, Now);
   recordReportedStatements(State, Report, Now);
   recordEngineLoad(State, Report.address(), Report.active() + Report.queued(),
                    Now);
@@ -565,7 +570,7 @@
 void handleEndpointUpdate(FrontState &State, const wire::EndpointUpdate &Update,
                           TimePoint Now, NodeMessages &Out) {
   for (const wire::EndpointObservation &it : Update.endpoints())
-    applyObservation(State.Directory, it, Now);
+    recordObservation(State, it, false, Now);
   if (Update.is_whole())
     adoptHistory(State, Update, Now);
   if (!Update.pass_on())
@@ -580,8 +585,7 @@
 handleAnnouncement(FrontState &State, GossipState &Gossip,
                    const wire::EndpointObservation &Observation, TimePoint Now,
                    NodeMessages &Out) {
-  ObservationResult result =
-      applyObservation(State.Directory, Observation, Now);
+  ObservationResult result = recordObservation(State, Observation, true, Now);
   if (result == ObservationResult::Refreshed)
     Gossip.PendingObservations.push_back(Observation);
   if (result != ObservationResult::Changed)
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -206,6 +206,9 @@
                     Settings.RetryWindow};
   limits.Tolerance = {Settings.RateWindow, Settings.RateOvershoot,
                       Settings.RateSlack};
+  limits.Cold.reset();
+  if (Settings.ColdOvershoot && Settings.ColdSlack)
+    limits.Cold = ColdBound{*Settings.ColdOvershoot, *Settings.ColdSlack};
   limits.LongestPause = Settings.LongestPause;
   limits.LongestLeaving = Settings.LongestLeaving;
 }
@@ -763,6 +766,8 @@
   send(std::move(out));
   Counts.set("requests_open", "", static_cast<double>(Core.Relays.size()));
   Counts.set("requests_waiting", "", static_cast<double>(Core.Waiting.size()));
+  Counts.set("endpoints_cold", "",
+             static_cast<double>(countColdEndpoints(Core.State, Now)));
   if (!Group)
     return;
   std::vector<std::string> addresses = Gossip.Seeds;
@@ -792,6 +797,7 @@
         std::to_string(Counts.read("send_permits_refused_total"))},
        {"permits_unused",
         std::to_string(Counts.read("send_permits_unused_total"))},
+       {"cold", std::to_string(countColdEndpoints(Core.State, Now))},
        {"models", View.IsLeader ? summarizeBusyModels(Leader, Core.State, Now)
                                 : std::string()},
        {"sent_bytes_by_kind", bytes}});
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -44,6 +44,7 @@
   /// Bounds of how long an endpoint's word keeps it without requests.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  std::optional<ColdBound> Cold; ///< Nothing if the deployment sets no bound.
 };
 
 /// Use of one model or plain service at this front.
@@ -87,6 +88,8 @@
   TimePoint LeavingUntil;
   /// It wants no request from this front before this time.
   TimePoint PausedUntil;
+  TimePoint ColdUntil;    ///< It is cold before this time.
+  TimePoint ColdStatedAt; ///< Zero if nothing is known about that.
 };
 
 /// The right to send one request to an endpoint (front/send_permits.h).
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -238,7 +238,7 @@
         engine->IsFromAgent && !engine->IsBusy && !plan.IsLeaving;
     plan.LoadShare = static_cast<double>(engine->Active + engine->Queued) /
                      std::max<uint32_t>(known.Slots, 1);
-    if (auto limit = requestLimitOf(State, known))
+    if (auto limit = statedLimitOf(State, known))
       plan.MaxBusy = *limit * secondsOf(MeanEngineServiceTime);
     for (const auto &[model, adapters] : engine->Models) {
       plan.Models.insert(model);
@@ -562,10 +562,12 @@
     auto known = State.Directory.Endpoints.find(best->endpoint());
     std::optional<double> limit;
     if (known != State.Directory.Endpoints.end())
-      limit = requestLimitOf(State, known->second);
+      limit = requestLimitOf(State, known->second, Now);
     SendSchedule &schedule = Leader.SendSchedules[best->endpoint()];
-    auto slot =
-        takeSlot(schedule, limit.value_or(best->requests_per_s()), latest, Now);
+    // The front that asks may know already that the endpoint is cold.
+    double pace = std::min(limit.value_or(best->requests_per_s()),
+                           best->requests_per_s());
+    auto slot = takeSlot(schedule, pace, latest, Now);
     if (!slot) {
       out.set_wait_ms(static_cast<uint32_t>(
           toMillis(nextSlot(schedule, Now) - latest) + 1));
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -424,6 +424,10 @@
                              TimePoint Now) {
   if (Fields.IsLeaving)
     recordLeaving(Core.State, Endpoint, Now);
+  if (Fields.HasInvalidCold)
+    Core.Counts.count("statements_invalid_total", "kind=\"cold\"");
+  if (Fields.ColdLeft && *Fields.ColdLeft > Millis(0))
+    recordStatedCold(Core.State, Endpoint, *Fields.ColdLeft, Now);
   if (Fields.HasInvalidPause)
     Core.Counts.count("statements_invalid_total", "kind=\"pause\"");
   if (Fields.Pause && Fields.IsNotRun)
--- a/front/send_permits.cpp
+++ b/front/send_permits.cpp
@@ -41,7 +41,7 @@
 
 SendPermission checkPermission(FrontState &State, const KnownEndpoint &Endpoint,
                                TimePoint Now) {
-  auto limit = requestLimitOf(State, Endpoint);
+  auto limit = requestLimitOf(State, Endpoint, Now);
   if (!limit || holdsPermit(State, Endpoint.Id, Now))
     return SendPermission::Open;
   EndpointPermits &permits = State.Permits.Endpoints[Endpoint.Id];
@@ -53,8 +53,11 @@
   // A front that has just started does not know who else uses the limit.
   if (!knowsFrontCount(State, Now) && State.Permits.FrontsUnderLeader == 0)
     return SendPermission::Closed;
-  TimePoint slot = nextLeaderlessSlot(permits.Leaderless, *limit,
-                                      placeOf(State, Endpoint.Id, Now), Now);
+  Millis lifetime = coldLimitOf(State, Endpoint, Now) ? ColdSlotLifetime
+                                                      : LeaderlessSlotLifetime;
+  TimePoint slot =
+      nextLeaderlessSlot(permits.Leaderless, *limit,
+                         placeOf(State, Endpoint.Id, Now), lifetime, Now);
   return isPast(slot, Now) ? SendPermission::Open : SendPermission::Closed;
 }
 
@@ -72,7 +75,7 @@
   auto known = State.Directory.Endpoints.find(Endpoint);
   if (known == State.Directory.Endpoints.end())
     return;
-  auto limit = requestLimitOf(State, known->second);
+  auto limit = requestLimitOf(State, known->second, Now);
   if (!limit)
     return;
   EndpointPermits &permits = State.Permits.Endpoints[Endpoint];
@@ -108,7 +111,7 @@
     statement.set_endpoint(it->Id);
     statement.set_born_ms(it->BornMs);
     statement.set_has_limit(true);
-    statement.set_requests_per_s(requestLimitOf(State, *it).value_or(0));
+    statement.set_requests_per_s(requestLimitOf(State, *it, Now).value_or(0));
   }
   out.set_count(static_cast<uint32_t>(
       std::min<size_t>(Count - held, MaxPermitsPerRequest)));
@@ -177,7 +180,11 @@
     it = all.Unanswered.erase(it);
   }
   std::erase_if(all.Endpoints, [&](const auto &it) {
-    return !State.Statements.contains(it.first) && it.second.Held.empty();
+    auto known = State.Directory.Endpoints.find(it.first);
+    bool isLimited = known != State.Directory.Endpoints.end() &&
+                     requestLimitOf(State, known->second, Now);
+    return !State.Statements.contains(it.first) && !isLimited &&
+           it.second.Held.empty();
   });
   return unused;
 }
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -83,6 +83,13 @@
       Value = *value;
   }
 
+  void readNonNegative(const char *Key, std::optional<double> &Value) {
+    if (!findNode(Key, false))
+      return;
+    Value = 0;
+    readNonNegative(Key, *Value);
+  }
+
   void readAddress(const char *Key, std::string &Value) {
     readString(Key, Value, true);
     if (!isFailed() && !parseAddress(Value))
@@ -239,6 +246,8 @@
   reader.readSeconds("rate_window_s", Out.RateWindow);
   reader.readNonNegative("rate_overshoot", Out.RateOvershoot);
   reader.readNonNegative("rate_slack", Out.RateSlack);
+  reader.readNonNegative("cold_overshoot", Out.ColdOvershoot);
+  reader.readNonNegative("cold_slack", Out.ColdSlack);
   reader.readSeconds("longest_pause_s", Out.LongestPause);
   reader.readSeconds("longest_leaving_s", Out.LongestLeaving);
   reader.readSeconds("stop_grace_s", Out.StopGrace);
--- a/policy/send_pace.cpp
+++ b/policy/send_pace.cpp
@@ -22,6 +22,23 @@
       std::chrono::duration<double>(1 / pace));
 }
 
+double coldPace(double RatePerSecond, const std::optional<ColdBound> &Bound,
+                Millis PermitLifetime) {
+  if (!Bound)
+    return RatePerSecond;
+  auto seconds = [](Millis Span) {
+    return std::chrono::duration<double>(Span).count();
+  };
+  // Slots of one second and those from before it that are still valid, of the
+  // leader and of fronts without one; and of each the one at its edge.
+  double perPace = 1 + seconds(PermitLifetime) +
+                   LeaderlessPaceFraction * (1 + seconds(ColdSlotLifetime));
+  constexpr double AtEdges = 2;
+  double most =
+      (RatePerSecond * Bound->Overshoot + Bound->Slack - AtEdges) / perPace;
+  return std::clamp(most, std::min(MinSendPace, RatePerSecond), RatePerSecond);
+}
+
 TimePoint nextSlot(const SendSchedule &Schedule, TimePoint Now) {
   return std::max(Schedule.NextSlot, Now);
 }
@@ -38,12 +55,12 @@
 
 TimePoint nextLeaderlessSlot(LeaderlessSchedule &Schedule,
                              double RequestsPerSecond, FrontPlace Place,
-                             TimePoint Now) {
+                             Millis Lifetime, TimePoint Now) {
   Clock::duration interval = leaderlessInterval(RequestsPerSecond, Place);
   if (Schedule.NextSlot == TimePoint())
     Schedule.NextSlot = Now + std::chrono::duration_cast<Clock::duration>(
                                   interval * Place.Phase);
-  Clock::duration late = Now - Schedule.NextSlot - LeaderlessSlotLifetime;
+  Clock::duration late = Now - Schedule.NextSlot - Lifetime;
   if (late >= Clock::duration::zero())
     Schedule.NextSlot += (late / interval + 1) * interval;
   return Schedule.NextSlot;
--- a/policy/send_pace.h
+++ b/policy/send_pace.h
@@ -8,6 +8,10 @@
 /// the limit, to the requests that ask for them. A front that reaches no leader
 /// uses slots of its own: a part of the limit, spread over the fronts in time,
 /// so that all fronts together stay within it at any moment.
+///
+/// Load pattern: endpoints that have just started bear a stated rate for some
+/// seconds, while a zone returns and callers wait. Their limit is handed out in
+/// the same way, but it holds in every single second.
 #ifndef SASSAFRAS_POLICY_SEND_PACE_H
 #define SASSAFRAS_POLICY_SEND_PACE_H
 
@@ -27,6 +31,23 @@
 /// never ended would let idle fronts send together later on.
 inline constexpr Millis LeaderlessSlotLifetime{2'000};
 
+/// The same for an endpoint that is cold, whose limit holds in each second.
+inline constexpr Millis ColdSlotLifetime{500};
+
+/// What a deployment allows over the rate that cold endpoints state, in any
+/// second.
+struct ColdBound {
+  double Overshoot = 1; ///< Multiple of the rate.
+  double Slack = 0;     ///< Requests beyond that.
+};
+
+/// Limit to be handed out for a cold endpoint that bears \p RatePerSecond: the
+/// rate, or less if permits that are up to \p PermitLifetime old and slots of
+/// fronts without a leader could together exceed \p Bound in a second. Pure and
+/// thread safe.
+double coldPace(double RatePerSecond, const std::optional<ColdBound> &Bound,
+                Millis PermitLifetime);
+
 /// Time between two slots at a stated limit of \p RequestsPerSecond.
 Clock::duration slotInterval(double RequestsPerSecond);
 
@@ -53,11 +74,11 @@
   TimePoint NextSlot; ///< Zero while there is a leader.
 };
 
-/// The first slot of this front that has not been used or ended by \p Now. It
-/// may be in the future.
+/// The first slot of this front that has not been used or ended by \p Now, at
+/// which it is over after \p Lifetime. It may be in the future.
 TimePoint nextLeaderlessSlot(LeaderlessSchedule &Schedule,
                              double RequestsPerSecond, FrontPlace Place,
-                             TimePoint Now);
+                             Millis Lifetime, TimePoint Now);
 /// Marks that slot as used.
 void takeLeaderlessSlot(LeaderlessSchedule &Schedule, double RequestsPerSecond,
                         FrontPlace Place);
--- a/tests/front/test_send_permits.cpp
+++ b/tests/front/test_send_permits.cpp
@@ -422,11 +422,11 @@
   it.set_sequence(9);
   applyObservation(state.Directory, it, Start);
   recordStatedLimit(state, "e", 2.0, Start, Start + Millis(10));
-  REQUIRE(requestLimitOf(state, state.Directory.Endpoints["e"]) == 2.0);
+  REQUIRE(requestLimitOf(state, state.Directory.Endpoints["e"], Start) == 2.0);
   it.set_born_ms(6);
   it.set_sequence(1);
   applyObservation(state.Directory, it, Start + Millis(20));
-  CHECK_FALSE(requestLimitOf(state, state.Directory.Endpoints["e"]));
+  CHECK_FALSE(requestLimitOf(state, state.Directory.Endpoints["e"], Start));
   // A late notice about the earlier process changes nothing.
   wire::EndpointStatements late;
   wire::EndpointStatement &statement = *late.add_statements();
@@ -436,7 +436,7 @@
   statement.set_requests_per_s(1);
   NodeMessages out;
   handleStatements(state, late, Start + Millis(30), out);
-  CHECK_FALSE(requestLimitOf(state, state.Directory.Endpoints["e"]));
+  CHECK_FALSE(requestLimitOf(state, state.Directory.Endpoints["e"], Start));
 }
 
 TEST_CASE(
@@ -452,10 +452,10 @@
   const KnownEndpoint &endpoint = state.Directory.Endpoints["e"];
   recordStatedLimit(state, "e", std::nullopt, Start + Millis(5),
                     Start + Millis(20));
-  CHECK(requestLimitOf(state, endpoint) == 2.0);
+  CHECK(requestLimitOf(state, endpoint, Start) == 2.0);
   recordStatedLimit(state, "e", std::nullopt, Start + Millis(15),
                     Start + Millis(30));
-  CHECK_FALSE(requestLimitOf(state, endpoint));
+  CHECK_FALSE(requestLimitOf(state, endpoint, Start));
 }
 
 TEST_CASE(
