--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -350,6 +350,42 @@
           .Load);
 }
 
+TEST_CASE("cold time of an endpoint is read from its answer") {
+  auto read = [](const std::string &Text) {
+    return platform::readResponseFields(200, {{"sassafrasseam-cold-ms", Text}});
+  };
+  CHECK(read("1500").ColdLeft == Millis(1'500));
+  CHECK(read("0").ColdLeft == Millis(0));
+  CHECK(read("0.2").ColdLeft == Millis(1));
+  CHECK(read("99999999999999999999").ColdLeft == std::chrono::hours(24));
+  for (const char *it : {"-1", "soon", "", "nan", "1e3"}) {
+    INFO(it);
+    CHECK(read(it).HasInvalidCold);
+    CHECK_FALSE(read(it).ColdLeft);
+  }
+  auto repeated = platform::readResponseFields(
+      200, {{"sassafrasseam-cold-ms", "5"}, {"sassafrasseam-cold-ms", "6"}});
+  CHECK(repeated.HasInvalidCold);
+  CHECK_FALSE(platform::readResponseFields(200, {}).HasInvalidCold);
+}
+
+TEST_CASE("table states the rate and the time of cold endpoints") {
+  std::string problem;
+  auto table = platform::readTable(
+      R"({"version":1,"routes":[],"services":[)"
+      R"({"name":"a","cold-start-s":2.5,"cold-per-s":18},{"name":"b"}]})",
+      problem);
+  INFO(problem);
+  REQUIRE(table);
+  CHECK(table->Services.at("a").ColdTime == Millis(2'500));
+  CHECK(table->Services.at("a").ColdPerSecond == 18);
+  CHECK(table->Services.at("b").ColdTime == Millis(0));
+  CHECK(table->Services.at("b").ColdPerSecond == 0);
+  CHECK_FALSE(platform::readTable(R"({"version":1,"routes":[],"services":[)"
+                                  R"({"name":"a","cold-per-s":-1}]})",
+                                  problem));
+}
+
 TEST_CASE("engine's state is accepted or rejected with a reason") {
   wire::EngineReport report;
   std::string problem;
