--- a/front/front_status.cpp
+++ b/front/front_status.cpp
@@ -1,16 +1,19 @@
 #include "front/front_status.h"
 
+#include "front/endpoint_statements.h"
+
 namespace sassafras {
 
 namespace {
 
-const char *endpointState(const KnownEndpoint &Endpoint,
+const char *endpointState(const FrontState &State,
+                          const KnownEndpoint &Endpoint,
                           const EngineState *Engine, TimePoint Now) {
   if (Endpoint.HasLeft || Endpoint.IsDraining)
     return "leaving";
   if (!isUsable(Endpoint, Now) || (Engine && Engine->IsSilent))
     return "silent";
-  return isPast(Endpoint.WarmingUpUntil, Now) ? "usable" : "slow";
+  return coldTimeLeft(State, Endpoint, Now) > Millis(0) ? "slow" : "usable";
 }
 
 void fillEngineStatus(const EngineState &Engine, TimePoint Now,
@@ -49,7 +52,7 @@
     endpoint.set_service(known.Service);
     endpoint.set_zone(known.Zone);
     endpoint.set_address(known.Address);
-    endpoint.set_state(endpointState(known, engine, Now));
+    endpoint.set_state(endpointState(State, known, engine, Now));
     endpoint.set_slots(known.Slots);
     endpoint.set_report_age_ms(toMillis(Now - known.HeardAt));
     if (engine)
--- a/front/instance_check.cpp
+++ b/front/instance_check.cpp
@@ -16,7 +16,7 @@
 
 std::shared_ptr<HttpCall>
 startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
-                   std::function<void(bool IsRunning)> Done) {
+                   std::function<void(const InstanceAnswer &)> Done) {
   Millis left = std::max(
       std::chrono::duration_cast<Millis>(Check.Deadline - Clock::now()),
       Millis(1));
@@ -26,17 +26,20 @@
   options.NeedsNewConnection = true;
   options.Deadline = Check.Deadline;
   options.MaxBodyBytes = MaxHealthBytes;
-  auto isRunning = std::make_shared<bool>(false);
-  auto done = std::make_shared<std::function<void(bool)>>(std::move(Done));
+  auto answer = std::make_shared<InstanceAnswer>();
+  auto done = std::make_shared<std::function<void(const InstanceAnswer &)>>(
+      std::move(Done));
   HttpCallbacks callbacks;
-  callbacks.OnHead = [isRunning,
+  callbacks.OnHead = [answer,
                       it = Check.Instance](const HttpResponseHead &Head) {
-    *isRunning = platform::isFromInstance(Head.Status, Head.Fields, it);
+    answer->IsRunning = platform::isFromInstance(Head.Status, Head.Fields, it);
+    if (answer->IsRunning)
+      answer->ColdLeft = platform::readColdTime(Head.Fields).Left;
   };
   callbacks.OnBody = [](std::string_view) {};
-  callbacks.OnEnd = [isRunning, done] { (*done)(*isRunning); };
+  callbacks.OnEnd = [answer, done] { (*done)(*answer); };
   // The head tells enough.
-  callbacks.OnFailure = [isRunning, done](HttpFailure) { (*done)(*isRunning); };
+  callbacks.OnFailure = [answer, done](HttpFailure) { (*done)(*answer); };
   return Client.start(
       Check.Address,
       platform::makeHealthRequest(Check.HealthPath, Check.Instance), options,
--- a/front/instance_check.h
+++ b/front/instance_check.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sassafras {
@@ -19,12 +20,18 @@
   TimePoint Deadline; ///< Without an answer by then, it counts as gone.
 };
 
-/// Calls \p Done once with true if the instance has answered, also if it is
-/// leaving or refuses the check. The call may be cancelled; then \p Done is not
-/// called. Call on the thread that runs the client.
+/// What came of a check.
+struct InstanceAnswer {
+  /// The instance has answered, also if it is leaving or refuses the check.
+  bool IsRunning = false;
+  std::optional<Millis> ColdLeft; ///< It states that it is cold for this long.
+};
+
+/// Calls \p Done once with the outcome. The call may be cancelled; then \p Done
+/// is not called. Call on the thread that runs the client.
 std::shared_ptr<HttpCall>
 startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
-                   std::function<void(bool IsRunning)> Done);
+                   std::function<void(const InstanceAnswer &)> Done);
 
 } // namespace sassafras
 
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -693,8 +693,12 @@
                                                : service->second.HealthPath,
       std::min(Request.Deadline, Clock::now() + InstanceCheckTimeout)};
   EndCheck = startInstanceCheck(
-      Core.Client, check, [self = shared_from_this()](bool IsRunning) {
-        self->guard([&] { self->handleInstanceCheck(IsRunning); });
+      Core.Client, check,
+      [self = shared_from_this()](const InstanceAnswer &Answer) {
+        if (Answer.ColdLeft && *Answer.ColdLeft > Millis(0))
+          recordStatedCold(self->Core.State, self->Endpoint, *Answer.ColdLeft,
+                           Clock::now());
+        self->guard([&] { self->handleInstanceCheck(Answer.IsRunning); });
       });
 }
 
