A cold time that has ended is not restored by fronts that end it later

Cause: fronts end a cold time a message time apart, differ in their digests and send each other the rest. The test failed before (40 ms left, none due).

--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -119,6 +119,21 @@
   return isCold && (!wasCold || isLonger);
 }
 
+/// True if \p Stated, of another front, is about a cold time that is over here:
+/// each front ends one a little later than the front that told it.
+bool hasColdTimeEnded(const FrontState &State,
+                      const wire::EndpointStatement &Stated, TimePoint Now) {
+  auto known = State.Statements.find(Stated.endpoint());
+  if (known == State.Statements.end() ||
+      known->second.BornMs != Stated.born_ms())
+    return false;
+  TimePoint until = Now + Millis(std::min<uint64_t>(Stated.cold_left_ms(),
+                                                    toMillis(LongestColdTime)));
+  return isPast(known->second.ColdUntil, Now) &&
+         known->second.ColdEndedAt != TimePoint() &&
+         until < known->second.ColdEndedAt + StatementMargin;
+}
+
 const ServingService *findService(const FrontState &State,
                                   const KnownEndpoint &Endpoint) {
   if (!State.Table)
@@ -355,7 +370,7 @@
       continue;
     if (it.is_leaving())
       applyLeaving(State, it.endpoint(), it.born_ms(), "front", Now);
-    if (it.cold_left_ms() > 0)
+    if (it.cold_left_ms() > 0 && !hasColdTimeEnded(State, it, Now))
       applyCold(State, it.endpoint(), it.born_ms(),
                 Now + Millis(std::min<uint64_t>(it.cold_left_ms(),
                                                 toMillis(LongestColdTime))),
@@ -404,6 +419,7 @@
 void expireStatements(FrontState &State, TimePoint Now) {
   for (auto &[id, it] : State.Statements)
     if (it.ColdUntil != TimePoint() && isPast(it.ColdUntil, Now)) {
+      it.ColdEndedAt = it.ColdUntil;
       it.ColdUntil = {};
       logEvent(LogLevel::Info, "endpoint_warm",
                {{"endpoint", id}, {"source", "time"}});
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -89,6 +89,7 @@
   /// It wants no request from this front before this time.
   TimePoint PausedUntil;
   TimePoint ColdUntil;    ///< It is cold before this time.
+  TimePoint ColdEndedAt;  ///< End of the latest cold time that is over.
   TimePoint ColdStatedAt; ///< Zero if nothing is known about that.
 };
 
--- a/tests/front/test_cold_endpoints.cpp
+++ b/tests/front/test_cold_endpoints.cpp
@@ -565,6 +565,29 @@
         LongestColdTime);
 }
 
+// Messages take time, so that each front ends a cold time a little later than
+// the one that told it. Fronts with the end and those without differ in their
+// digests and exchange their statements.
+TEST_CASE("cold time that has ended is not restored by a front that is late") {
+  FrontState state = makeState();
+  recordStatedCold(state, "e", Millis(1'000), Start);
+  TimePoint end = Start + Millis(1'010);
+  expireStatements(state, end);
+  REQUIRE(coldTimeLeft(state, endpointOf(state), end) == Millis(0));
+  wire::EndpointStatements update;
+  wire::EndpointStatement &it = *update.add_statements();
+  it.set_endpoint("e");
+  it.set_born_ms(5);
+  it.set_cold_left_ms(40);
+  NodeMessages out;
+  handleStatements(state, update, end, out);
+  CHECK(coldTimeLeft(state, endpointOf(state), end) == Millis(0));
+  // It has become cold once more.
+  it.set_cold_left_ms(2'000);
+  handleStatements(state, update, end, out);
+  CHECK(coldTimeLeft(state, endpointOf(state), end) == Millis(2'000));
+}
+
 TEST_CASE("pace of a cold endpoint leaves room for permits in hand") {
   CHECK(coldPace(18, std::nullopt, PermitLifetime) == 18);
   double pace = coldPace(18, ColdBound{1.5, 5}, PermitLifetime);
