--- a/front/front_state.h
+++ b/front/front_state.h
@@ -45,6 +45,7 @@
   /// Bounds of how long an endpoint's word keeps it without requests.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  std::optional<ColdBound> Cold; ///< Nothing if the deployment sets no bound.
   /// Terms of leaving the availability zone; absent: a fixed penalty applies.
   std::optional<CrossingTerms> Crossing;
 };
@@ -96,6 +97,9 @@
   TimePoint LeavingUntil;
   /// It wants no request from this front before this time.
   TimePoint PausedUntil;
+  TimePoint ColdUntil;    ///< It is cold before this time.
+  TimePoint ColdEndedAt;  ///< End of the latest cold time that is over.
+  TimePoint ColdStatedAt; ///< Zero if nothing is known about that.
 };
 
 /// The right to send one request to an endpoint (front/send_permits.h).
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -439,6 +439,10 @@
                              TimePoint Now) {
   if (Fields.IsLeaving)
     recordLeaving(Core.State, Endpoint, Now);
+  if (Fields.HasInvalidCold)
+    Core.Counts.count("statements_invalid_total", "kind=\"cold\"");
+  if (Fields.ColdLeft && *Fields.ColdLeft > Millis(0))
+    recordStatedCold(Core.State, Endpoint, *Fields.ColdLeft, Now);
   if (Fields.HasInvalidPause)
     Core.Counts.count("statements_invalid_total", "kind=\"pause\"");
   if (Fields.Pause && Fields.IsNotRun)
@@ -704,8 +708,12 @@
                                                : service->second.HealthPath,
       std::min(Request.Deadline, Clock::now() + InstanceCheckTimeout)};
   EndCheck = startInstanceCheck(
-      Core.Client, check, [self = shared_from_this()](bool IsRunning) {
-        self->guard([&] { self->handleInstanceCheck(IsRunning); });
+      Core.Client, check,
+      [self = shared_from_this()](const InstanceAnswer &Answer) {
+        if (Answer.ColdLeft && *Answer.ColdLeft > Millis(0))
+          recordStatedCold(self->Core.State, self->Endpoint, *Answer.ColdLeft,
+                           Clock::now());
+        self->guard([&] { self->handleInstanceCheck(Answer.IsRunning); });
       });
 }
 
