Evacuation of a zone: replicated state, operator calls, spreading, endpoints left out

Cause: /Evacuations.Start and .End were unknown calls (404), and no front knew a zone that it must not send to. State is beside the serving table in the same group; acknowledged once committed.

--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -43,6 +43,7 @@
   void reportUnavailable(const StoreEvent &Event);
   void postResult(StoreResult Result);
   void publishTable(StorePublish Table);
+  void publishEvacuations(StorePublishEvacuations Newer);
   void publishView();
 
   boost::asio::io_context &Io;
@@ -130,12 +131,16 @@
     postResult(std::move(*result));
   else if (auto *table = std::get_if<StorePublish>(&Effect))
     publishTable(std::move(*table));
+  else if (auto *newer = std::get_if<StorePublishEvacuations>(&Effect))
+    publishEvacuations(std::move(*newer));
   return true;
 }
 
 void ServingGroup::Impl::reportUnavailable(const StoreEvent &Event) {
   if (auto *write = std::get_if<StoreWrite>(&Event))
     postResult({write->Number, StoreOutcome::Unavailable, 0, {}});
+  else if (auto *order = std::get_if<StoreEvacuate>(&Event))
+    postResult({order->Number, StoreOutcome::Unavailable, 0, {}});
   else if (auto *read = std::get_if<StoreRead>(&Event))
     postResult({read->Number, StoreOutcome::Unavailable, 0, {}});
   else if (auto *status = std::get_if<StoreStatusRequest>(&Event)) {
@@ -185,6 +190,14 @@
       });
 }
 
+void ServingGroup::Impl::publishEvacuations(StorePublishEvacuations Newer) {
+  boost::asio::post(
+      Io, [self = shared_from_this(), newer = std::move(Newer)]() mutable {
+        if (!self->IsDestroyed && self->Callbacks.OnEvacuations)
+          self->Callbacks.OnEvacuations(std::move(newer));
+      });
+}
+
 void ServingGroup::Impl::publishView() {
   StoreView view = Store ? makeStoreView(*Store, Clock::now()) : StoreView();
   if (isEqual(view, LastView))
--- a/control/serving_group.h
+++ b/control/serving_group.h
@@ -30,6 +30,8 @@
 /// Called on the io_context's thread, and not after the group is destroyed.
 struct ServingGroupCallbacks {
   std::function<void(StorePublish)> OnPublish; ///< A newer table is committed.
+  /// The evacuations have changed.
+  std::function<void(StorePublishEvacuations)> OnEvacuations;
   std::function<void(StoreResult)> OnResult;
   std::function<void(StoreView)> OnView; ///< The view has changed.
 };
@@ -49,8 +51,9 @@
 
   /// Starts the actor. Call once, after the link has been started.
   void start();
-  /// Queues an event. Results of StoreWrite and StoreRead come through
-  /// OnResult; they are Unavailable while the data folder cannot be used.
+  /// Queues an event. Results of StoreWrite, StoreEvacuate and StoreRead come
+  /// through OnResult; they are Unavailable while the data folder cannot be
+  /// used.
   void post(StoreEvent Event);
   /// Stops the actor as RoleActor::close does. Call before the link is closed.
   void close(TimePoint Deadline, std::function<void(bool)> OnClosed);
--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -1,5 +1,6 @@
 #include "control/serving_store.h"
 
+#include "fleet/evacuations.h"
 #include "replication/group_status.h"
 
 namespace sassafras {
@@ -10,6 +11,7 @@
   wire::Snapshot snapshot;
   fillSnapshotHeader(Store.Raft, Store.Applied, snapshot);
   *snapshot.mutable_serving_table() = Store.Table;
+  *snapshot.mutable_evacuations() = Store.Evacuations;
   return snapshot;
 }
 
@@ -27,12 +29,21 @@
   Out.push_back(StorePublish{Store.Published, Store.Table.content()});
 }
 
+/// Publishes the evacuations if they have changed.
+void publishEvacuations(ServingStore &Store, StoreEffects &Out) {
+  if (Store.PublishedEvacuations == Store.Evacuations.version())
+    return;
+  Store.PublishedEvacuations = Store.Evacuations.version();
+  Out.push_back(StorePublishEvacuations{Store.Evacuations});
+}
+
 void completeWrites(ServingStore &Store, StoreEffects &Out) {
   std::erase_if(Store.Pending, [&](const PendingWrite &it) {
     if (it.Index > Store.Applied)
       return false;
-    Out.push_back(
-        StoreResult{it.Number, StoreOutcome::Done, Store.Table.version(), {}});
+    uint64_t version =
+        it.IsEvacuation ? Store.Evacuations.version() : Store.Table.version();
+    Out.push_back(StoreResult{it.Number, StoreOutcome::Done, version, {}});
     return true;
   });
 }
@@ -45,8 +56,11 @@
     Store.Applied = index;
     if (command.has_serving_table())
       applyTable(Store, command.serving_table());
+    if (command.has_evacuation())
+      applyEvacuationChange(Store.Evacuations, command.evacuation());
   }
   publishNewestTable(Store, Out);
+  publishEvacuations(Store, Out);
   if (Store.Applied == before)
     return;
   // The commit index is persisted so that, after a restart, the table can be
@@ -87,6 +101,8 @@
     } else if (auto *load = std::get_if<LoadSnapshot>(&it)) {
       Store.Applied = load->Snapshot.index();
       applyTable(Store, load->Snapshot.serving_table());
+      if (load->Snapshot.evacuations().version() > Store.Evacuations.version())
+        Store.Evacuations = load->Snapshot.evacuations();
     }
   }
   Effects.clear();
@@ -124,7 +140,37 @@
   }
   // A version that is not higher changes nothing, but is acknowledged only once
   // the newer table is committed.
-  Store.Pending.push_back({Write.Number, index});
+  Store.Pending.push_back({Write.Number, index, false});
+  completeWrites(Store, Out);
+}
+
+/// Whether \p Zone is evacuated by the newest entry of the log, committed or
+/// not, and the index that makes it so. For what is already applied, the index
+/// is Store.Applied.
+std::pair<bool, uint64_t> findNewestEvacuation(const ServingStore &Store,
+                                               const std::string &Zone) {
+  for (uint64_t i = lastIndex(Store.Raft); i > Store.Applied; --i) {
+    const wire::Command &command = entryAt(Store.Raft, i).command();
+    if (command.has_evacuation() && command.evacuation().zone() == Zone)
+      return {command.evacuation().is_active(), i};
+  }
+  return {isEvacuated(Store.Evacuations, Zone), Store.Applied};
+}
+
+void handleEvacuate(ServingStore &Store, const StoreEvacuate &Order,
+                    TimePoint Now, RaftEffects &Raft, StoreEffects &Out) {
+  if (!canPropose(Store.Raft, Now) || Store.IsStopping) {
+    Out.push_back(StoreResult{Order.Number, failureOutcome(Store), 0, {}});
+    return;
+  }
+  auto [isActive, index] = findNewestEvacuation(Store, Order.Zone);
+  if (isActive != Order.IsActive) {
+    wire::Command command;
+    command.mutable_evacuation()->set_zone(Order.Zone);
+    command.mutable_evacuation()->set_is_active(Order.IsActive);
+    index = proposeRaft(Store.Raft, std::move(command), Now, Raft);
+  }
+  Store.Pending.push_back({Order.Number, index, true});
   completeWrites(Store, Out);
 }
 
@@ -175,6 +221,8 @@
     receiveRaft(Store.Raft, received->Message, Now, Raft);
   } else if (auto *write = std::get_if<StoreWrite>(&Event)) {
     handleWrite(Store, *write, Now, Raft, Out);
+  } else if (auto *order = std::get_if<StoreEvacuate>(&Event)) {
+    handleEvacuate(Store, *order, Now, Raft, Out);
   } else if (auto *read = std::get_if<StoreRead>(&Event)) {
     handleRead(Store, *read, Now, Out);
   } else if (auto *join = std::get_if<StoreJoinAddresses>(&Event)) {
@@ -199,6 +247,7 @@
     return store;
   store.Applied = Snapshot->index();
   store.Table = Snapshot->serving_table();
+  store.Evacuations = Snapshot->evacuations();
   return store;
 }
 
--- a/control/serving_store.h
+++ b/control/serving_store.h
@@ -1,6 +1,6 @@
 /// \file
-/// State machine of one member of the group that replicates the serving table:
-/// writes, reads and group membership. It does no I/O.
+/// State machine of one member of the group that replicates the serving table
+/// and the evacuations: writes, reads and group membership. It does no I/O.
 ///
 /// A write is acknowledged once it is on the disks of a quorum. Only the leader
 /// serves reads, and only under its lease, so no read returns a table older
@@ -29,16 +29,20 @@
 /// Log entries kept after a snapshot for members that lag slightly behind.
 inline constexpr size_t StoreSnapshotTail = 16;
 
+/// A write, or the start or end of an evacuation, that is not acknowledged.
 struct PendingWrite {
   uint64_t Number = 0; ///< Chosen by the caller, returned in the result.
   uint64_t Index = 0;  ///< Acknowledged once this log index is applied.
+  bool IsEvacuation = false;
 };
 
 struct ServingStore {
   RaftState Raft;
-  uint64_t Applied = 0;           ///< Log index.
-  wire::ServingTableChange Table; ///< Newest committed.
-  uint64_t Published = 0;         ///< Version of the last StorePublish.
+  uint64_t Applied = 0;              ///< Log index.
+  wire::ServingTableChange Table;    ///< Newest committed.
+  uint64_t Published = 0;            ///< Version of the last StorePublish.
+  wire::EvacuationState Evacuations; ///< Committed.
+  uint64_t PublishedEvacuations = 0; ///< Version of the last one published.
   std::vector<PendingWrite> Pending;
   bool IsStopping = false;
 };
@@ -55,6 +59,13 @@
   uint64_t Version = 0;
   std::string Content; ///< Compressed.
 };
+/// Starts or ends the evacuation of a zone. One that holds already is
+/// acknowledged once it is committed, and changes nothing.
+struct StoreEvacuate {
+  uint64_t Number = 0;
+  std::string Zone;
+  bool IsActive = false;
+};
 struct StoreRead {
   uint64_t Number = 0;
 };
@@ -72,7 +83,7 @@
   wire::StatusReply Reply;
 };
 using StoreEvent =
-    std::variant<StoreTick, StoreReceived, StoreWrite, StoreRead,
+    std::variant<StoreTick, StoreReceived, StoreWrite, StoreEvacuate, StoreRead,
                  StoreJoinAddresses, StoreStop, StoreStatusRequest>;
 
 /// NotLeader: another member is known as the leader. Unavailable: no leader is
@@ -81,20 +92,26 @@
 /// applied. In these last two cases the write may still take effect.
 enum class StoreOutcome { Done, NotLeader, Unavailable };
 
-/// Result of a StoreWrite or StoreRead.
+/// Result of a StoreWrite, StoreEvacuate or StoreRead.
 struct StoreResult {
   uint64_t Number = 0;
   StoreOutcome Outcome = StoreOutcome::Unavailable;
-  uint64_t Version = 0; ///< Current version of the table.
-  std::string Content;  ///< Reads only.
+  uint64_t Version =
+      0;               ///< Current version of the table, or of the evacuations.
+  std::string Content; ///< Reads only.
 };
 /// A newer table has been committed.
 struct StorePublish {
   uint64_t Version = 0;
   std::string Content;
 };
-using StoreEffect = std::variant<PersistRecord, PersistSnapshot, RaftSend,
-                                 StoreResult, StorePublish>;
+/// The evacuations have changed by a commit.
+struct StorePublishEvacuations {
+  wire::EvacuationState State;
+};
+using StoreEffect =
+    std::variant<PersistRecord, PersistSnapshot, RaftSend, StoreResult,
+                 StorePublish, StorePublishEvacuations>;
 using StoreEffects = std::vector<StoreEffect>;
 
 /// State of the group as other parts of the process need it.
--- a/fleet/roster.h
+++ b/fleet/roster.h
@@ -24,7 +24,8 @@
   wire::NodeEntry Entry;
   TimePoint HeardAt;
   bool IsLeaving = false;
-  uint64_t TableVersion = 0; ///< From its last heartbeat.
+  uint64_t TableVersion = 0;      ///< From its last heartbeat.
+  uint64_t EvacuationVersion = 0; ///< The same.
 };
 
 struct Roster {
--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -116,7 +116,7 @@
 
 bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
                    TimePoint Now) {
-  if (!isUsable(Endpoint, Now))
+  if (!isUsable(Endpoint, Now) || isEvacuated(State.Evacuations, Endpoint.Zone))
     return false;
   auto it = State.Statements.find(Endpoint.Id);
   return it == State.Statements.end() || it->second.BornMs != Endpoint.BornMs ||
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -31,8 +31,8 @@
 std::optional<double> requestLimitOf(const FrontState &State,
                                      const KnownEndpoint &Endpoint);
 /// True while new requests may be sent to \p Endpoint, within its limit: it is
-/// usable and has not stated that it leaves. Thread safe while \p State does
-/// not change.
+/// usable, its zone is not evacuated and it has not stated that it leaves.
+/// Thread safe while \p State does not change.
 bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
                    TimePoint Now);
 /// End of the pause that \p Endpoint asked this front for; in the past if there
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include "fleet/zone_relays.h"
 #include "front/crash_notices.h"
 #include "front/endpoint_statements.h"
+#include "front/evacuation_effects.h"
 #include "front/origin_history.h"
 
 #include <algorithm>
@@ -217,6 +218,7 @@
   heartbeat.set_endpoint_digest(digestEndpoints(State.Directory));
   heartbeat.set_quarantine_digest(digestQuarantine(State.Quarantine, Now));
   heartbeat.set_statement_digest(digestStatements(State));
+  heartbeat.set_evacuation_version(State.Evacuations.Version);
   heartbeat.set_is_leader(IsLeader);
   heartbeat.set_term(IsLeader ? Term : 0);
   heartbeat.set_is_leaving(State.IsStopping);
@@ -271,6 +273,9 @@
   }
   if (!isBroadcast)
     return;
+  bool isFresh = Now - lastChangeOf(State.Evacuations) < EvacuationRepeatTime;
+  if (IsLeader && isFresh)
+    pushEvacuations(State, Now, Out);
   std::vector<std::string> fronts =
       listHeartbeatAddresses(State, IsLeader, Now);
   Gossip.NextBroadcast = Now +
@@ -360,6 +365,15 @@
     if (self.zone() == State.Self.zone())
       recordZoneObservation(Gossip, it);
   }
+  // They go out before the table and the endpoints: a front that has just
+  // started uses none of these earlier.
+  State.Roster.Nodes[self.name()].EvacuationVersion =
+      Heartbeat.evacuation_version();
+  if (Heartbeat.evacuation_version() <= State.Evacuations.Version)
+    State.HasEvacuationWord = true;
+  if (Heartbeat.evacuation_version() < State.Evacuations.Version &&
+      (isNew || mayResync(Gossip, self.address(), "/evacuations", Now)))
+    sendEvacuations(State, self.address(), Now, Out);
   uint64_t version = State.Table ? State.Table->Version : 0;
   State.Roster.Nodes[Heartbeat.self().name()].TableVersion =
       Heartbeat.table_version();
@@ -606,6 +620,25 @@
   send(Out, Address, std::move(message));
 }
 
+void sendEvacuations(const FrontState &State, const std::string &Address,
+                     TimePoint Now, NodeMessages &Out) {
+  if (State.Evacuations.Version == 0)
+    return;
+  wire::Envelope message;
+  *message.mutable_evacuation_update() =
+      makeEvacuationState(State.Evacuations, Now);
+  send(Out, Address, std::move(message));
+}
+
+void pushEvacuations(const FrontState &State, TimePoint Now,
+                     NodeMessages &Out) {
+  for (const auto &[name, it] : State.Roster.Nodes)
+    if (it.Entry.kind() == wire::NODE_FRONT &&
+        it.EvacuationVersion < State.Evacuations.Version &&
+        Now - it.HeardAt < 2 * NodeTimeout)
+      sendEvacuations(State, it.Entry.address(), Now, Out);
+}
+
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out) {
   for (const auto &[name, it] : State.Roster.Nodes)
     if (it.Entry.kind() == wire::NODE_FRONT && !it.Entry.is_voter() &&
--- a/front/fleet_view.h
+++ b/front/fleet_view.h
@@ -138,6 +138,12 @@
 /// Sends a new table to the fronts that are not voters and were heard from
 /// recently: they do not receive it through the replicated log.
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out);
+/// Sends the evacuations, unless there were none, to \p Address.
+void sendEvacuations(const FrontState &State, const std::string &Address,
+                     TimePoint Now, NodeMessages &Out);
+/// Sends the evacuations to the fronts that have not reported them and were
+/// heard from recently.
+void pushEvacuations(const FrontState &State, TimePoint Now, NodeMessages &Out);
 /// Replaces the recorded demand of a front, this one included, by that in
 /// \p Heartbeat and adds its arrivals to the averages.
 void recordFrontDemand(FleetDemand &Demand, const std::string &Front,
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -11,6 +11,7 @@
 #include "front/crash_notices.h"
 #include "front/early_requests.h"
 #include "front/endpoint_statements.h"
+#include "front/evacuation_effects.h"
 #include "front/fleet_api.h"
 #include "front/front_core.h"
 #include "front/front_status.h"
@@ -99,6 +100,7 @@
   void handleHello(const wire::Envelope &Message);
   void answerStatus(const wire::Envelope &Message);
   void applyTable(uint64_t Version, const std::string &Content);
+  void takeEvacuations(const wire::EvacuationState &Newer, const char *Source);
   void applyView(const StoreView &View);
   void send(NodeMessages Messages);
   void reportUnservedDemand(const wire::RowDemand &Row);
@@ -260,6 +262,9 @@
   callbacks.OnPublish = [this](const StorePublish &Table) {
     applyTable(Table.Version, Table.Content);
   };
+  callbacks.OnEvacuations = [this](const StorePublishEvacuations &Newer) {
+    takeEvacuations(Newer.State, "log");
+  };
   callbacks.OnResult = [this](const StoreResult &Result) {
     Api->handleStoreResult(Result);
   };
@@ -275,18 +280,19 @@
                          const std::shared_ptr<HttpExchange> &Exchange) {
   TimePoint now = Clock::now();
   EarlyRequest request{std::move(Request), Exchange, now};
-  if (!Core.State.Table && holdEarlyRequest(HeldRequests, request, now)) {
+  bool isEarly = !Core.State.Table || !knowsEvacuations(Core.State, now);
+  if (isEarly && holdEarlyRequest(HeldRequests, request, now)) {
     Counts.count("requests_held_early_total");
     return;
   }
   handleRequest(std::move(request.Message), Exchange, now);
 }
 
-/// Handles the requests that were held until the table is known, once it is
-/// known or the time limit for holding them has passed.
+/// Handles the requests that were held until the table and the evacuations are
+/// known, once they are or the time limit for holding them has passed.
 void FrontShell::handleHeldRequests(TimePoint Now) {
-  auto early =
-      releaseEarlyRequests(HeldRequests, Core.State.Table != nullptr, Now);
+  bool isInformed = Core.State.Table && knowsEvacuations(Core.State, Now);
+  auto early = releaseEarlyRequests(HeldRequests, isInformed, Now);
   if (!early.empty())
     logEvent(LogLevel::Info, "early_requests_taken",
              {{"count", std::to_string(early.size())},
@@ -457,6 +463,13 @@
     applyTable(Message.table_update().version(),
                Message.table_update().content());
     break;
+  case wire::Envelope::kEvacuationUpdate:
+    takeEvacuations(Message.evacuation_update(), "front");
+    break;
+  case wire::Envelope::kProposal:
+    if (Message.proposal().command().has_evacuation())
+      Api->handleProposal(Message.proposal(), Message.reply_address());
+    break;
   case wire::Envelope::kRateShares:
     if (applyRateShares(state, Message.rate_shares(), now))
       NextHeartbeat = TimePoint();
@@ -568,6 +581,24 @@
   handleHeldRequests(Clock::now());
 }
 
+void FrontShell::takeEvacuations(const wire::EvacuationState &Newer,
+                                 const char *Source) {
+  TimePoint now = Clock::now();
+  auto changes = applyEvacuations(Core.State, Newer, Source, now);
+  if (changes.empty())
+    return;
+  Counts.set("evacuation_version", "",
+             static_cast<double>(Core.State.Evacuations.Version));
+  for (const ZoneChange &it : changes)
+    Counts.set("zone_evacuated", "zone=\"" + it.Zone + "\"",
+               it.IsActive ? 1 : 0);
+  NodeMessages out;
+  if (View.IsLeader)
+    pushEvacuations(Core.State, now, out);
+  send(std::move(out));
+  IsDispatchDue = true;
+}
+
 void FrontShell::applyView(const StoreView &NewView) {
   if (NewView.IsLeader && !View.IsLeader) {
     // Announces the new leader to all fronts at once, as they wait for
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -6,6 +6,7 @@
 
 #include "core/time.h"
 #include "fleet/endpoint_directory.h"
+#include "fleet/evacuations.h"
 #include "fleet/roster.h"
 #include "fleet/serving_table.h"
 #include "policy/crash_quarantine.h"
@@ -169,6 +170,9 @@
   FrontLimits Limits;
   ServingTablePtr Table;    ///< Null until the first is received.
   std::string TableContent; ///< In the form in which it is sent to other nodes.
+  sassafras::Evacuations Evacuations;
+  /// Another front, or the log, has confirmed what this one knows of them.
+  bool HasEvacuationWord = false;
   sassafras::Roster Roster;
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
--- a/front/front_status.cpp
+++ b/front/front_status.cpp
@@ -4,12 +4,15 @@
 
 namespace {
 
-const char *endpointState(const KnownEndpoint &Endpoint,
+const char *endpointState(const FrontState &State,
+                          const KnownEndpoint &Endpoint,
                           const EngineState *Engine, TimePoint Now) {
   if (Endpoint.HasLeft || Endpoint.IsDraining)
     return "leaving";
   if (!isUsable(Endpoint, Now) || (Engine && Engine->IsSilent))
     return "silent";
+  if (isEvacuated(State.Evacuations, Endpoint.Zone))
+    return "evacuated";
   return isPast(Endpoint.WarmingUpUntil, Now) ? "usable" : "slow";
 }
 
@@ -35,6 +38,7 @@
                      wire::StatusReply &Out) {
   Out.set_node(State.Self.name());
   Out.set_table_version(State.Table ? State.Table->Version : 0);
+  *Out.mutable_evacuations() = makeEvacuationState(State.Evacuations, Now);
   for (const auto &[name, it] : State.Roster.Nodes) {
     wire::NodeStatus &node = *Out.add_nodes();
     node.set_name(name);
@@ -49,7 +53,7 @@
     endpoint.set_service(known.Service);
     endpoint.set_zone(known.Zone);
     endpoint.set_address(known.Address);
-    endpoint.set_state(endpointState(known, engine, Now));
+    endpoint.set_state(endpointState(State, known, engine, Now));
     endpoint.set_slots(known.Slots);
     endpoint.set_report_age_ms(toMillis(Now - known.HeardAt));
     if (engine)
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -602,7 +602,8 @@
   std::optional<Millis> best;
   for (const auto &[id, known] : State.Directory.Endpoints) {
     const EngineState *engine = findEngineState(State.Directory, known);
-    if (!engine || !isUsable(known, Now) || !hasWeights(*engine, Model))
+    if (!engine || !takesRequests(State, known, Now) ||
+        !hasWeights(*engine, Model))
       continue;
     auto order = Leader.Orders.find(known.Address);
     Millis wait = order == Leader.Orders.end()
@@ -735,7 +736,7 @@
   std::map<std::string, size_t> replicas;
   for (const auto &[id, known] : State.Directory.Endpoints) {
     const EngineState *engine = findEngineState(State.Directory, known);
-    if (!engine || !isUsable(known, Now))
+    if (!engine || !takesRequests(State, known, Now))
       continue;
     for (const auto &[model, adapters] : engine->Models)
       ++replicas[model];
--- a/front/leaderless_wish.cpp
+++ b/front/leaderless_wish.cpp
@@ -40,6 +40,16 @@
   return Spec.WeightsMb > used ? Spec.WeightsMb - used : 0;
 }
 
+/// True if the endpoint at \p Address is known to be in such a zone.
+bool isInEvacuatedZone(const FrontState &State, const std::string &Address) {
+  auto id = State.Directory.IdByAddress.find(Address);
+  if (id == State.Directory.IdByAddress.end())
+    return false;
+  auto known = State.Directory.Endpoints.find(id->second);
+  return known != State.Directory.Endpoints.end() &&
+         isEvacuated(State.Evacuations, known->second.Zone);
+}
+
 } // namespace
 
 std::optional<ModelLoadRequest>
@@ -59,7 +69,8 @@
   // before its engine has announced itself to this front.
   for (const auto &[address, report] : State.Directory.AgentReports) {
     const EngineState &engine = report.State;
-    if (engine.IsSilent || Now - engine.ReadAt > AgentReportLifetime)
+    if (engine.IsSilent || Now - engine.ReadAt > AgentReportLifetime ||
+        isInEvacuatedZone(State, address))
       continue;
     if (engine.Loading == name || engine.Models.contains(name))
       return std::nullopt;
