--- a/ctl/client.cpp
+++ b/ctl/client.cpp
@@ -145,6 +145,7 @@
     if (!It.has_proposal_reply())
       return false;
     const wire::ProposalReply &reply = It.proposal_reply();
+    Data->addTarget(reply.leader_address());
     bool isDecided = reply.request_id() == envelope.proposal().request_id() &&
                      reply.status() != wire::PROPOSAL_NOT_LEADER &&
                      reply.status() != wire::PROPOSAL_OVERLOADED;
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -236,6 +236,36 @@
   return ToolExit::Ok;
 }
 
+// ---- Evacuations ----
+
+/// Starts the evacuation of \p Zone, or ends it.
+ToolExit evacuate(CommandContext &Context, const std::string &Zone) {
+  bool isFrontFleet = Context.Config.Role == NodeRole::Front ||
+                      Context.Config.Role == NodeRole::EngineAgent;
+  if (!isFrontFleet)
+    return fail(ToolExit::Usage, "only fleets of fronts can evacuate a zone");
+  wire::Command command = makeCommand(Context);
+  command.mutable_evacuation()->set_zone(Zone);
+  command.mutable_evacuation()->set_is_active(!Context.Options.IsEnd);
+  auto reply = Context.Client.propose(std::move(command));
+  if (!reply)
+    return failUnreachable(Context);
+  if (reply->status() != wire::PROPOSAL_ACCEPTED)
+    return fail(ToolExit::Refused, reply->reason());
+  if (!reply->reason().empty())
+    std::cerr << "sassafrasctl: " << reply->reason() << '\n';
+  const char *state = Context.Options.IsEnd ? "taken back" : "evacuated";
+  if (Context.Options.IsJson)
+    printObject({{"zone", Zone},
+                 {"state", state},
+                 {"version", reply->version()},
+                 {"warning", reply->reason()}});
+  else
+    std::cout << Zone << ' ' << state << ", version " << reply->version()
+              << '\n';
+  return ToolExit::Ok;
+}
+
 // ---- Status ----
 
 const char *phaseName(wire::ReplicaPhase Phase) {
@@ -281,6 +311,13 @@
                      {"silent_ms", it.silent_ms()},
                      {"agent", it.is_agent()}});
   out["nodes"] = std::move(nodes);
+  json::array zones;
+  for (const wire::EvacuatedZone &it : Status.evacuations().zones())
+    zones.push_back({{"zone", it.zone()},
+                     {"evacuated", it.is_active()},
+                     {"version", it.version()},
+                     {"for_ms", it.changed_ms()}});
+  out["evacuations"] = std::move(zones);
   return out;
 }
 
@@ -301,6 +338,10 @@
               << (it.is_agent() ? "agent" : "entry") << " at version "
               << it.applied_version() << ", silent for " << it.silent_ms()
               << " ms\n";
+  for (const wire::EvacuatedZone &it : Status.evacuations().zones())
+    std::cout << "zone " << it.zone() << ' '
+              << (it.is_active() ? "evacuated" : "taken back") << " for "
+              << it.changed_ms() << " ms, version " << it.version() << '\n';
 }
 
 ToolExit showStatus(CommandContext &Context) {
@@ -450,6 +491,8 @@
     return withdrawKey(context, Arguments.back());
   if (matches({"key", "list"}, 0))
     return listKeys(context);
+  if (matches({"evacuate"}, 1))
+    return evacuate(context, Arguments.back());
   if (matches({"status"}, 0))
     return showStatus(context);
   if (matches({"endpoints"}, 0))
--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -26,6 +26,7 @@
   /// Table version that an edit is based on.
   std::optional<uint64_t> BaseVersion;
   std::string OperationId; ///< Makes a resent command idempotent.
+  bool IsEnd = false;      ///< Ends an evacuation instead of starting it.
   std::string KeyId;       ///< Id of the key to grant; empty for a derived one.
 };
 
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -23,7 +23,10 @@
     "  key grant ORGANISATION   create a key and print it once\n"
     "  key withdraw ID          revoke a key\n"
     "  key list                 list key ids and organisations\n"
-    "  status                   show leader, members, nodes, versions\n"
+    "  evacuate ZONE            send no more requests to an availability zone\n"
+    "  evacuate --end ZONE      take the availability zone back\n"
+    "  status                   show leader, members, nodes, versions,\n"
+    "                           evacuated zones\n"
     "  endpoints                list endpoints and their state\n"
     "  replicas                 list what is loaded on each endpoint\n"
     "  explain ROW              show a row's limits and where it is loaded\n"
@@ -37,6 +40,7 @@
     "  -b, --base VERSION       table version that the edit is based on\n"
     "  -o, --operation ID       operation id, which makes resends idempotent\n"
     "  -i, --id ID              id of the key to grant\n"
+    "  -e, --end                end the evacuation\n"
     "  -h, --help               print this help and exit\n"
     "  -v, --version            print the version and exit\n"
     "exit codes: 0 done, 1 refused, 2 usage, 3 no leader, 4 conflict\n";
@@ -48,6 +52,7 @@
     {"base", required_argument, nullptr, 'b'},
     {"operation", required_argument, nullptr, 'o'},
     {"id", required_argument, nullptr, 'i'},
+    {"end", no_argument, nullptr, 'e'},
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'v'},
     {nullptr, 0, nullptr, 0},
@@ -77,7 +82,7 @@
 std::optional<ToolExit> readCommandLine(int Argc, char **Argv,
                                         CommandLine &Out) {
   int code = 0;
-  while ((code = getopt_long(Argc, Argv, "s:jwb:o:i:hv", LongOptions,
+  while ((code = getopt_long(Argc, Argv, "s:jwb:o:i:ehv", LongOptions,
                              nullptr)) != -1) {
     switch (code) {
     case 's':
@@ -99,6 +104,9 @@
     case 'i':
       Out.Options.KeyId = optarg;
       break;
+    case 'e':
+      Out.Options.IsEnd = true;
+      break;
     case 'h':
       std::fputs(Usage, stdout);
       return ToolExit::Ok;
--- a/tests/control/test_serving_store.cpp
+++ b/tests/control/test_serving_store.cpp
@@ -4,6 +4,8 @@
 /// no read may return an older table.
 #include "control/serving_store.h"
 
+#include "fleet/evacuations.h"
+
 #include <catch2/catch.hpp>
 
 #include <map>
@@ -54,6 +56,7 @@
     it.IsUp = true;
     // A restarted process may publish a version again.
     Published.erase(Name);
+    PublishedEvacuations.erase(Name);
   }
 
   void wipe(const std::string &Name) {
@@ -101,6 +104,9 @@
     } else if (auto *table = std::get_if<StorePublish>(&Effect)) {
       CHECK(table->Version > Published[Name]);
       Published[Name] = table->Version;
+    } else if (auto *newer = std::get_if<StorePublishEvacuations>(&Effect)) {
+      CHECK(newer->State.version() > PublishedEvacuations[Name]);
+      PublishedEvacuations[Name] = newer->State.version();
     }
   }
 
@@ -158,6 +164,7 @@
   std::multimap<TimePoint, std::pair<std::string, wire::Envelope>> Queue;
   std::map<uint64_t, StoreResult> Results;
   std::map<std::string, uint64_t> Published;
+  std::map<std::string, uint64_t> PublishedEvacuations;
   std::set<std::string> Partitioned;
   unsigned LossPercent = 0;
   uint64_t LastNumber = 0;
@@ -327,3 +334,129 @@
           StoreSnapshotEntries + 2 * StoreSnapshotTail + 8);
   CHECK(group.read(group.leader()).Version == 300);
 }
+
+namespace {
+
+/// Repeats an order until it is acknowledged, as an operator does.
+bool orderEvacuation(Group &It, const std::string &Zone, bool IsActive,
+                     Millis Limit) {
+  TimePoint end = It.Now + Limit;
+  while (It.Now < end) {
+    uint64_t number = ++It.LastNumber;
+    std::string leaderName = It.leader();
+    if (!leaderName.empty())
+      It.handleEvent(leaderName, StoreEvacuate{number, Zone, IsActive});
+    It.run(Millis(300));
+    auto result = It.Results.find(number);
+    if (result != It.Results.end() &&
+        result->second.Outcome == StoreOutcome::Done)
+      return true;
+  }
+  return false;
+}
+
+bool isEvacuatedAt(Group &It, const std::string &Name,
+                   const std::string &Zone) {
+  return isEvacuated(It.Members[Name].Store.Evacuations, Zone);
+}
+
+} // namespace
+
+TEST_CASE("acknowledged evacuations survive power losses, lost disks and "
+          "compaction") {
+  for (unsigned seed = 1; seed <= 12; ++seed) {
+    INFO("seed " << seed);
+    Group group(seed);
+    startFourMembers(group);
+    group.LossPercent = 3;
+    bool isActive = false;
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    for (uint64_t round = 1; round <= 5; ++round) {
+      isActive = !isActive;
+      REQUIRE(orderEvacuation(group, "z", isActive, Millis(8'000)));
+      if (round % 2 == 0)
+        for (uint64_t i = 0; i < 2 * StoreSnapshotEntries; ++i) {
+          group.handleEvent(group.leader(), StoreWrite{++group.LastNumber,
+                                                       round * 1'000 + i, "t"});
+          group.run(Millis(40));
+        }
+      // All lose power right after the acknowledgement, one its disk too.
+      for (const std::string &it : names)
+        group.Members[it].IsUp = false;
+      group.Queue.clear();
+      if (seed % 2 == 0)
+        group.wipe(names[group.Random() % names.size()]);
+      for (const std::string &it : names)
+        group.start(it, false);
+      group.run(Millis(9'000));
+      std::string leader = group.leader();
+      REQUIRE_FALSE(leader.empty());
+      for (const std::string &it : names) {
+        INFO("member " << it << " round " << round);
+        CHECK(isEvacuatedAt(group, it, "z") == isActive);
+        CHECK(group.PublishedEvacuations[it] == round);
+      }
+    }
+  }
+}
+
+TEST_CASE("evacuation that holds already is acknowledged and changes nothing") {
+  Group group(21);
+  startFourMembers(group);
+  REQUIRE(orderEvacuation(group, "z", false, Millis(3'000)));
+  CHECK(group.Members[group.leader()].Store.Evacuations.version() == 0);
+  // A resend while the first one is on its way to the disks.
+  std::string leader = group.leader();
+  uint64_t first = ++group.LastNumber;
+  uint64_t second = ++group.LastNumber;
+  group.handleEvent(leader, StoreEvacuate{first, "z", true});
+  group.handleEvent(leader, StoreEvacuate{second, "z", true});
+  CHECK_FALSE(group.Results.contains(first));
+  CHECK_FALSE(group.Results.contains(second));
+  group.run(Millis(500));
+  CHECK(group.Results[first].Outcome == StoreOutcome::Done);
+  CHECK(group.Results[second].Outcome == StoreOutcome::Done);
+  REQUIRE(orderEvacuation(group, "z", true, Millis(3'000)));
+  CHECK(group.Members[group.leader()].Store.Evacuations.version() == 1);
+}
+
+TEST_CASE("of a start and an end that race the later one in the log holds") {
+  Group group(22);
+  startFourMembers(group);
+  std::string leader = group.leader();
+  uint64_t first = ++group.LastNumber;
+  uint64_t second = ++group.LastNumber;
+  uint64_t third = ++group.LastNumber;
+  group.handleEvent(leader, StoreEvacuate{first, "z", true});
+  group.handleEvent(leader, StoreEvacuate{second, "z", false});
+  group.handleEvent(leader, StoreEvacuate{third, "y", true});
+  group.run(Millis(1'000));
+  for (uint64_t it : {first, second, third})
+    CHECK(group.Results[it].Outcome == StoreOutcome::Done);
+  for (const char *name : {"a", "b", "c", "d"}) {
+    CHECK_FALSE(isEvacuatedAt(group, name, "z"));
+    CHECK(isEvacuatedAt(group, name, "y"));
+  }
+}
+
+TEST_CASE("evacuation is not acknowledged by a leader that loses its group "
+          "before the commit, and a resend settles it") {
+  for (unsigned seed = 31; seed <= 36; ++seed) {
+    INFO("seed " << seed);
+    Group group(seed);
+    startFourMembers(group);
+    std::string old = group.leader();
+    group.Partitioned = {old};
+    uint64_t number = ++group.LastNumber;
+    group.handleEvent(old, StoreEvacuate{number, "z", true});
+    group.run(Millis(3'000));
+    CHECK(group.Results[number].Outcome != StoreOutcome::Done);
+    group.Members[old].IsUp = false;
+    group.Partitioned.clear();
+    REQUIRE(orderEvacuation(group, "z", true, Millis(8'000)));
+    group.start(old, false);
+    group.run(Millis(4'000));
+    CHECK(isEvacuatedAt(group, old, "z"));
+    CHECK(group.Members[old].Store.Evacuations.version() == 1);
+  }
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -417,3 +417,35 @@
           it.IsRunning);
   }
 }
+
+TEST_CASE("operator's order on a zone is read, and an odd name has a reason") {
+  auto read = [](const std::string &Target, const char *Method = "POST") {
+    return platform::readFleetCall({Method, Target, {}, ""});
+  };
+  for (const char *zone : {"colombo-fort", "a", "zone_1.b"}) {
+    for (bool isActive : {true, false}) {
+      platform::EvacuationOrder given{zone, isActive};
+      auto call = read(platform::evacuationPath(given));
+      auto *order = std::get_if<platform::EvacuationOrder>(&call);
+      REQUIRE(order);
+      CHECK(order->Zone == zone);
+      CHECK(order->IsActive == isActive);
+    }
+  }
+  auto call = read("/Evacuations.Start/z%C3%BCrich");
+  REQUIRE(std::holds_alternative<platform::EvacuationOrder>(call));
+  const auto &order = std::get<platform::EvacuationOrder>(call);
+  CHECK(order.Zone == "z\xC3\xBCrich");
+  CHECK(platform::evacuationPath(order) == "/Evacuations.Start/z%C3%BCrich");
+  for (const std::string &name :
+       {std::string(), std::string("a/b"), std::string("%2F"),
+        std::string("%0a"), std::string("%4"), std::string("%zz"),
+        std::string(300, 'a')}) {
+    INFO("name " << name);
+    auto odd = read("/Evacuations.End/" + name);
+    REQUIRE(std::holds_alternative<platform::MalformedCall>(odd));
+    CHECK_FALSE(std::get<platform::MalformedCall>(odd).Reason.empty());
+  }
+  auto other = read("/Evacuations.Start/a", "GET");
+  CHECK(std::holds_alternative<platform::UnknownCall>(other));
+}
