--- a/tests/front/test_leader_work.cpp
+++ b/tests/front/test_leader_work.cpp
@@ -284,6 +284,43 @@
   }
 }
 
+// The zone with the only replica is evacuated: its engines get no load, and the
+// model is loaded where requests may go.
+TEST_CASE("model whose replicas are in an evacuated zone is loaded elsewhere") {
+  LeaderFixture fixture;
+  fixture.Leader.Orders.clear();
+  TimePoint now = Start + Millis(2'600);
+  fixture.reportEngine("old", false, now);
+  fixture.reportEngine("", false, now, "i-2", "10.0.0.2:7");
+  fixture.State.Directory.Endpoints.at("i-1").Zone = "b";
+  fixture.State.Directory.Endpoints.at("i-2").Zone = "a";
+  wire::RowDemand row;
+  row.set_model("old");
+  row.set_waiting(1);
+  row.set_waiting_worth(10);
+  row.set_busy(1);
+  auto plan = [&] {
+    now += PlanPeriod;
+    addToRate(fixture.Leader.Demand.Rates["old"].ShortWorth, 50, ShortWindow,
+              now);
+    NodeMessages out;
+    recordUnservedDemand(fixture.Leader, "front", row, now);
+    planPlacement(fixture.Leader, fixture.State, now, out);
+  };
+  plan();
+  CHECK(fixture.Leader.Orders.empty());
+  wire::EvacuationState evacuations;
+  evacuations.set_version(1);
+  evacuations.add_zones()->set_zone("b");
+  evacuations.mutable_zones(0)->set_is_active(true);
+  mergeEvacuations(fixture.State.Evacuations, evacuations, now);
+  now += Millis(1'000);
+  plan();
+  REQUIRE(fixture.Leader.Orders.size() == 1);
+  CHECK(fixture.Leader.Orders.begin()->second.Endpoint == "i-2");
+  CHECK(fixture.Leader.Orders.begin()->second.Model == "old");
+}
+
 // When a lease was lost and regained within a term, order numbers started again
 // from the first, and agents rejected all orders until the numbers had caught
 // up.
