--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -231,7 +231,7 @@
 
 bool takesRequests(const FrontState &State, const KnownEndpoint &Endpoint,
                    TimePoint Now) {
-  if (!isUsable(Endpoint, Now))
+  if (!isUsable(Endpoint, Now) || isEvacuated(State.Evacuations, Endpoint.Zone))
     return false;
   auto it = State.Statements.find(Endpoint.Id);
   return it == State.Statements.end() || it->second.BornMs != Endpoint.BornMs ||
--- a/front/front_status.cpp
+++ b/front/front_status.cpp
@@ -13,6 +13,8 @@
     return "leaving";
   if (!isUsable(Endpoint, Now) || (Engine && Engine->IsSilent))
     return "silent";
+  if (isEvacuated(State.Evacuations, Endpoint.Zone))
+    return "evacuated";
   return coldTimeLeft(State, Endpoint, Now) > Millis(0) ? "slow" : "usable";
 }
 
@@ -38,6 +40,7 @@
                      wire::StatusReply &Out) {
   Out.set_node(State.Self.name());
   Out.set_table_version(State.Table ? State.Table->Version : 0);
+  *Out.mutable_evacuations() = makeEvacuationState(State.Evacuations, Now);
   for (const auto &[name, it] : State.Roster.Nodes) {
     wire::NodeStatus &node = *Out.add_nodes();
     node.set_name(name);
