Urgent requests of an organisation get its tokens first

Within an exceeded rate, worth per token alone decided; a live caller of little worth went after a batch. The order is now the rank, then worth per token. A front keeps the waiting requests by rank and number, requests tokens in the name of the first that lacks some, and a request leaves what more urgent ones wait for. Ruled out: a fixed rank threshold (ranks mean nothing across organisations).

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -404,23 +404,42 @@
             {"wait_ms", std::to_string(Wait.count())}});
 }
 
-/// Requests from the leader the tokens that the waiting requests lack. Returns
-/// nothing while a previous request is unanswered.
+QuotaPlace quotaPlaceOf(const FrontRequest &Request) {
+  return {Request.Urgency, Request.Number};
+}
+
+/// Requests from the leader the tokens that the waiting requests lack, at least
+/// those of the first one that lacks some. Returns nothing while a previous
+/// request is unanswered.
 std::optional<wire::QuotaRequest>
-requestTokens(FrontState &State, LocalQuota &Quota, const FrontRequest &Request,
-              bool IsFavoured, TimePoint Now) {
-  Quota.WaitingCosts[Request.Number] = Request.Cost;
+requestTokens(FrontState &State, LocalQuota &Quota, const QuotaLimit &Limit,
+              const QuotaPosition &Position, const std::string &Organisation,
+              TimePoint Now) {
   if (Quota.PoolRequestedAt != TimePoint())
     return std::nullopt;
   Quota.PoolRequestedAt = Now;
+  // In the order in which they are to be served. What is reserved for favoured
+  // requests is not requested for others.
   double wanted = 0;
-  for (const auto &[number, cost] : Quota.WaitingCosts)
-    wanted += cost;
+  double least = 0;
+  bool isForPreferred = false;
+  for (bool isPreferred : {true, false}) {
+    for (const auto &[place, charge] : Quota.Waiting) {
+      if (isFavoured(Quota, Limit, charge, Position) != isPreferred)
+        continue;
+      wanted += charge.Cost;
+      if (least <= 0)
+        least = wanted - Quota.Level;
+    }
+    isForPreferred = isPreferred;
+    if (least > 0)
+      break;
+  }
   wire::QuotaRequest out;
-  out.set_organisation(Request.Organisation);
+  out.set_organisation(Organisation);
   out.set_wanted(std::max(0.0, wanted - Quota.Level));
-  out.set_least(std::max(0.0, Request.Cost - Quota.Level));
-  out.set_is_favoured(IsFavoured);
+  out.set_least(std::max(0.0, least));
+  out.set_is_favoured(isForPreferred);
   out.set_number(++State.LastQuotaRequest);
   Quota.RequestNumber = out.number();
   Quota.GrantEnd = Now + GrantLifetime;
@@ -455,23 +474,25 @@
   expireQuotaRequest(State, quota, Now);
   QuotaLimit limit = quotaLimitOf(State, *organisation, Now);
   QuotaPosition position = quotaPositionOf(State, Now);
-  QuotaCharge charge{Request.Cost, Request.Worth};
+  QuotaCharge charge{Request.Cost, Request.Worth, Request.Urgency};
   if (takeQuota(quota, limit, charge, position, Now)) {
     Request.IsCharged = true;
-    quota.WaitingCosts.erase(Request.Number);
+    quota.Waiting.erase(quotaPlaceOf(Request));
     return std::nullopt;
   }
   Clock::duration maxWait =
       (Request.ObjectiveDeadline - Request.ArrivedAt) / QuotaWaitDivisor;
   TimePoint waitEnd = Request.ArrivedAt + maxWait;
   Millis wait = estimateQuotaWait(quota, limit, charge, position, Now);
+  quota.Waiting[quotaPlaceOf(Request)] = charge;
   if (limit.HasPool) {
-    bool isPreferred = isFavoured(quota, charge);
+    bool isPreferred = isFavoured(quota, limit, charge, position);
     TimePoint closedUntil = isPreferred ? quota.PoolEmptyUntil
                                         : std::max(quota.PoolEmptyUntil,
                                                    quota.PoolFavouredOnlyUntil);
     if (isPast(closedUntil, Now) && !isPast(waitEnd, Now)) {
-      TokenRequest = requestTokens(State, quota, Request, isPreferred, Now);
+      TokenRequest =
+          requestTokens(State, quota, limit, position, organisation->Name, Now);
       return WaitUntil{std::min(waitEnd, Now + PoolRequestTimeout)};
     }
     if (!isPast(closedUntil, Now))
@@ -480,8 +501,8 @@
     wait = std::min(
         wait, std::chrono::ceil<Millis>(State.PoolUnavailableUntil - Now));
   }
-  quota.WaitingCosts.erase(Request.Number);
   if (isPast(waitEnd, Now) || Now + wait > waitEnd) {
+    quota.Waiting.erase(quotaPlaceOf(Request));
     ++quota.Tally.Refused;
     logQuotaRefusal(Request, quota, position, wait, Now);
     return makeRefusal(State, RefusalReason::RateExceeded, wait);
@@ -812,7 +833,7 @@
 
 void removeWaitingRequest(FrontState &State, const FrontRequest &Request) {
   if (!Request.Organisation.empty())
-    State.Quotas[Request.Organisation].WaitingCosts.erase(Request.Number);
+    State.Quotas[Request.Organisation].Waiting.erase(quotaPlaceOf(Request));
   removeWaiting(modelUsageOf(State, Request), Request);
 }
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -328,7 +328,7 @@
   }
   if (!request.Organisation.empty())
     recordDemand(Core.State.Quotas[request.Organisation],
-                 {request.Cost, request.Worth}, now);
+                 {request.Cost, request.Worth, request.Urgency}, now);
   recordRequest(Core.State.Retries[request.Service], Core.State.Limits.Retries,
                 retryShareOf(Core.State, now), now);
   std::make_shared<Relay>(Core, std::move(request), std::move(Request),
@@ -731,9 +731,9 @@
 
 /// Dispatches only the requests that wait for tokens of \p Organisation.
 void FrontShell::dispatchWaitingForTokens(const std::string &Organisation) {
-  auto waitingCosts = Core.State.Quotas[Organisation].WaitingCosts;
-  for (const auto &[number, cost] : waitingCosts) {
-    auto relay = Core.Relays.find(number);
+  auto waiting = Core.State.Quotas[Organisation].Waiting;
+  for (const auto &[place, charge] : waiting) {
+    auto relay = Core.Relays.find(place.Number);
     if (relay == Core.Relays.end())
       continue;
     std::shared_ptr<Relay> keepAlive = relay->second;
--- a/policy/quota_pool.cpp
+++ b/policy/quota_pool.cpp
@@ -41,16 +41,19 @@
   Pool.Level =
       std::min(maxLevel, Pool.Level + (FillSeconds - Pool.FillSeconds) * rate);
   Pool.FillSeconds = FillSeconds;
-  double reserved =
-      IsOverRate && !Request.IsFavoured ? ReservedFraction * maxLevel : 0;
-  double available = Pool.Level - reserved;
   // Requests larger than the pool can ever hold are granted on credit.
   double needed = std::min(Request.Minimum, maxLevel / 2);
-  if (available < needed) {
-    double missing = needed - available;
+  // What is reserved is the same for all sizes, so that the small ones do not
+  // keep the level below what a large one needs.
+  double reserved =
+      IsOverRate && !Request.IsFavoured ? ReservedFraction * maxLevel : 0;
+  needed = std::max(needed, reserved);
+  if (Pool.Level < needed) {
+    double missing = needed - Pool.Level;
     return {0, Millis(static_cast<int64_t>(
                    std::ceil(missing / std::max(rate, 1.0) * 1000.0)))};
   }
+  double available = Pool.Level - reserved;
   PoolGrant out;
   out.Granted = std::max(Request.Minimum, std::min(Request.Wanted, available));
   Pool.Level -= out.Granted;
--- a/policy/quota_pool.h
+++ b/policy/quota_pool.h
@@ -55,7 +55,7 @@
 struct PoolRequest {
   double Wanted = 0;       ///< Tokens for all requests that wait there.
   double Minimum = 0;      ///< Tokens for the first of them.
-  bool IsFavoured = false; ///< The first request is small or of high worth.
+  bool IsFavoured = false; ///< The first request has priority: isFavoured.
 };
 
 /// Tokens granted to the front, or the time after which to ask again.
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace sassafras {
 
@@ -16,6 +17,9 @@
 constexpr double DemandWeight = 0.25;
 /// Smoothing factor of the means of cost and worth.
 constexpr double MeanWeight = 0.02;
+/// The same of the parts of the ranks, in which a few large requests must not
+/// show.
+constexpr double RankWeight = 0.005;
 /// Thresholds relative to the organisation's own means for small requests and
 /// for those of high worth.
 constexpr double SmallCostFactor = 0.4;
@@ -83,16 +87,70 @@
          std::max(shareAt(Quota, Position, Now), equal);
 }
 
-/// Returns the level that remains reserved when \p Charge is granted.
-double reservedLevel(const LocalQuota &Quota, const QuotaLimit &Limit,
-                     const QuotaCharge &Charge, const QuotaPosition &Position,
-                     TimePoint Now) {
+size_t rankOf(const QuotaCharge &Charge) {
+  return std::min<size_t>(Charge.Rank, QuotaRankCount - 1);
+}
+
+/// Returns the tokens for which requests wait that are more urgent.
+double moreUrgentTokens(const LocalQuota &Quota, const QuotaCharge &Charge) {
+  double sum = 0;
+  for (const auto &[place, charge] : Quota.Waiting) {
+    if (place.Rank >= Charge.Rank)
+      break;
+    sum += charge.Cost;
+  }
+  return sum;
+}
+
+/// Place of a request's rank in the demand at this front.
+struct RankPlace {
+  bool HasMoreUrgent = false; ///< There is demand of more urgent ranks.
+  bool IsBeyondRate = false;  ///< These alone reach the rate.
+  bool IsCovered = false;     ///< The rate covers this rank with these.
+};
+
+RankPlace placeOfRank(const LocalQuota &Quota, const QuotaLimit &Limit,
+                      const QuotaCharge &Charge,
+                      const QuotaPosition &Position) {
+  double total = std::accumulate(Quota.MeanCostByRank.begin(),
+                                 Quota.MeanCostByRank.end(), 0.0);
+  double rate = Limit.RatePerSecond * equalShare(Position);
+  double covered = total * rate / std::max(Quota.DemandRate, rate);
+  double moreUrgent = 0;
+  for (size_t i = 0; i < rankOf(Charge); ++i)
+    moreUrgent += Quota.MeanCostByRank[i];
+  return {moreUrgent > 0, moreUrgent > 0 && moreUrgent >= covered,
+          moreUrgent + Quota.MeanCostByRank[rankOf(Charge)] < covered};
+}
+
+bool isSmallOrOfHighWorth(const LocalQuota &Quota, const QuotaCharge &Charge) {
+  return Charge.Cost <= Quota.MeanCost * SmallCostFactor ||
+         Charge.Worth >=
+             Charge.Cost * Quota.MeanWorthPerToken * HighWorthFactor;
+}
+
+/// Returns the level that \p Charge needs.
+double neededLevel(const LocalQuota &Quota, const QuotaLimit &Limit,
+                   const QuotaCharge &Charge, const QuotaPosition &Position,
+                   TimePoint Now) {
+  double maximum = maxLevel(Quota, Limit, Position, Now);
+  // Without a bound, an urgent request that is larger than what this front can
+  // store would stop all others.
+  double needed = Charge.Cost + std::min(moreUrgentTokens(Quota, Charge),
+                                         std::max(0.0, maximum - Charge.Cost));
   // With a pool, the leader reserves the part for favoured requests.
   bool isOverRate = Quota.DemandRate >
                     Limit.RatePerSecond * equalShare(Position) * OverRateFactor;
-  if (!isAlone(Position, Now) || isFavoured(Quota, Charge) || !isOverRate)
-    return 0;
-  return ReservedFraction * maxLevel(Quota, Limit, Position, Now);
+  if (!isAlone(Position, Now) || !isOverRate)
+    return needed;
+  double reserved = ReservedFraction * maximum;
+  RankPlace place = placeOfRank(Quota, Limit, Charge, Position);
+  // The same level for all sizes, so that the small ones do not keep it below
+  // what a large one needs; and so much that most leave the reserved part.
+  if (!isFavoured(Quota, Limit, Charge, Position))
+    return std::max(needed, 2 * reserved);
+  return place.HasMoreUrgent && !place.IsCovered ? std::max(needed, reserved)
+                                                 : needed;
 }
 
 void refill(LocalQuota &Quota, const QuotaLimit &Limit,
@@ -128,10 +186,12 @@
   return std::max(0.0, burstOf(Limit) - granted);
 }
 
-bool isFavoured(const LocalQuota &Quota, const QuotaCharge &Charge) {
-  return Charge.Cost <= Quota.MeanCost * SmallCostFactor ||
-         Charge.Worth >=
-             Charge.Cost * Quota.MeanWorthPerToken * HighWorthFactor;
+bool isFavoured(const LocalQuota &Quota, const QuotaLimit &Limit,
+                const QuotaCharge &Charge, const QuotaPosition &Position) {
+  RankPlace place = placeOfRank(Quota, Limit, Charge, Position);
+  if (place.IsBeyondRate)
+    return false;
+  return place.IsCovered || isSmallOrOfHighWorth(Quota, Charge);
 }
 
 std::map<std::string, double>
@@ -165,8 +225,8 @@
   if (Limit.RatePerSecond <= 0)
     return true;
   refill(Quota, Limit, Position, Now);
-  double reserved = reservedLevel(Quota, Limit, Charge, Position, Now);
-  if (Quota.Level + RoundingTolerance < reserved + Charge.Cost)
+  if (Quota.Level + RoundingTolerance <
+      neededLevel(Quota, Limit, Charge, Position, Now))
     return false;
   Quota.Tally.Charged += Charge.Cost;
   Quota.Level -= Charge.Cost;
@@ -178,8 +238,7 @@
 Millis estimateQuotaWait(const LocalQuota &Quota, const QuotaLimit &Limit,
                          const QuotaCharge &Charge,
                          const QuotaPosition &Position, TimePoint Now) {
-  double needed =
-      reservedLevel(Quota, Limit, Charge, Position, Now) + Charge.Cost;
+  double needed = neededLevel(Quota, Limit, Charge, Position, Now);
   double missing = needed - Quota.Level;
   if (missing <= 0)
     return Millis(0);
@@ -196,6 +255,9 @@
 void recordDemand(LocalQuota &Quota, const QuotaCharge &Charge, TimePoint Now) {
   if (Charge.Cost > 0) {
     Quota.MeanCost += (Charge.Cost - Quota.MeanCost) * MeanWeight;
+    for (double &it : Quota.MeanCostByRank)
+      it -= it * RankWeight;
+    Quota.MeanCostByRank[rankOf(Charge)] += Charge.Cost * RankWeight;
     Quota.MeanWorthPerToken +=
         (Charge.Worth / Charge.Cost - Quota.MeanWorthPerToken) * MeanWeight;
   }
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -17,6 +17,8 @@
 
 #include "core/time.h"
 
+#include <array>
+#include <compare>
 #include <map>
 #include <string>
 #include <vector>
@@ -61,6 +63,23 @@
   uint64_t Refused = 0; ///< Requests.
 };
 
+/// Cost of one request in tokens, its worth relative to others and its urgency.
+struct QuotaCharge {
+  double Cost = 0;
+  double Worth = 0;
+  uint32_t Rank = 0; ///< 0 is the most urgent.
+};
+
+/// Ranks of requests; a larger one counts as the last.
+inline constexpr size_t QuotaRankCount = 10;
+
+/// Place of a waiting request: by rank, then by request number.
+struct QuotaPlace {
+  uint32_t Rank = 0;
+  uint64_t Number = 0;
+  auto operator<=>(const QuotaPlace &) const = default;
+};
+
 /// Quota of one organisation at one front.
 struct LocalQuota {
   double Level = 0; ///< Tokens. May be negative after a large request.
@@ -71,8 +90,7 @@
   double DemandRate = 0; ///< Requested tokens per second, smoothed.
   double DemandSum = 0;  ///< Tokens requested since DemandSince.
   TimePoint DemandSince;
-  /// Costs of the waiting requests by request number.
-  std::map<uint64_t, double> WaitingCosts;
+  std::map<QuotaPlace, QuotaCharge> Waiting; ///< Requests that lack tokens.
   TimePoint PoolRequestedAt;  ///< Set while an answer of the leader is pending.
   uint64_t RequestNumber = 0; ///< Of the last request to the leader.
   /// Until then tokens granted for that request are accepted and kept.
@@ -82,15 +100,11 @@
   TimePoint PoolFavouredOnlyUntil;
   double MeanCost = 0;          ///< Mean cost of requests, smoothed.
   double MeanWorthPerToken = 0; ///< Mean worth per token, smoothed.
+  /// Tokens per request that each rank contributes to MeanCost.
+  std::array<double, QuotaRankCount> MeanCostByRank{};
   QuotaTally Tally;
 };
 
-/// Cost of one request in tokens and its worth relative to others.
-struct QuotaCharge {
-  double Cost = 0;
-  double Worth = 0;
-};
-
 /// How far the fleet may exceed rate and burst in any window according to the
 /// operators' rules.
 struct QuotaTolerance {
@@ -134,13 +148,16 @@
 /// rest covers tokens that are granted and not spent yet.
 double storedBurstOf(const QuotaLimit &Limit);
 /// Returns true when \p Charge has priority while its organisation exceeds its
-/// rate.
-bool isFavoured(const LocalQuota &Quota, const QuotaCharge &Charge);
+/// rate: its rank is one that the rate covers, by the demand of the more urgent
+/// ones at this front. Within the first rank that is not covered, small
+/// requests and those of high worth have priority. Pure.
+bool isFavoured(const LocalQuota &Quota, const QuotaLimit &Limit,
+                const QuotaCharge &Charge, const QuotaPosition &Position);
 
 void setShare(LocalQuota &Quota, double Share, TimePoint Now);
 /// Takes the tokens of \p Charge. Returns false when the organisation has
-/// reached its limit, or when its remaining tokens are reserved for small
-/// requests or those of higher worth. Not thread safe.
+/// reached its limit, or when its remaining tokens are reserved for more urgent
+/// requests that wait, or for favoured ones. Not thread safe.
 bool takeQuota(LocalQuota &Quota, const QuotaLimit &Limit,
                const QuotaCharge &Charge, const QuotaPosition &Position,
                TimePoint Now);
--- a/tests/policy/test_overload.cpp
+++ b/tests/policy/test_overload.cpp
@@ -995,6 +995,83 @@
   CHECK(part(kinds[2]) > 0.9);
 }
 
+// One organisation sends six times its rate at a front without a leader. The
+// urgent part is below the rate, in two sizes; the rest alone exceeds it.
+TEST_CASE(
+    "above the rate urgent requests are served first, whatever their size "
+    "and worth") {
+  QuotaLimit limit{20'000, 20'000, {Millis(8'000), 0.1, 17'000}};
+  LocalQuota front;
+  QuotaPosition position{1, Start, Start, Start + std::chrono::hours(1)};
+  struct Kind {
+    QuotaCharge Charge;
+    int RequestCount = 0;
+    int Served = 0;
+  };
+  // The urgent ones are worth less per token than the others.
+  Kind kinds[] = {
+      {{300, 0.3, 1}}, {{3'000, 3, 1}}, {{300, 6, 6}}, {{3'000, 60, 6}}};
+  std::mt19937 random(5);
+  std::discrete_distribution<int> mix{12, 3, 150, 20};
+  std::uniform_int_distribution<int> count(0, 2);
+  for (TimePoint now = Start; now < Start + std::chrono::seconds(60);
+       now += Millis(8))
+    for (int n = count(random); n > 0; --n) {
+      Kind &it = kinds[mix(random)];
+      recordDemand(front, it.Charge, now);
+      bool isServed = takeQuota(front, limit, it.Charge, position, now);
+      // The front has to see first what is requested.
+      if (now - Start < Millis(5'000))
+        continue;
+      ++it.RequestCount;
+      it.Served += isServed;
+    }
+  auto part = [](const Kind &it) {
+    INFO(it.Charge.Cost << " rank " << it.Charge.Rank << " served " << it.Served
+                        << " of " << it.RequestCount);
+    return static_cast<double>(it.Served) / it.RequestCount;
+  };
+  CHECK(part(kinds[0]) > 0.9);
+  CHECK(part(kinds[1]) > 0.9);
+  // Of the others none is starved: by tokens, sizes get parts alike.
+  CHECK(part(kinds[2]) > 0.05);
+  CHECK(part(kinds[3]) > 0.05);
+  CHECK(part(kinds[3]) > 0.3 * part(kinds[2]));
+}
+
+TEST_CASE("request leaves the tokens for which a more urgent one waits") {
+  QuotaLimit limit{1'000, 10'000, {Millis(8'000), 0.1, 0}};
+  QuotaPosition position{1, Start, Start, Start + std::chrono::hours(1)};
+  LocalQuota front;
+  TimePoint now = Start + Millis(1'000); // 900 tokens.
+  CHECK_FALSE(takeQuota(front, limit, {1'000, 1, 2}, position, now));
+  front.Waiting[{2, 1}] = {1'000, 1, 2};
+  CHECK_FALSE(takeQuota(front, limit, {300, 9, 5}, position, now));
+  CHECK(estimateQuotaWait(front, limit, {300, 9, 5}, position, now) >
+        estimateQuotaWait(front, limit, {1'000, 1, 2}, position, now));
+  CHECK(takeQuota(front, limit, {300, 9, 1}, position, now));
+  front.Waiting.clear();
+  CHECK(takeQuota(front, limit, {300, 9, 5}, position, now));
+}
+
+TEST_CASE("above the rate the pool grants large and small requests alike") {
+  QuotaLimit limit{20'000, 20'000, {Millis(8'000), 0.1, 17'000}, true};
+  QuotaPool pool;
+  int served[] = {0, 0};
+  std::mt19937 random(7);
+  for (int i = 1; i <= 6'000; ++i) {
+    bool isLarge = random() % 11 == 0;
+    double cost = isLarge ? 3'000 : 300;
+    served[isLarge] +=
+        drawFromPool(pool, limit, {cost, cost, false}, true, 0.01 * i).Granted >
+        0;
+  }
+  auto [small, large] = served;
+  // 180 tokens per step, of 545 requested; 545 requests are large.
+  CHECK(large > 0.2 * 545);
+  CHECK(small > 0.2 * 5'455);
+}
+
 // The leader may divide the share of such a front again.
 TEST_CASE(
     "share of a front without contact to the leader shrinks, never grows") {
