Fronts lend each other quota tokens while no leader grants any

Without a leader each front has an equal part of every rate; an organisation within its rate whose callers come to few fronts was refused while the others' parts were unused. A front with unspent grants lends none, so that no token lives longer. Test fleet: times without a leader, voters killed and back, messages twice.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "core/logging.h"
 #include "front/crash_notices.h"
 #include "front/endpoint_figures.h"
+#include "front/quota_loans.h"
 #include "front/send_permits.h"
 #include "front/stream_origins.h"
 
@@ -437,8 +438,9 @@
   }
   wire::QuotaRequest out;
   out.set_organisation(Organisation);
-  out.set_wanted(std::max(0.0, wanted - Quota.Level));
-  out.set_least(std::max(0.0, least));
+  least = std::max(1.0, least);
+  out.set_wanted(std::max(least, wanted - Quota.Level));
+  out.set_least(least);
   out.set_is_favoured(isForPreferred);
   out.set_number(++State.LastQuotaRequest);
   Quota.RequestNumber = out.number();
@@ -446,6 +448,23 @@
   return out;
 }
 
+/// Requests loans from other fronts. Returns nothing when there are none, or
+/// while the last loans may be unspent.
+std::optional<wire::QuotaRequest>
+requestLoans(FrontState &State, LocalQuota &Quota, const QuotaLimit &Limit,
+             const QuotaPosition &Position, const std::string &Organisation,
+             TimePoint Now) {
+  if (!isPast(Quota.GrantEnd, Now))
+    return std::nullopt;
+  auto out = requestTokens(State, Quota, Limit, Position, Organisation, Now);
+  if (!out || prepareLoans(State, Quota, *out, Now))
+    return out;
+  Quota.PoolRequestedAt = TimePoint();
+  Quota.RequestNumber = 0;
+  Quota.GrantEnd = Now;
+  return std::nullopt;
+}
+
 /// Gives up a token request that the leader did not answer in time. The leader
 /// may be down, so none is sent to it for PoolBackoff.
 void expireQuotaRequest(FrontState &State, LocalQuota &Quota, TimePoint Now) {
@@ -453,6 +472,8 @@
       Now - Quota.PoolRequestedAt < PoolRequestTimeout)
     return;
   Quota.PoolRequestedAt = TimePoint();
+  if (Quota.RequestNumber == 0)
+    return;
   State.PoolUnavailableUntil = Now + PoolBackoff;
   logEvent(LogLevel::Warning, "quota_wish_unanswered",
            {{"leader", State.Leader.Node}});
@@ -497,6 +518,13 @@
     }
     if (!isPast(closedUntil, Now))
       wait = std::min(wait, std::chrono::ceil<Millis>(closedUntil - Now));
+  } else if (TokenRequest = requestLoans(State, quota, limit, position,
+                                         organisation->Name, Now);
+             TokenRequest && !isPast(waitEnd, Now)) {
+    return WaitUntil{std::min(waitEnd, Now + PoolRequestTimeout)};
+  } else if (quota.PoolRequestedAt != TimePoint() && !isPast(waitEnd, Now)) {
+    wait = std::min(wait, std::chrono::ceil<Millis>(quota.PoolRequestedAt +
+                                                    PoolRequestTimeout - Now));
   } else if (!isPast(State.PoolUnavailableUntil, Now)) {
     wait = std::min(
         wait, std::chrono::ceil<Millis>(State.PoolUnavailableUntil - Now));
@@ -787,6 +815,10 @@
 
 void applyQuotaGrant(FrontState &State, const wire::QuotaGrant &Grant,
                      TimePoint Now) {
+  if (isLoan(Grant)) {
+    applyLoan(State, Grant, Now);
+    return;
+  }
   if (Grant.term() < State.SharesTerm)
     return;
   recordPoolContact(State, Now);
@@ -821,6 +853,8 @@
           {{"organisation", organisation},
            {"charged", round(tally.Charged)},
            {"granted", round(tally.Granted)},
+           {"borrowed", round(tally.Borrowed)},
+           {"lent", round(tally.Lent)},
            {"late", round(tally.Late)},
            {"refused", std::to_string(tally.Refused)},
            {"level", round(it.Level)},
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -15,6 +15,7 @@
 #include "front/front_core.h"
 #include "front/front_status.h"
 #include "front/leader_work.h"
+#include "front/quota_loans.h"
 #include "front/relay.h"
 #include "front/send_permits.h"
 #include "front/stream_origins.h"
@@ -103,6 +104,9 @@
   void send(NodeMessages Messages);
   void reportUnservedDemand(const wire::RowDemand &Row);
   void requestTokens(const wire::QuotaRequest &TokenRequest);
+  /// Grants tokens as the leader, or lends some of this front.
+  std::optional<wire::QuotaGrant>
+  answerQuotaRequest(const wire::QuotaRequest &TokenRequest, TimePoint Now);
   void requestPermits(const wire::SendPermitRequest &PermitRequest);
   void takePermitReply(const wire::SendPermitReply &Reply, TimePoint Now);
   bool isReady() const;
@@ -471,9 +475,7 @@
                            now);
     break;
   case wire::Envelope::kQuotaWish:
-    if (!View.IsLeader)
-      break;
-    if (auto grant = grantQuota(Leader, state, Message.quota_wish(), now)) {
+    if (auto grant = answerQuotaRequest(Message.quota_wish(), now)) {
       wire::Envelope answer;
       *answer.mutable_quota_grant() = std::move(*grant);
       out.push_back({Message.reply_address(), std::move(answer)});
@@ -598,14 +600,24 @@
   Peers->send(Core.State.Leader.Address, std::move(message));
 }
 
+std::optional<wire::QuotaGrant>
+FrontShell::answerQuotaRequest(const wire::QuotaRequest &TokenRequest,
+                               TimePoint Now) {
+  if (isLoanRequest(TokenRequest)) {
+    Counts.count("quota_loan_requests_total");
+    return lendQuota(Core.State, TokenRequest, Now);
+  }
+  if (!View.IsLeader)
+    return std::nullopt;
+  return grantQuota(Leader, Core.State, TokenRequest, Now);
+}
+
 void FrontShell::requestTokens(const wire::QuotaRequest &TokenRequest) {
-  if (!View.IsLeader) {
-    wire::Envelope message;
-    *message.mutable_quota_wish() = TokenRequest;
-    Peers->send(Core.State.Leader.Address, std::move(message));
+  TimePoint now = Clock::now();
+  if (!View.IsLeader || isLoanRequest(TokenRequest)) {
+    send(makeQuotaMessages(Core.State, TokenRequest, now));
     return;
   }
-  TimePoint now = Clock::now();
   if (auto grant = grantQuota(Leader, Core.State, TokenRequest, now))
     applyQuotaGrant(Core.State, *grant, now);
   IsDispatchDue = true;
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -233,6 +233,18 @@
   return true;
 }
 
+double takeLoan(LocalQuota &Quota, const QuotaLimit &Limit, double Wanted,
+                const QuotaPosition &Position, TimePoint Now) {
+  refill(Quota, Limit, Position, Now);
+  if (!Quota.Waiting.empty() || !isPast(Quota.GrantEnd, Now))
+    return 0;
+  double out =
+      std::clamp(Wanted, 0.0, std::max(0.0, Quota.Level * LendableFraction));
+  Quota.Level -= out;
+  Quota.Tally.Lent += out;
+  return out;
+}
+
 void returnQuota(LocalQuota &Quota, double Cost) { Quota.Level += Cost; }
 
 Millis estimateQuotaWait(const LocalQuota &Quota, const QuotaLimit &Limit,
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -18,9 +18,10 @@
 #include "core/time.h"
 
 #include <array>
-#include <compare>
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace sassafras {
@@ -59,6 +60,8 @@
 struct QuotaTally {
   double Charged = 0;
   double Granted = 0;   ///< By the leader.
+  double Borrowed = 0;  ///< From other fronts.
+  double Lent = 0;      ///< To other fronts.
   double Late = 0;      ///< Granted, but too late to be used.
   uint64_t Refused = 0; ///< Requests.
 };
@@ -77,7 +80,9 @@
 struct QuotaPlace {
   uint32_t Rank = 0;
   uint64_t Number = 0;
-  auto operator<=>(const QuotaPlace &) const = default;
+  bool operator<(const QuotaPlace &Other) const {
+    return std::tie(Rank, Number) < std::tie(Other.Rank, Other.Number);
+  }
 };
 
 /// Quota of one organisation at one front.
@@ -93,6 +98,8 @@
   std::map<QuotaPlace, QuotaCharge> Waiting; ///< Requests that lack tokens.
   TimePoint PoolRequestedAt;  ///< Set while an answer of the leader is pending.
   uint64_t RequestNumber = 0; ///< Of the last request to the leader.
+  /// Of the last requests to other fronts, those without an answer.
+  std::set<uint64_t> LoanNumbers;
   /// Until then tokens granted for that request are accepted and kept.
   TimePoint GrantEnd;
   TimePoint PoolEmptyUntil; ///< The leader grants nothing before this time.
@@ -161,6 +168,13 @@
 bool takeQuota(LocalQuota &Quota, const QuotaLimit &Limit,
                const QuotaCharge &Charge, const QuotaPosition &Position,
                TimePoint Now);
+/// Fraction of its level that a front lends at most in one answer.
+inline constexpr double LendableFraction = 0.75;
+/// Takes at most \p Wanted tokens, to be lent to another front. Returns 0 while
+/// requests wait here, or while tokens granted to this front may be unspent:
+/// they are not to be used for longer than GrantLifetime. Not thread safe.
+double takeLoan(LocalQuota &Quota, const QuotaLimit &Limit, double Wanted,
+                const QuotaPosition &Position, TimePoint Now);
 /// Returns the tokens of a request that is known not to have run.
 void returnQuota(LocalQuota &Quota, double Cost);
 /// Estimates the time until this front can grant \p Charge by itself.
--- a/tests/front/test_quota_bound.cpp
+++ b/tests/front/test_quota_bound.cpp
@@ -5,6 +5,7 @@
 #include "front/dispatch.h"
 #include "front/fleet_view.h"
 #include "front/leader_work.h"
+#include "front/quota_loans.h"
 
 #include <catch2/catch.hpp>
 
@@ -31,7 +32,13 @@
   bool HasRestarts = false;      ///< Most fronts, several times in series.
   bool HasCuts = false;          ///< The fleet in two parts.
   bool HasLeaderChanges = false; ///< The leader is killed, again and again.
-  double LateShare = 0;          ///< Part of the messages that are late.
+  /// The voters lose sight of each other from the first request on; the other
+  /// fronts see each other.
+  bool HasNoLeader = false;
+  /// The same now and then, for some seconds, with voters killed and back.
+  bool HasLeaderlessTimes = false;
+  double LateShare = 0;  ///< Part of the messages that are late.
+  double TwiceShare = 0; ///< Part of the messages that arrive twice.
   size_t MaxFaults = 100;
 };
 
@@ -40,6 +47,8 @@
   double Rate = 80'000;    ///< Tokens per second; the burst is one second's.
   double DemandFactor = 1; ///< Demand as a multiple of the rate.
   double MeanCost = 1'400;
+  /// Part of the requests that come to one of the fronts that are not voters.
+  double OneFrontShare = 0;
   /// Part of the run at the beginning without requests, so that everything is
   /// full when they come.
   Millis QuietTime{0};
@@ -113,6 +122,8 @@
     for (size_t i = 0; i < Fronts.size(); ++i)
       start(i, Start);
     NextFault = Start + Warmup + Load.QuietTime + drawTime(0, 1'000);
+    if (Faults.HasNoLeader)
+      NextFault = Start + Warmup + Load.QuietTime;
   }
 
   FleetRun run() {
@@ -168,6 +179,10 @@
     NextFault = Now + drawTime(1'500, 3'500);
     if (++FaultCount > Faults.MaxFaults)
       return;
+    if (Faults.HasNoLeader || (Faults.HasLeaderlessTimes && draw() < 0.5)) {
+      separateVoters();
+      return;
+    }
     double choice = draw();
     if (Faults.HasCuts && (choice < 0.4 || !Faults.HasRestarts)) {
       for (int &it : Part)
@@ -182,6 +197,18 @@
       kill(*LeaderIndex);
   }
 
+  void separateVoters() {
+    std::fill(Part.begin(), Part.end(), 0);
+    for (size_t i = 1; i < VoterCount; ++i)
+      Part[i] = static_cast<int>(i);
+    CutEnd = Now + (Faults.HasNoLeader ? RunTime : drawTime(1'000, 6'000));
+    if (Faults.HasNoLeader)
+      return;
+    for (size_t i = 0; i < VoterCount; ++i)
+      if (isRunning(i) && draw() < 0.3)
+        kill(i);
+  }
+
   bool reachesQuorum(size_t I) const {
     size_t n = 0;
     for (size_t i = 0; i < VoterCount; ++i)
@@ -229,6 +256,8 @@
       Millis delay =
           draw() < Faults.LateShare ? drawTime(100, 3'000) : drawTime(1, 10);
       it.Message.set_reply_address(std::to_string(From));
+      if (Faults.TwiceShare > 0 && draw() < Faults.TwiceShare)
+        Letters.push_back({Now + drawTime(1, 600), to, it.Message});
       Letters.push_back({Now + delay, to, std::move(it.Message)});
     }
   }
@@ -262,10 +291,7 @@
         front.NextHeartbeat = TimePoint();
       break;
     case wire::Envelope::kQuotaWish:
-      if (!front.IsLeading)
-        break;
-      if (auto grant = grantQuota(front.Leader, front.State,
-                                  Message.quota_wish(), Now)) {
+      if (auto grant = answer(front, Message.quota_wish())) {
         wire::Envelope answer;
         *answer.mutable_quota_grant() = std::move(*grant);
         out.push_back({Message.reply_address(), std::move(answer)});
@@ -282,6 +308,15 @@
     send(I, std::move(out));
   }
 
+  std::optional<wire::QuotaGrant> answer(SimulatedFront &Front,
+                                         const wire::QuotaRequest &Wish) {
+    if (isLoanRequest(Wish))
+      return lendQuota(Front.State, Wish, Now);
+    if (!Front.IsLeading)
+      return std::nullopt;
+    return grantQuota(Front.Leader, Front.State, Wish, Now);
+  }
+
   void tick(size_t I) {
     SimulatedFront &front = *Fronts[I];
     NodeMessages out;
@@ -319,6 +354,8 @@
     for (int i = 0; i < n; ++i) {
       size_t at =
           std::uniform_int_distribution<size_t>(0, Fronts.size() - 1)(Random);
+      if (Load.OneFrontShare > 0 && draw() < Load.OneFrontShare)
+        at = Fronts.size() - 1;
       if (!isRunning(at))
         continue;
       RequestAttributes attributes;
@@ -356,16 +393,13 @@
 
   void requestTokens(size_t I, const wire::QuotaRequest &Wish) {
     SimulatedFront &front = *Fronts[I];
-    wire::Envelope message;
-    *message.mutable_quota_wish() = Wish;
-    if (front.IsLeading) {
+    if (front.IsLeading && !isLoanRequest(Wish)) {
       auto grant = grantQuota(front.Leader, front.State, Wish, Now);
       if (grant)
         applyQuotaGrant(front.State, *grant, Now);
       return;
     }
-    if (!front.State.Leader.Address.empty())
-      send(I, {{front.State.Leader.Address, std::move(message)}});
+    send(I, makeQuotaMessages(front.State, Wish, Now));
   }
 
   void recordCharge(double Cost) {
@@ -450,6 +484,39 @@
   checkLimitHolds(faults);
 }
 
+TEST_CASE("quota holds over times without a leader, voters killed and back") {
+  FleetFaults faults;
+  faults.HasLeaderlessTimes = true;
+  faults.HasCuts = true;
+  faults.HasRestarts = true;
+  checkLimitHolds(faults);
+}
+
+TEST_CASE("quota holds without a leader, with late and repeated messages") {
+  FleetFaults faults;
+  faults.HasLeaderlessTimes = true;
+  faults.HasLeaderChanges = true;
+  faults.LateShare = 0.1;
+  faults.TwiceShare = 0.1;
+  checkLimitHolds(faults);
+}
+
+// The callers of an organisation at half its rate come mostly to one front. Its
+// part was one of nine while there was no leader, and the others' were unused.
+TEST_CASE("organisation within its rate is served while there is no leader") {
+  FleetFaults faults;
+  faults.HasNoLeader = true;
+  for (unsigned seed = 1; seed <= 4; ++seed) {
+    FleetLoad load;
+    load.DemandFactor = 0.4;
+    load.OneFrontShare = 0.8;
+    FleetRun run = QuotaFleet(load, faults, seed).run();
+    INFO("seed " << seed << " served " << run.Served << " of " << run.Requests);
+    CHECK(static_cast<double>(run.Served) >
+          0.85 * static_cast<double>(run.Requests));
+  }
+}
+
 TEST_CASE("organisation within its rate is served beside restarts in series") {
   FleetFaults faults;
   faults.HasRestarts = true;
