--- a/tests/front/test_quota_bound.cpp
+++ b/tests/front/test_quota_bound.cpp
@@ -436,7 +436,7 @@
 
 /// Runs organisations well over their rates, large and small, busy all the time
 /// and after a quiet time.
-void checkLimitHolds(const FleetFaults &Faults) {
+void checkLimitHolds(const FleetFaults &Faults, double OneFrontShare = 0) {
   for (double rate : {4'200.0, 80'000.0})
     for (size_t fronts : {size_t(9), size_t(31)})
       for (int64_t quietMs : {0, 12'000})
@@ -445,6 +445,7 @@
           load.FrontCount = fronts;
           load.Rate = rate;
           load.DemandFactor = 8;
+          load.OneFrontShare = OneFrontShare;
           load.QuietTime = Millis(quietMs);
           FleetRun run = QuotaFleet(load, Faults, seed).run();
           INFO("rate " << rate << " fronts " << fronts << " quiet " << quietMs
@@ -501,6 +502,21 @@
   checkLimitHolds(faults);
 }
 
+// All callers come to one front. The others lend it what they have, also twice
+// for one message.
+TEST_CASE("quota holds while idle fronts lend to a busy one") {
+  FleetFaults faults;
+  faults.HasNoLeader = true;
+  faults.LateShare = 0.1;
+  faults.TwiceShare = 0.3;
+  checkLimitHolds(faults, 1);
+  faults.HasNoLeader = false;
+  faults.HasLeaderlessTimes = true;
+  faults.HasCuts = true;
+  faults.HasRestarts = true;
+  checkLimitHolds(faults, 1);
+}
+
 // The callers of an organisation at half its rate come mostly to one front. Its
 // part was one of nine while there was no leader, and the others' were unused.
 TEST_CASE("organisation within its rate is served while there is no leader") {
