Zone that returns from an evacuation counts as cold

Its endpoints may have become cold while nothing was sent there. Until they say otherwise they take requests at the rate of cold ones, for the time that the table gives.

--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -292,6 +292,15 @@
     State.ChangedStatements.insert(Endpoint);
 }
 
+void recordSuspectedCold(FrontState &State, const std::string &Endpoint,
+                         TimePoint Now) {
+  const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
+  Millis cold = endpoint ? coldTimeOf(State, *endpoint) : Millis(0);
+  if (cold > Millis(0))
+    applyCold(State, Endpoint, endpoint->BornMs, Now + cold, Now, "suspected",
+              Now);
+}
+
 ObservationResult
 recordObservation(FrontState &State,
                   const wire::EndpointObservation &Observation, bool IsOwn,
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -80,6 +80,11 @@
 /// Not thread safe.
 void recordStatedCold(FrontState &State, const std::string &Endpoint,
                       Millis Left, TimePoint Now);
+/// Records that \p Endpoint may have become cold without having said so. It
+/// counts as cold for the time that its service's table gives, until it states
+/// otherwise. Other fronts are not told. Not thread safe.
+void recordSuspectedCold(FrontState &State, const std::string &Endpoint,
+                         TimePoint Now);
 /// Applies an observation to the directory, and what it says of being cold.
 /// \p IsOwn: the endpoint announced itself here, so that the other fronts are
 /// to be told if it has become cold. Not thread safe.
--- a/front/evacuation_effects.cpp
+++ b/front/evacuation_effects.cpp
@@ -1,6 +1,7 @@
 #include "front/evacuation_effects.h"
 
 #include "core/logging.h"
+#include "front/endpoint_statements.h"
 
 #include <algorithm>
 
@@ -67,6 +68,9 @@
            {{"returned_zone", Zone},
             {"endpoints",
              std::to_string(summarizeZone(State, Zone, Now).Endpoints)}});
+  for (const auto &[id, it] : State.Directory.Endpoints)
+    if (it.Zone == Zone && isServing(it, Now))
+      recordSuspectedCold(State, id, Now);
 }
 
 bool knowsEvacuations(const FrontState &State, TimePoint Now) {
--- a/tests/front/test_evacuation_effects.cpp
+++ b/tests/front/test_evacuation_effects.cpp
@@ -214,3 +214,36 @@
   CHECK(isEvacuated(state, "z0"));
   CHECK(state.version() == 8 * MaxEndedEvacuations - 1);
 }
+
+// Its endpoints may have become cold while nothing was sent there, and have not
+// announced that yet.
+TEST_CASE("zone that returns counts as cold for the time of its service") {
+  FrontState state = makeState();
+  auto table = std::make_shared<ServingTable>();
+  ServingService service;
+  service.Name = "chat";
+  service.ColdTime = Millis(3'000);
+  service.ColdPerSecond = 18;
+  table->Services["chat"] = service;
+  state.Table = table;
+  TimePoint now = Start + std::chrono::seconds(5);
+  applyEvacuations(state, makeEvacuations(1, true), "test", now);
+  applyEvacuations(state, makeEvacuations(2, false), "test", now);
+  const KnownEndpoint &returned = state.Directory.Endpoints.at("i-b");
+  const KnownEndpoint &other = state.Directory.Endpoints.at("i-a");
+  CHECK(coldLimitOf(state, returned, now));
+  CHECK_FALSE(coldLimitOf(state, other, now));
+  CHECK_FALSE(coldLimitOf(state, returned, now + Millis(3'100)));
+  // It says that it is warm.
+  wire::EndpointObservation warm;
+  warm.set_id("i-b");
+  warm.set_service("chat");
+  warm.set_address("10.0.0.b:7");
+  warm.set_zone("b");
+  warm.set_born_ms(1);
+  warm.set_sequence(2);
+  warm.set_slots(4);
+  now += Millis(900);
+  recordObservation(state, warm, false, now);
+  CHECK_FALSE(coldLimitOf(state, state.Directory.Endpoints.at("i-b"), now));
+}
