Waiting requests are served in one order; queued ones are rechecked

Waiting requests were dispatched by rank and number at a tick; an arrival took a slot that had become free before those. A queued request was never looked at again until its first-byte deadline (needed = 0). Now: order of policy/caller_order for dispatch and for what is ahead; an arrival goes after those before it that can take the room; the queue estimate comes from the endpoints' estimates; refusals take their time to return from the backlog that the leader sums by rank.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -56,6 +56,8 @@
 /// A request waits for endpoints that all have a limit only if it can exceed
 /// its estimate by one part in this many: other fronts get slots as well.
 constexpr int PacedMarginDivisor = 3;
+/// Part of its estimated wait that a waiting request is certain to need.
+constexpr int QueuedWaitDivisor = 2;
 /// A need for a model at one software version is reported for this long after a
 /// stream waited for it.
 constexpr Millis WantedVersionLifetime{1'000};
@@ -220,7 +222,37 @@
   Found = std::move(remaining);
 }
 
-void addWaiting(ModelUsage &Usage, const FrontRequest &Request, TimePoint Now) {
+/// Position of \p Request, which takes \p Needed from its begin until it is of
+/// use to its caller.
+WaitingRequest waitingRequestOf(const FrontRequest &Request, Millis Needed) {
+  WaitingRequest out;
+  out.Service = Request.Service;
+  out.Caller.Organisation = Request.Organisation;
+  out.Caller.Position.Rank = Request.Urgency;
+  out.Caller.Position.LatestStart = Request.ObjectiveDeadline - Needed;
+  out.Caller.Position.Number = Request.Number;
+  return out;
+}
+
+/// Time from the begin of \p Request at the fastest candidate until it is of
+/// use to its caller: its first piece, or all of it.
+Millis neededTime(const FrontRequest &Request, const EndpointSurvey &Found) {
+  std::optional<Millis> best;
+  bool isStream = Request.Route->Kind == RequestKind::Streaming;
+  for (const EndpointCandidate &it : Found.Candidates) {
+    Millis needed =
+        (isStream ? it.Estimate.FirstPiece : it.Estimate.LastPiece) -
+        it.Estimate.Wait;
+    best = best ? std::min(*best, needed) : needed;
+  }
+  return best.value_or(Millis(0));
+}
+
+void addWaiting(FrontState &State, ModelUsage &Usage,
+                const FrontRequest &Request, const EndpointSurvey &Found,
+                TimePoint Now) {
+  State.WaitingRequests[Request.Number] =
+      waitingRequestOf(Request, neededTime(Request, Found));
   if (Usage.Waiting.empty())
     Usage.WaitingSince = Now;
   if (Usage.Waiting.insert(Request.Number).second)
@@ -234,8 +266,10 @@
     Usage.WaitingWorth = 0;
 }
 
-std::optional<wire::RowDemand>
-makeDemandReport(ModelUsage &Usage, const std::string &Model, TimePoint Now) {
+std::optional<wire::RowDemand> makeDemandReport(const FrontState &State,
+                                                ModelUsage &Usage,
+                                                const std::string &Model,
+                                                TimePoint Now) {
   if (!isPast(Usage.NextDemandReport, Now))
     return std::nullopt;
   Usage.NextDemandReport = Now + DemandReportPeriod;
@@ -246,6 +280,7 @@
   out.set_waiting_worth(agedWaitingWorth(Usage, Now));
   out.set_busy(Usage.Open + static_cast<uint32_t>(Usage.Waiting.size()));
   addOpenRequests(Usage, out);
+  addBacklog(State, Usage, Now, out);
   addWantedVersions(Usage, Now, out);
   return out;
 }
@@ -299,57 +334,142 @@
         Now + std::clamp(left, State.Limits.MinDemandRetention,
                          State.Limits.MaxDemandRetention);
     usage.RetryExpectedWorth = Request.Worth;
-    out.DemandReport = makeDemandReport(usage, Request.Attributes.Model, Now);
+    out.DemandReport =
+        makeDemandReport(State, usage, Request.Attributes.Model, Now);
     out.Decision = makeRefusal(State, RefusalReason::DeadlineUnreachable, left);
     return out;
   }
-  addWaiting(usage, Request, Now);
-  out.DemandReport = makeDemandReport(usage, Request.Attributes.Model, Now);
+  addWaiting(State, usage, Request, Found, Now);
+  out.DemandReport =
+      makeDemandReport(State, usage, Request.Attributes.Model, Now);
   out.LoadRequest = requestLoadWithoutLeader(State, Request, Now);
   out.Decision = WaitUntil{Now + RecheckPeriod};
   return out;
 }
 
-/// Time until a slot is free for a request behind \p Ahead others, at a mean
-/// time of \p Service for each.
+/// When the requests that wait for room can begin.
 struct QueueEstimate {
-  Millis Wait{0};
+  Millis FirstRoom{0};  ///< Until the first one can begin.
+  double PerSecond = 0; ///< Requests that end per second.
+  double SlotsTaken = 0;
+  double Slots = 0;
   /// All endpoints have a limit or asked for a pause: nothing ends sooner.
   bool IsPaced = false;
 };
 
-QueueEstimate estimateQueueTime(const FrontState &State,
-                                const EndpointSurvey &Found, size_t Ahead,
-                                Millis Service, TimePoint Now) {
-  double seconds = std::chrono::duration<double>(Service).count();
-  double perSecond = 0;
+QueueEstimate estimateQueue(const FrontState &State,
+                            const EndpointSurvey &Found, Millis Service,
+                            TimePoint Now) {
+  QueueEstimate out;
   // Earliest time at which an endpoint with a limit or a pause is open.
   std::optional<Millis> firstSlot;
+  std::optional<Millis> firstRoom;
   size_t limited = 0;
   for (const EndpointCandidate &it : Found.Candidates) {
+    out.Slots += it.Slots;
+    out.SlotsTaken += it.Slots - it.Estimate.FreeSlots;
     if (!isPast(it.PausedUntil, Now)) {
       Millis wait(toMillis(it.PausedUntil - Now) + 1);
       firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
       ++limited;
       continue;
     }
+    Millis run = it.Estimate.LastPiece - it.Estimate.Wait;
+    double seconds =
+        std::chrono::duration<double>(run > Millis(0) ? run : Service).count();
     double most = it.Slots / seconds;
-    perSecond += it.RequestLimit
-                     ? std::min(std::max(*it.RequestLimit, MinSendPace), most)
-                     : most;
+    out.PerSecond +=
+        it.RequestLimit
+            ? std::min(std::max(*it.RequestLimit, MinSendPace), most)
+            : most;
+    Millis room = it.Estimate.Wait;
+    if (!isPast(it.Record->PausedUntil, Now))
+      room = std::max(room, Millis(toMillis(it.Record->PausedUntil - Now) + 1));
+    firstRoom = firstRoom ? std::min(*firstRoom, room) : room;
     if (!it.RequestLimit)
       continue;
     ++limited;
     Millis wait = timeUntilPermission(State, it.Id, Now);
     firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
   }
-  if (perSecond <= 0)
-    return {firstSlot.value_or(Service), firstSlot.has_value()};
-  Millis queued(
-      static_cast<int64_t>(1'000 * static_cast<double>(Ahead + 1) / perSecond));
-  if (limited < Found.Candidates.size())
-    return {queued, false};
-  return {std::max(queued, *firstSlot), true};
+  if (out.PerSecond <= 0) {
+    out.FirstRoom = firstSlot.value_or(Service);
+    out.IsPaced = firstSlot.has_value();
+    return out;
+  }
+  out.FirstRoom = firstRoom.value_or(Millis(0));
+  out.IsPaced = limited == Found.Candidates.size();
+  if (out.IsPaced)
+    out.FirstRoom = std::max(out.FirstRoom, *firstSlot);
+  return out;
+}
+
+/// Callers of \p Usage that go before a request, and those of its rank.
+struct OwnQueue {
+  uint32_t AheadInRank = 0;
+  uint32_t InRank = 0; ///< The request itself included, if it waits.
+};
+
+OwnQueue ownQueueOf(const FrontState &State, const ModelUsage &Usage,
+                    const FrontRequest &Request, Millis Needed, TimePoint Now) {
+  std::vector<WaitingCaller> callers;
+  for (uint64_t number : Usage.Waiting)
+    if (auto it = State.WaitingRequests.find(number);
+        it != State.WaitingRequests.end() &&
+        it->second.Caller.Position.Rank == Request.Urgency)
+      callers.push_back(it->second.Caller);
+  OwnQueue out;
+  out.InRank = static_cast<uint32_t>(callers.size());
+  if (!Usage.Waiting.contains(Request.Number))
+    callers.push_back(waitingRequestOf(Request, Needed).Caller);
+  auto open = State.OpenByOrganisation.find(Request.Service);
+  callers = orderCallers(std::move(callers),
+                         open == State.OpenByOrganisation.end()
+                             ? std::map<std::string, uint32_t>()
+                             : open->second,
+                         Now);
+  for (const WaitingCaller &it : callers) {
+    if (it.Position.Number == Request.Number)
+      break;
+    ++out.AheadInRank;
+  }
+  return out;
+}
+
+/// Refusal with the time after which the fleet's backlog leaves room. The
+/// caller counts as due back then.
+FrontRefusal refuseForRoom(FrontState &State, const FrontRequest &Request,
+                           ModelUsage &Usage, const QueueEstimate &Queue,
+                           Millis Needed, TimePoint Now) {
+  expireReturns(Usage.Returning, Now);
+  RankBacklog fleet = fleetBacklogOf(State, Usage, Now);
+  ReturnTime when =
+      returnTime({static_cast<double>(callersBefore(fleet, Request.Urgency)),
+                  Queue.PerSecond, Queue.FirstRoom, Needed,
+                  std::chrono::duration_cast<Millis>(Request.Deadline - Now)});
+  FrontRefusal out =
+      makeRefusal(State,
+                  when.IsInTime ? RefusalReason::NoCapacity
+                                : RefusalReason::DeadlineUnreachable,
+                  when.After);
+  if (when.IsInTime)
+    recordReturn(Usage.Returning, Now + *out.RetryAfter, Request.Urgency);
+  logEvent(
+      LogLevel::Info, "room_refused",
+      {{"id", Request.Attributes.Id},
+       {"rank", std::to_string(Request.Urgency)},
+       {"before", std::to_string(callersBefore(fleet, Request.Urgency))},
+       {"backlog_age_ms",
+        Usage.FleetBacklogAt == TimePoint()
+            ? ""
+            : std::to_string(toMillis(Now - Usage.FleetBacklogAt))},
+       {"ends_per_s", std::to_string(static_cast<int64_t>(Queue.PerSecond))},
+       {"first_room_ms", std::to_string(Queue.FirstRoom.count())},
+       {"left_ms", std::to_string(toMillis(Request.Deadline - Now))},
+       {"slots_taken", std::to_string(static_cast<int64_t>(Queue.SlotsTaken))},
+       {"slots", std::to_string(static_cast<int64_t>(Queue.Slots))},
+       {"in_time", when.IsInTime ? "yes" : "no"}});
+  return out;
 }
 
 DispatchResult waitForSlot(FrontState &State, FrontRequest &Request,
@@ -360,27 +480,37 @@
       State.ModelUsages[IsEngine ? Request.Attributes.Model
                                  : "service " + Request.Service];
   bool isQueued = usage.Waiting.contains(Request.Number);
-  auto rank = static_cast<size_t>(std::distance(
-      usage.Waiting.begin(), usage.Waiting.lower_bound(Request.Number)));
-  size_t ahead =
-      (isQueued ? rank : usage.Waiting.size()) * countFronts(State, Now);
-  QueueEstimate estimate = estimateQueueTime(
-      State, Found, ahead,
-      IsEngine ? MeanEngineServiceTime : MeanPlainServiceTime, Now);
-  Millis needed = estimate.Wait;
-  // Requests end sooner or later than on average; slots do not.
-  if (isQueued && !estimate.IsPaced)
-    needed = Millis(0);
-  else if (!isQueued && estimate.IsPaced)
-    needed += needed / PacedMarginDivisor;
-  if ((!isQueued && usage.Waiting.size() >= State.Limits.MaxWaitingRequests) ||
-      Now + needed > Request.FirstByteDeadline) {
-    out.Decision = makeRefusal(State, RefusalReason::NoCapacity, estimate.Wait);
+  Millis service = IsEngine ? MeanEngineServiceTime : MeanPlainServiceTime;
+  Millis needed = neededTime(Request, Found);
+  QueueEstimate queue = estimateQueue(State, Found, service, Now);
+  OwnQueue own = ownQueueOf(State, usage, Request, needed, Now);
+  RankBacklog fleet = fleetBacklogOf(State, usage, Now);
+  double ahead = waitingBefore(fleet, Request.Urgency, !isQueued,
+                               own.AheadInRank, own.InRank);
+  Millis wait = queue.FirstRoom;
+  if (queue.PerSecond > 0)
+    wait += Millis(static_cast<int64_t>(1'000 * ahead / queue.PerSecond));
+  // Requests end sooner or later than on average; slots do not. A request that
+  // waits is given up only if it is late by half of its estimate.
+  if (isQueued && !queue.IsPaced)
+    wait /= QueuedWaitDivisor;
+  else if (!isQueued && queue.IsPaced)
+    wait += wait / PacedMarginDivisor;
+  bool isMostlyFree = !queue.IsPaced && ahead < 1 &&
+                      queue.SlotsTaken < queue.Slots / 2 &&
+                      Now < Request.FirstByteDeadline;
+  bool isFull =
+      !isQueued && usage.Waiting.size() >= State.Limits.MaxWaitingRequests;
+  bool isLate = Now + wait > Request.FirstByteDeadline ||
+                Now + wait + needed > Request.Deadline;
+  if (isFull || (isLate && !isMostlyFree)) {
+    out.Decision = refuseForRoom(State, Request, usage, queue, needed, Now);
     return out;
   }
-  addWaiting(usage, Request, Now);
+  addWaiting(State, usage, Request, Found, Now);
   if (IsEngine)
-    out.DemandReport = makeDemandReport(usage, Request.Attributes.Model, Now);
+    out.DemandReport =
+        makeDemandReport(State, usage, Request.Attributes.Model, Now);
   out.Decision = WaitUntil{Now + RecheckPeriod};
   return out;
 }
@@ -608,7 +738,7 @@
     out = waitForSlot(State, Request, Found, IsEngine, Now);
   if (std::holds_alternative<FrontRefusal>(out.Decision))
     return out;
-  addWaiting(usage, Request, Now);
+  addWaiting(State, usage, Request, Found, Now);
   out.Decision = WaitUntil{Now + PermitRequestTimeout};
   std::vector<const KnownEndpoint *> endpoints;
   for (const KnownEndpoint *it : Found.Endpoints)
@@ -740,7 +870,9 @@
                     const std::string &Endpoint, TimePoint Now) {
   ModelUsage &usage = modelUsageOf(State, Request);
   removeWaiting(usage, Request);
+  State.WaitingRequests.erase(Request.Number);
   ++usage.Open;
+  ++State.OpenByOrganisation[Request.Service][Request.Organisation];
   ++usage.OpenByEndpoint[Endpoint];
   ++Request.Sends;
   recordSend(State.Records[Endpoint]);
@@ -758,6 +890,10 @@
   ModelUsage &usage = modelUsageOf(State, Request);
   if (usage.Open > 0)
     --usage.Open;
+  auto &byOrganisation = State.OpenByOrganisation[Request.Service];
+  auto open = byOrganisation.find(Request.Organisation);
+  if (open != byOrganisation.end() && --open->second == 0)
+    byOrganisation.erase(open);
   auto at = usage.OpenByEndpoint.find(Endpoint);
   if (at != usage.OpenByEndpoint.end() && --at->second == 0)
     usage.OpenByEndpoint.erase(at);
@@ -813,9 +949,63 @@
 void removeWaitingRequest(FrontState &State, const FrontRequest &Request) {
   if (!Request.Organisation.empty())
     State.Quotas[Request.Organisation].WaitingCosts.erase(Request.Number);
+  State.WaitingRequests.erase(Request.Number);
   removeWaiting(modelUsageOf(State, Request), Request);
 }
 
+std::vector<uint64_t> listInOrder(const FrontState &State, TimePoint Now) {
+  // Organisations share the room of a service, not that of others.
+  std::map<std::string, std::vector<WaitingCaller>> byService;
+  for (const auto &[number, it] : State.WaitingRequests)
+    byService[it.Service].push_back(it.Caller);
+  static const std::map<std::string, uint32_t> None;
+  std::vector<WaitingCaller> all;
+  for (auto &[service, callers] : byService) {
+    auto open = State.OpenByOrganisation.find(service);
+    for (WaitingCaller &it : orderCallers(
+             std::move(callers),
+             open == State.OpenByOrganisation.end() ? None : open->second, Now))
+      all.push_back(std::move(it));
+  }
+  std::sort(all.begin(), all.end(), [&](const auto &A, const auto &B) {
+    return isServedBefore(A.Position, B.Position, Now);
+  });
+  std::vector<uint64_t> out;
+  for (const WaitingCaller &it : all)
+    out.push_back(it.Position.Number);
+  return out;
+}
+
+std::vector<uint64_t> listCallersBefore(const FrontState &State,
+                                        const FrontRequest &Request,
+                                        TimePoint Now) {
+  std::vector<WaitingCaller> callers{
+      waitingRequestOf(Request, Millis(0)).Caller};
+  for (const auto &[number, it] : State.WaitingRequests)
+    if (it.Service == Request.Service)
+      callers.push_back(it.Caller);
+  std::vector<uint64_t> out;
+  if (callers.size() == 1)
+    return out;
+  auto open = State.OpenByOrganisation.find(Request.Service);
+  callers = orderCallers(std::move(callers),
+                         open == State.OpenByOrganisation.end()
+                             ? std::map<std::string, uint32_t>()
+                             : open->second,
+                         Now);
+  for (const WaitingCaller &it : callers) {
+    if (it.Position.Number == Request.Number)
+      break;
+    out.push_back(it.Position.Number);
+  }
+  return out;
+}
+
+void recordWaiting(FrontState &State, const FrontRequest &Request) {
+  State.WaitingRequests.try_emplace(Request.Number,
+                                    waitingRequestOf(Request, Millis(0)));
+}
+
 namespace {
 
 void logPause(const std::string &Endpoint, const EndpointRecord &Record,
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -80,6 +80,17 @@
 /// endpoint or for quota tokens.
 void removeWaitingRequest(FrontState &State, const FrontRequest &Request);
 
+/// Records a request that waits, also for something else than room.
+void recordWaiting(FrontState &State, const FrontRequest &Request);
+/// Numbers of all waiting requests in the order in which they are served.
+/// Thread safe while \p State does not change.
+std::vector<uint64_t> listInOrder(const FrontState &State, TimePoint Now);
+/// Numbers of the waiting requests that could take the room of \p Request and
+/// are served before it, in order. Thread safe while \p State does not change.
+std::vector<uint64_t> listCallersBefore(const FrontState &State,
+                                        const FrontRequest &Request,
+                                        TimePoint Now);
+
 /// How an exchange with an endpoint failed.
 enum class ExchangeFailure {
   Unreachable, ///< Not sent: no connection.
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -138,7 +138,9 @@
       static_cast<uint64_t>(toMillis(Now - partUnusedSince(State))));
   for (auto &[name, it] : State.ModelUsages) {
     bool isWanted = !isPast(it.RetryExpectedUntil, Now);
-    if (it.Arrivals == 0 && it.Open == 0 && it.Waiting.empty() && !isWanted)
+    expireReturns(it.Returning, Now);
+    if (it.Arrivals == 0 && it.Open == 0 && it.Waiting.empty() &&
+        it.Returning.empty() && !isWanted)
       continue;
     wire::RowDemand &demand = *Heartbeat.add_rows();
     demand.set_model(name);
@@ -149,6 +151,7 @@
     demand.set_waiting_worth(agedWaitingWorth(it, Now));
     demand.set_busy(it.Open + static_cast<uint32_t>(it.Waiting.size()));
     addOpenRequests(it, demand);
+    addBacklog(State, it, Now, demand);
     addWantedVersions(it, Now, demand);
     it.Arrivals = 0;
     it.Worth = 0;
--- a/front/front_core.h
+++ b/front/front_core.h
@@ -14,17 +14,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 
 namespace sassafras {
 
 class Metrics;
 class Relay;
 
-/// Sort key of waiting requests (urgency, number): most urgent first, then
-/// oldest.
-using WaitingKey = std::pair<uint32_t, uint64_t>;
-
 struct FrontCore {
   FrontCore(boost::asio::io_context &Io, Metrics &Counts,
             MemoryBudgetPtr Memory, std::function<void(NodeMessages)> Send,
@@ -51,7 +46,6 @@
   FrontState State;
   std::map<uint64_t, std::shared_ptr<Relay>> Relays; ///< By request number.
   std::map<const HttpExchange *, uint64_t> ByExchange;
-  std::set<WaitingKey> Waiting;
   uint64_t NextNumber = 1;
   TimePoint NextInvalidLoadLog;
 };
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -38,6 +38,9 @@
 /// Waiting requests are dispatched again after this time even if nothing is
 /// known to have changed.
 constexpr Millis MaxDispatchInterval{100};
+/// Waiting requests that an arrival finds without room before it is dispatched
+/// itself. They may lack something that it does not need.
+constexpr size_t MaxStuckCallers = 3;
 /// Interval at which expired nodes, endpoints and connections are dropped.
 constexpr Millis SweepPeriod{1'000};
 /// A stopping front accepts connections for this long. A load balancer that
@@ -111,6 +114,7 @@
   void sweep(TimePoint Now);
   void sendNotices(TimePoint Now);
   void updatePermits(TimePoint Now);
+  void dispatchCallersBefore(const FrontRequest &Request, TimePoint Now);
   void dispatchWaiting();
   void dispatchWaitingForTokens(const std::string &Organisation);
   void runLeaderTasks(TimePoint Now);
@@ -331,6 +335,7 @@
                  {request.Cost, request.Worth}, now);
   recordRequest(Core.State.Retries[request.Service], Core.State.Limits.Retries,
                 retryShareOf(Core.State, now), now);
+  dispatchCallersBefore(request, now);
   std::make_shared<Relay>(Core, std::move(request), std::move(Request),
                           Exchange)
       ->start();
@@ -717,11 +722,26 @@
     IsDispatchDue = true;
 }
 
-/// Dispatches all waiting requests again, the most urgent first.
+/// Dispatches again the waiting requests that are served before \p Request,
+/// which has arrived while room may have become free. Ends at those that can
+/// take none.
+void FrontShell::dispatchCallersBefore(const FrontRequest &Request,
+                                       TimePoint Now) {
+  size_t stuck = 0;
+  for (uint64_t number : listCallersBefore(Core.State, Request, Now)) {
+    auto relay = Core.Relays.find(number);
+    if (relay == Core.Relays.end())
+      continue;
+    std::shared_ptr<Relay> keepAlive = relay->second;
+    if (!keepAlive->dispatch() && ++stuck >= MaxStuckCallers)
+      return;
+  }
+}
+
+/// Dispatches all waiting requests again, in their order.
 void FrontShell::dispatchWaiting() {
-  std::set<WaitingKey> waiting = Core.Waiting;
-  for (const WaitingKey &it : waiting) {
-    auto relay = Core.Relays.find(it.second);
+  for (uint64_t number : listInOrder(Core.State, Clock::now())) {
+    auto relay = Core.Relays.find(number);
     if (relay == Core.Relays.end())
       continue;
     std::shared_ptr<Relay> keepAlive = relay->second;
@@ -762,7 +782,8 @@
   sendZoneSummaries(Core.State, Gossip, Now, out);
   send(std::move(out));
   Counts.set("requests_open", "", static_cast<double>(Core.Relays.size()));
-  Counts.set("requests_waiting", "", static_cast<double>(Core.Waiting.size()));
+  Counts.set("requests_waiting", "",
+             static_cast<double>(Core.State.WaitingRequests.size()));
   if (!Group)
     return;
   std::vector<std::string> addresses = Gossip.Seeds;
@@ -783,7 +804,7 @@
   logEvent(
       LogLevel::Info, "figures",
       {{"open", std::to_string(Core.Relays.size())},
-       {"waiting", std::to_string(Core.Waiting.size())},
+       {"waiting", std::to_string(Core.State.WaitingRequests.size())},
        {"fronts", std::to_string(countFronts(Core.State, Now))},
        {"endpoints", std::to_string(Core.State.Directory.Endpoints.size())},
        {"callers", std::to_string(Counts.read("http_requests_total"))},
--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -105,6 +105,51 @@
                   Usage.WaitingWorth * (1 + std::clamp(age, 0.0, MaxAging)));
 }
 
+RankBacklog ownBacklogOf(const FrontState &State, const ModelUsage &Usage,
+                         TimePoint Now) {
+  RankBacklog out;
+  for (uint64_t number : Usage.Waiting) {
+    auto it = State.WaitingRequests.find(number);
+    if (it != State.WaitingRequests.end() &&
+        it->second.Caller.Position.Rank < RankCount)
+      ++out.Waiting[it->second.Caller.Position.Rank];
+  }
+  for (const auto &[at, rank] : Usage.Returning)
+    if (!isPast(at, Now) && rank < RankCount)
+      ++out.Returning[rank];
+  return out;
+}
+
+RankBacklog fleetBacklogOf(const FrontState &State, const ModelUsage &Usage,
+                           TimePoint Now) {
+  RankBacklog own = ownBacklogOf(State, Usage, Now);
+  bool isTold = Usage.FleetBacklogAt != TimePoint() &&
+                Now - Usage.FleetBacklogAt < BacklogLifetime;
+  if (!isTold)
+    return scaled(own, countFronts(State, Now));
+  RankBacklog out = Usage.FleetBacklog;
+  // This front's own callers count from the first moment.
+  for (size_t i = 0; i < RankCount; ++i) {
+    out.Waiting[i] = std::max(out.Waiting[i], own.Waiting[i]);
+    out.Returning[i] = std::max(out.Returning[i], own.Returning[i]);
+  }
+  return out;
+}
+
+void addBacklog(const FrontState &State, const ModelUsage &Usage, TimePoint Now,
+                wire::RowDemand &Out) {
+  RankBacklog own = ownBacklogOf(State, Usage, Now);
+  auto add = [](const std::array<uint32_t, RankCount> &Counts, auto &&Add) {
+    size_t size = RankCount;
+    while (size > 0 && Counts[size - 1] == 0)
+      --size;
+    for (size_t i = 0; i < size; ++i)
+      Add(Counts[i]);
+  };
+  add(own.Waiting, [&](uint32_t N) { Out.add_waiting_by_rank(N); });
+  add(own.Returning, [&](uint32_t N) { Out.add_returning_by_rank(N); });
+}
+
 void addOpenRequests(const ModelUsage &Usage, wire::RowDemand &Out) {
   for (const auto &[endpoint, count] : Usage.OpenByEndpoint) {
     wire::OpenRequests &open = *Out.add_open();
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -8,10 +8,12 @@
 #include "fleet/endpoint_directory.h"
 #include "fleet/roster.h"
 #include "fleet/serving_table.h"
+#include "policy/caller_order.h"
 #include "policy/crash_quarantine.h"
 #include "policy/endpoint_choice.h"
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
+#include "policy/return_time.h"
 #include "policy/row_demand.h"
 #include "policy/send_pace.h"
 
@@ -57,6 +59,9 @@
   TimePoint WaitingSince;       ///< Since then, Waiting has not been empty.
   TimePoint RetryExpectedUntil; ///< Refused callers should retry by then.
   double RetryExpectedWorth = 0;
+  ReturningCallers Returning; ///< Refused callers that are due back.
+  RankBacklog FleetBacklog;   ///< Of all fronts, as the leader told last.
+  TimePoint FleetBacklogAt;   ///< When it was received.
   /// Software versions at which streams wait that go on nowhere else, and when
   /// each need ends.
   std::map<std::string, TimePoint> WantedVersions;
@@ -66,6 +71,12 @@
   TimePoint ForecastAt; ///< When that forecast was received.
 };
 
+/// A request that waits at this front.
+struct WaitingRequest {
+  std::string Service;
+  WaitingCaller Caller;
+};
+
 /// What the other fronts are to be told of crashes with the next notice.
 struct PendingCrashNotices {
   struct Accusation {
@@ -184,6 +195,10 @@
   OriginHistory History;
   /// By model, or "service NAME" for plain services.
   std::map<std::string, ModelUsage> ModelUsages;
+  /// Callers that wait, by request number.
+  std::map<uint64_t, WaitingRequest> WaitingRequests;
+  /// Requests in progress by service and organisation.
+  std::map<std::string, std::map<std::string, uint32_t>> OpenByOrganisation;
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
   std::map<std::string, TimePoint> NextAdapterRequests;
   /// All running endpoints have announced themselves by then.
@@ -231,6 +246,9 @@
 inline constexpr Millis ForecastTimeout{500};
 /// A forecast is used for this long.
 inline constexpr Millis ForecastLifetime{1'000};
+/// A backlog that the leader told is used for this long: several periods of its
+/// messages. Requests to engines end within one or two seconds.
+inline constexpr Millis BacklogLifetime{1'000};
 
 /// True if this front leads, or a leader was heard within NodeTimeout. Pure.
 bool hasLeader(const FrontState &State, TimePoint Now);
@@ -260,6 +278,17 @@
 /// grows with the waiting time, so that several models that are available at
 /// only one engine are loaded in turn.
 double agedWaitingWorth(const ModelUsage &Usage, TimePoint Now);
+/// Callers that wait here or are due back. Without the organisations' parts and
+/// the times that are left. Thread safe while \p State does not change.
+RankBacklog ownBacklogOf(const FrontState &State, const ModelUsage &Usage,
+                         TimePoint Now);
+/// The same over all fronts: as the leader told, or this front's times the
+/// number of fronts in view once that is too old.
+RankBacklog fleetBacklogOf(const FrontState &State, const ModelUsage &Usage,
+                           TimePoint Now);
+/// Adds the callers of \p Usage that wait or are due back, by rank.
+void addBacklog(const FrontState &State, const ModelUsage &Usage, TimePoint Now,
+                wire::RowDemand &Out);
 /// Adds the number of requests of \p Usage in progress at each endpoint.
 void addOpenRequests(const ModelUsage &Usage, wire::RowDemand &Out);
 /// Adds the software versions at which streams wait, and drops ended needs.
--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -49,6 +49,8 @@
 /// Rate shares whose sending times are remembered. Older ones count for nothing
 /// once they are acknowledged.
 constexpr size_t MaxSharesRemembered = 8;
+/// Models whose backlogs the fronts are told; about 50 bytes each.
+constexpr size_t MaxBacklogs = 32;
 /// A front's demand is counted for this long after its last heartbeat.
 constexpr Millis DemandRetention{2'000};
 
@@ -691,12 +693,59 @@
 
 } // namespace
 
+namespace {
+
+/// Backlogs of the models with the most callers, summed over all fronts.
+std::map<std::string, RankBacklog> sumBacklogs(const LeaderState &Leader,
+                                               TimePoint Now) {
+  std::map<std::string, RankBacklog> sums;
+  auto add = [](const auto &Counts, std::array<uint32_t, RankCount> &Sums) {
+    for (int i = 0; i < Counts.size() && i < static_cast<int>(RankCount); ++i)
+      Sums[static_cast<size_t>(i)] += Counts[i];
+  };
+  for (const auto &[front, report] : Leader.Demand.Fronts) {
+    if (Now - report.HeardAt > DemandRetention)
+      continue;
+    for (const auto &[model, row] : report.Rows) {
+      if (row.waiting_by_rank().empty() && row.returning_by_rank().empty())
+        continue;
+      RankBacklog &sum = sums[model];
+      add(row.waiting_by_rank(), sum.Waiting);
+      add(row.returning_by_rank(), sum.Returning);
+    }
+  }
+  if (sums.size() <= MaxBacklogs)
+    return sums;
+  std::vector<std::pair<uint32_t, std::string>> largest;
+  for (const auto &[model, sum] : sums)
+    largest.emplace_back(callersBefore(sum, RankCount - 1), model);
+  std::sort(largest.rbegin(), largest.rend());
+  for (size_t i = MaxBacklogs; i < largest.size(); ++i)
+    sums.erase(largest[i].second);
+  return sums;
+}
+
+void addBacklogs(const std::map<std::string, RankBacklog> &Backlogs,
+                 wire::LoadForecast &Out) {
+  for (const auto &[model, it] : Backlogs) {
+    wire::ModelBacklog &entry = *Out.add_backlogs();
+    entry.set_model(model);
+    for (uint32_t count : it.Waiting)
+      entry.add_waiting_by_rank(count);
+    for (uint32_t count : it.Returning)
+      entry.add_returning_by_rank(count);
+  }
+}
+
+} // namespace
+
 void sendForecasts(LeaderState &Leader, FrontState &State, TimePoint Now,
                    NodeMessages &Out) {
   if (!isPast(Leader.NextForecastAt, Now))
     return;
   Leader.NextForecastAt = Now + ForecastPeriod;
   auto loads = forecastLoads(Leader, State, Now);
+  auto backlogs = sumBacklogs(Leader, Now);
   for (const auto &[front, report] : Leader.Demand.Fronts) {
     wire::Envelope message;
     wire::LoadForecast &forecast = *message.mutable_load_forecast();
@@ -709,7 +758,8 @@
       entry.set_model(model);
       entry.set_ready_in_ms(static_cast<uint64_t>(load->second.count()));
     }
-    if (forecast.models_size() == 0)
+    addBacklogs(backlogs, forecast);
+    if (forecast.models_size() == 0 && forecast.backlogs_size() == 0)
       continue;
     auto node = State.Roster.Nodes.find(front);
     if (front == State.Self.name())
@@ -728,6 +778,17 @@
     usage.ReadyAt = Now + Millis(it.ready_in_ms());
     usage.ForecastAt = Now;
   }
+  for (const wire::ModelBacklog &it : Forecast.backlogs()) {
+    ModelUsage &usage = State.ModelUsages[it.model()];
+    usage.FleetBacklog = {};
+    usage.FleetBacklogAt = Now;
+    auto copy = [](const auto &From, std::array<uint32_t, RankCount> &To) {
+      for (int i = 0; i < From.size() && i < static_cast<int>(RankCount); ++i)
+        To[static_cast<size_t>(i)] = From[i];
+    };
+    copy(it.waiting_by_rank(), usage.FleetBacklog.Waiting);
+    copy(it.returning_by_rank(), usage.FleetBacklog.Returning);
+  }
 }
 
 std::string summarizeBusyModels(const LeaderState &Leader,
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -128,18 +128,18 @@
   if (IsWaiting == IsNowWaiting)
     return;
   IsWaiting = IsNowWaiting;
-  WaitingKey key{Request.Urgency, Request.Number};
   if (IsWaiting)
-    Core.Waiting.insert(key);
+    recordWaiting(Core.State, Request);
   else
-    Core.Waiting.erase(key);
+    Core.State.WaitingRequests.erase(Request.Number);
 }
 
-void Relay::dispatch() {
+bool Relay::dispatch() {
   if (IsOver || Call || EndCheck)
-    return;
+    return true;
   guard(
       [&] { applyResult(decideDispatch(Core.State, Request, Clock::now())); });
+  return !IsWaiting;
 }
 
 void Relay::applyResult(const DispatchResult &Result) {
--- a/front/relay.h
+++ b/front/relay.h
@@ -38,8 +38,8 @@
 
   /// Registers the request and dispatches it. Call once.
   void start();
-  /// Decides again on a waiting request.
-  void dispatch();
+  /// Decides again on a waiting request. True if it waits no longer.
+  bool dispatch();
   /// Called while the process stops. Refuses a waiting request, which another
   /// front can serve; with \p IsFinal also ends a running one.
   void stop(bool IsFinal);
--- a/policy/caller_order.h
+++ b/policy/caller_order.h
@@ -11,14 +11,22 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace sassafras {
 
+/// A request that is late already goes behind those that are not for this long;
+/// then it goes first in its rank. Otherwise requests with short objectives
+/// would get nothing while others with long ones arrive.
+inline constexpr Millis LongestPutBack{1'000};
+
 /// A request that waits for room.
 struct CallerPosition {
   uint32_t Rank = 0; ///< 0 is the most urgent.
-  /// Requests of its organisation that are served or go before it, beyond the
-  /// organisation's even part of the room.
+  /// Steps by which the requests of its organisation that are served or go
+  /// before it exceed the organisation's even part of the room.
   uint32_t ExcessOfOrganisation = 0;
   /// Latest time at which it must begin for its caller to be served on time.
   TimePoint LatestStart;
@@ -30,6 +38,19 @@
 bool isServedBefore(const CallerPosition &A, const CallerPosition &B,
                     TimePoint Now);
 
+/// A caller and the organisation whose part of the room it takes. Its excess is
+/// filled in by orderCallers().
+struct WaitingCaller {
+  CallerPosition Position;
+  std::string Organisation;
+};
+
+/// Sorts callers that wait for the same room. \p Served: requests in progress
+/// there, by organisation. Pure and thread safe.
+std::vector<WaitingCaller>
+orderCallers(std::vector<WaitingCaller> Callers,
+             const std::map<std::string, uint32_t> &Served, TimePoint Now);
+
 } // namespace sassafras
 
 #endif
