--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -56,8 +56,9 @@
 /// A request waits for endpoints that all have a limit only if it can exceed
 /// its estimate by one part in this many: other fronts get slots as well.
 constexpr int PacedMarginDivisor = 3;
-/// Part of its estimated wait that a waiting request is certain to need.
-constexpr int QueuedWaitDivisor = 2;
+/// The first room may become free sooner than estimated by one part in this
+/// many.
+constexpr int QueuedRoomDivisor = 2;
 /// A need for a model at one software version is reported for this long after a
 /// stream waited for it.
 constexpr Millis WantedVersionLifetime{1'000};
@@ -400,10 +401,24 @@
   out.FirstRoom = firstRoom.value_or(Millis(0));
   out.IsPaced = limited == Found.Candidates.size();
   if (out.IsPaced)
-    out.FirstRoom = std::max(out.FirstRoom, *firstSlot);
+    out.FirstRoom = *firstSlot;
   return out;
 }
 
+/// Time until a request begins behind \p Ahead others.
+Millis timeToBegin(const QueueEstimate &Queue, double Ahead) {
+  if (Queue.PerSecond <= 0)
+    return Queue.FirstRoom;
+  // Requests at endpoints with a limit are started in slots, not when others
+  // end: those ahead take the slots up to the first free one.
+  if (Queue.IsPaced)
+    return std::max(
+        Queue.FirstRoom,
+        Millis(static_cast<int64_t>(1'000 * (Ahead + 1) / Queue.PerSecond)));
+  return Queue.FirstRoom +
+         Millis(static_cast<int64_t>(1'000 * Ahead / Queue.PerSecond));
+}
+
 /// Callers of \p Usage that go before a request, and those of its rank.
 struct OwnQueue {
   uint32_t AheadInRank = 0;
@@ -487,13 +502,12 @@
   RankBacklog fleet = fleetBacklogOf(State, usage, Now);
   double ahead = waitingBefore(fleet, Request.Urgency, !isQueued,
                                own.AheadInRank, own.InRank);
-  Millis wait = queue.FirstRoom;
-  if (queue.PerSecond > 0)
-    wait += Millis(static_cast<int64_t>(1'000 * ahead / queue.PerSecond));
+  Millis wait = timeToBegin(queue, ahead);
   // Requests end sooner or later than on average; slots do not. A request that
-  // waits is given up only if it is late by half of its estimate.
+  // waits is given up only if it is late even when they end sooner.
   if (isQueued && !queue.IsPaced)
-    wait /= QueuedWaitDivisor;
+    wait = timeToBegin(queue, ahead - std::sqrt(ahead)) -
+           queue.FirstRoom / QueuedRoomDivisor;
   else if (!isQueued && queue.IsPaced)
     wait += wait / PacedMarginDivisor;
   bool isMostlyFree = !queue.IsPaced && ahead < 1 &&
@@ -502,7 +516,7 @@
   bool isFull =
       !isQueued && usage.Waiting.size() >= State.Limits.MaxWaitingRequests;
   bool isLate = Now + wait > Request.FirstByteDeadline ||
-                Now + wait + needed > Request.Deadline;
+                (!queue.IsPaced && Now + wait + needed > Request.Deadline);
   if (isFull || (isLate && !isMostlyFree)) {
     out.Decision = refuseForRoom(State, Request, usage, queue, needed, Now);
     return out;
