--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -972,13 +972,13 @@
   std::map<std::string, std::vector<WaitingCaller>> byService;
   for (const auto &[number, it] : State.WaitingRequests)
     byService[it.Service].push_back(it.Caller);
-  static const std::map<std::string, uint32_t> None;
+  static const std::map<std::string, uint32_t> none;
   std::vector<WaitingCaller> all;
   for (auto &[service, callers] : byService) {
     auto open = State.OpenByOrganisation.find(service);
     for (WaitingCaller &it : orderCallers(
              std::move(callers),
-             open == State.OpenByOrganisation.end() ? None : open->second, Now))
+             open == State.OpenByOrganisation.end() ? none : open->second, Now))
       all.push_back(std::move(it));
   }
   std::sort(all.begin(), all.end(), [&](const auto &A, const auto &B) {
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -228,7 +228,7 @@
     arrive(2);
   REQUIRE_FALSE(waiting.empty());
   FrontRequest last = waiting.back();
-  last.FirstByteDeadline = Start + Millis(3'000);
+  last.FirstByteDeadline = Start + Millis(2'000);
   CHECK_FALSE(refusalOf(decideDispatch(state, last, Start + Millis(50))));
   for (int i = 0; i < 40; ++i)
     arrive(0);
