Callers that one front refuses again are counted

Also: half of the service time counts for a waiting request, as the estimate does not know its size yet.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -515,8 +515,10 @@
                       Now < Request.FirstByteDeadline;
   bool isFull =
       !isQueued && usage.Waiting.size() >= State.Limits.MaxWaitingRequests;
-  bool isLate = Now + wait > Request.FirstByteDeadline ||
-                (!queue.IsPaced && Now + wait + needed > Request.Deadline);
+  bool isLate =
+      Now + wait > Request.FirstByteDeadline ||
+      (!queue.IsPaced &&
+       Now + wait + (isQueued ? needed / 2 : needed) > Request.Deadline);
   if (isFull || (isLate && !isMostlyFree)) {
     out.Decision = refuseForRoom(State, Request, usage, queue, needed, Now);
     return out;
@@ -1015,6 +1017,22 @@
   return out;
 }
 
+bool recordRefusedCaller(FrontState &State, const FrontRequest &Request,
+                         TimePoint Now) {
+  auto &refused = State.RefusedUntil;
+  const std::string &digest = Request.Features.Digest;
+  auto it = refused.find(digest);
+  bool isAgain = it != refused.end() && !isPast(it->second, Now);
+  if (it == refused.end() && refused.size() >= MaxRefusedCallers) {
+    std::erase_if(refused,
+                  [&](const auto &Old) { return isPast(Old.second, Now); });
+    if (refused.size() >= MaxRefusedCallers)
+      return false;
+  }
+  refused[digest] = Request.Deadline;
+  return isAgain;
+}
+
 void recordWaiting(FrontState &State, const FrontRequest &Request) {
   State.WaitingRequests.try_emplace(Request.Number,
                                     waitingRequestOf(Request, Millis(0)));
--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -80,6 +80,13 @@
 /// endpoint or for quota tokens.
 void removeWaitingRequest(FrontState &State, const FrontRequest &Request);
 
+/// Refused requests that a front remembers until their callers give up.
+inline constexpr size_t MaxRefusedCallers = 2'048;
+/// Records that \p Request is refused. True if this front refused the same one
+/// before. Misses those that other fronts refused, and takes like requests of
+/// several callers for one.
+bool recordRefusedCaller(FrontState &State, const FrontRequest &Request,
+                         TimePoint Now);
 /// Records a request that waits, also for something else than room.
 void recordWaiting(FrontState &State, const FrontRequest &Request);
 /// Numbers of all waiting requests in the order in which they are served.
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -197,6 +197,8 @@
   std::map<std::string, ModelUsage> ModelUsages;
   /// Callers that wait, by request number.
   std::map<uint64_t, WaitingRequest> WaitingRequests;
+  /// Until when the callers of refused requests may return, by digest.
+  std::map<std::string, TimePoint> RefusedUntil;
   /// Requests in progress by service and organisation.
   std::map<std::string, std::map<std::string, uint32_t>> OpenByOrganisation;
   /// Time of the next request for an adapter, by "endpoint/model/adapter".
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -842,8 +842,10 @@
   // Only a request that certainly did not run may be reported as not run.
   if (Request.Runs > 0 && isNotRunStatus(status))
     status = statusOf(RefusalReason::EndpointFailed);
-  Core.Counts.count("refusals_total",
-                    "reason=\"" + std::string(nameOf(Refusal.Reason)) + "\"");
+  std::string reason = "reason=\"" + std::string(nameOf(Refusal.Reason)) + "\"";
+  Core.Counts.count("refusals_total", reason);
+  if (recordRefusedCaller(Core.State, Request, Clock::now()))
+    Core.Counts.count("callers_refused_again_total", reason);
   Exchange->respond(status, std::move(fields), refusalBody(Request, Refusal));
   finish(std::string(nameOf(Refusal.Reason)), status);
 }
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -325,3 +325,22 @@
   CHECK(fleetBacklogOf(state, usage, Start).Waiting[1] == 0);
   CHECK(listInOrder(state, Start).empty());
 }
+
+TEST_CASE("front knows a caller that it refuses again, within a bound") {
+  FrontState state = makeState();
+  FrontRequest request = admit(state, 1, Start);
+  request.Features.Digest = "first";
+  CHECK_FALSE(recordRefusedCaller(state, request, Start));
+  CHECK(recordRefusedCaller(state, request, Start + Millis(500)));
+  CHECK_FALSE(recordRefusedCaller(state, request, request.Deadline));
+  for (size_t i = 0; i < 2 * MaxRefusedCallers; ++i) {
+    request.Features.Digest = std::to_string(i);
+    recordRefusedCaller(state, request, Start);
+  }
+  CHECK(state.RefusedUntil.size() == MaxRefusedCallers);
+  // Old ones make room.
+  request.Features.Digest = "last";
+  request.Deadline += Millis(60'000);
+  recordRefusedCaller(state, request, request.Deadline - Millis(1'000));
+  CHECK(state.RefusedUntil.size() == 1);
+}
