Design of the estimate; learned speed of endpoints; choice by pace

Requests were filled evenly by their number: an engine that takes 2.4 times as long got as many as the others. Water-filling now makes even the time that the load takes. Not wired to the fronts' records yet; log of a request names events, their time and the stated pace.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -200,6 +200,8 @@
   IsStream = false;
   HasOrigin = false;
   IsTailDue = false;
+  EventCount = 0;
+  StatedPace.reset();
   dropProof();
   // Endpoints of other routes do not go on with a stream, whatever its caller
   // asks for.
@@ -277,10 +279,11 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
-  if (fields.Load && fields.Load->PacePercent)
-    recordPace(
-        Core.State.Records[Endpoint],
-        static_cast<double>(*fields.Load->PacePercent) / UsualPacePercent, now);
+  if (fields.Load)
+    StatedPace = fields.Load->PacePercent;
+  if (StatedPace)
+    recordPace(Core.State.Records[Endpoint],
+               static_cast<double>(*StatedPace) / UsualPacePercent, now);
   // An answer without an id may belong to another request.
   if (!fields.RequestId.empty())
     recordStatements(fields, now);
@@ -549,6 +552,7 @@
       break;
     due += it.Bytes;
     HasEvents = true;
+    ++EventCount;
     if (it.Id)
       Request.LastEvent = it.Id;
   }
@@ -588,6 +592,9 @@
     LongestGap = std::max(LongestGap, now - LastEventAt);
   }
   LastEventAt = now;
+  LatestEventAt = now;
+  if (FirstEventAt < SentAt)
+    FirstEventAt = now;
   recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   if (now - AnsweredAt >= ProvenRunTime)
     recordProof();
@@ -950,6 +957,15 @@
                            ? 0
                            : toMillis(FirstByteAt - Request.ArrivedAt))},
        {"gap_ms", std::to_string(toMillis(LongestGap))},
+       {"events", std::to_string(EventCount)},
+       {"events_ms",
+        std::to_string(
+            EventCount < 2 ? 0 : toMillis(LatestEventAt - FirstEventAt))},
+       {"answer_ms",
+        std::to_string(EventCount == 0 ? 0 : toMillis(FirstEventAt - SentAt))},
+       {"pace_percent", StatedPace ? std::to_string(*StatedPace) : ""},
+       {"prompt_tokens", std::to_string(Request.Attributes.PromptTokens)},
+       {"output_tokens", std::to_string(Request.Attributes.OutputTokens)},
        {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
        {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
        {"table", std::to_string(Request.Table->Version)}});
--- a/front/relay.h
+++ b/front/relay.h
@@ -135,6 +135,11 @@
   TimePoint FirstByteAt;
   TimePoint LastEventAt;
   Clock::duration LongestGap{0}; ///< Between forwarded events.
+  /// Events of this exchange, and when the first and the last were received.
+  uint32_t EventCount = 0;
+  TimePoint FirstEventAt;
+  TimePoint LatestEventAt;
+  std::optional<uint32_t> StatedPace; ///< In percent, in the latest answer.
   bool HasHead = false;
   bool IsProven = false;   ///< This exchange has shown that it can be run.
   bool IsNotRun = false;   ///< The endpoint stated that it did not run it.
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -14,6 +14,9 @@
 /// in the same unit.
 constexpr double WarmUpPenalty = 0.5;
 constexpr double AffinityBonus = 0.05;
+/// Part of the time of a request that does not depend on the load, as a
+/// multiple of the slots: a request at a full endpoint takes as much again.
+constexpr double FixedTime = 0.5;
 /// Smoothing factor of the learned pace: weight of the newest statement.
 constexpr double PaceWeight = 0.05;
 
@@ -36,11 +39,13 @@
 
 namespace {
 
-/// An available endpoint and its score in requests: its estimated load plus its
-/// penalties converted to requests. Lower is better.
+/// An available endpoint and its score in requests at an endpoint of pace 1:
+/// the time that its estimated load takes, plus its penalties converted to
+/// requests. Lower is better. Each further request adds the pace.
 struct ScoredEndpoint {
   size_t Candidate = 0;
   double Score = 0;
+  double Pace = 1;
 };
 
 /// Lists the available endpoints by ascending score. Adds their estimated load
@@ -61,7 +66,9 @@
                      (it.Zone == OwnZone ? 0 : CrossZonePenalty) +
                      (it.IsWarmingUp ? WarmUpPenalty : 0) -
                      AffinityBonus * it.Affinity;
-    out.push_back({i, load + slots * penalty});
+    double pace = it.Estimate.Pace;
+    double score = pace * load + slots * ((pace - 1) * FixedTime + penalty);
+    out.push_back({i, score, pace});
     TotalLoad += load;
   }
   std::sort(out.begin(), out.end(),
@@ -85,17 +92,20 @@
   // Water-filling: distributes the expected requests over the endpoints with
   // the lowest scores until their scores are equal.
   double sum = 0;
+  double width = 0;
   double waterLevel = 0;
   size_t filled = 0;
   while (filled < ranked.size()) {
-    sum += ranked[filled++].Score;
-    waterLevel = (sum + expected) / static_cast<double>(filled);
+    sum += ranked[filled].Score / ranked[filled].Pace;
+    width += 1 / ranked[filled].Pace;
+    ++filled;
+    waterLevel = (sum + expected) / width;
     if (filled < ranked.size() && waterLevel <= ranked[filled].Score)
       break;
   }
   double remaining = Draw * expected;
   for (size_t i = 0; i < filled; ++i) {
-    remaining -= waterLevel - ranked[i].Score;
+    remaining -= (waterLevel - ranked[i].Score) / ranked[i].Pace;
     if (remaining < 0)
       return ranked[i].Candidate;
   }
--- a/policy/endpoint_estimate.cpp
+++ b/policy/endpoint_estimate.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Bounds of the pace that decisions use.
+constexpr double MinPace = 0.1;
+constexpr double MaxPace = 20;
+
 Millis scaled(Millis Time, double Factor) {
   return Millis(
       static_cast<int64_t>(static_cast<double>(Time.count()) * Factor));
@@ -30,18 +34,19 @@
   EndpointEstimate out;
   double needed = memoryOf(Size);
   bool hasMemory = Figures.MemoryTokens > 0;
+  out.Pace = std::clamp(Figures.Pace, MinPace, MaxPace);
   out.FreeSlots = Figures.Slots - Figures.Held;
   out.FreeTokens = Figures.MemoryTokens - Figures.HeldTokens;
   out.IsTooLarge = hasMemory && needed > Figures.MemoryTokens;
   out.HasRoom = !out.IsTooLarge && out.FreeSlots >= 1 &&
                 (!hasMemory || needed <= out.FreeTokens);
-  Millis service = scaled(Figures.MeanServiceTime, Figures.Pace);
+  Millis service = scaled(Figures.MeanServiceTime, out.Pace);
   out.Wait = timeUntilFree(1 - out.FreeSlots, Figures.Slots, service);
   if (hasMemory)
     out.Wait = std::max(out.Wait, timeUntilFree(needed - out.FreeTokens,
                                                 Figures.MemoryTokens, service));
   out.FirstPiece = out.Wait + 2 * Figures.OneWayDelay +
-                   scaled(Figures.MeanFirstPiece, Figures.Pace);
+                   scaled(Figures.MeanFirstPiece, out.Pace);
   out.LastPiece = out.Wait + 2 * Figures.OneWayDelay + service;
   return out;
 }
--- a/policy/endpoint_estimate.h
+++ b/policy/endpoint_estimate.h
@@ -46,6 +46,8 @@
   bool HasRoom = false;  ///< A slot and the memory of this request are free.
   /// The request is larger than the endpoint's memory.
   bool IsTooLarge = false;
+  /// Time that work takes there against the mean endpoint of the service.
+  double Pace = 1;
   Millis Wait{0};       ///< Until it would begin.
   Millis FirstPiece{0}; ///< From now, the wait included.
   Millis LastPiece{0};
