Pace of endpoints reaches the choice: stated, passed on by agents, learned

Where an engine states its pace, that counts, aged towards its mean; where it states none, the time per event of its streams, if it differs by more than three tenths over three streams. Agents pass on what the engine states with its state, zone summaries the same and the memory in use.

--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -68,6 +68,7 @@
 struct EngineStatements {
   platform::StatedLimit Limit;
   bool IsLeaving = false;
+  uint32_t PacePercent = 0; ///< 0: not stated.
 };
 
 class EngineAgentShell : public RoleShell,
@@ -118,6 +119,7 @@
   bool WasBusy = false;         ///< As of the last report.
   /// Requests per second that the engine states as its limit.
   std::optional<double> RequestLimit;
+  uint32_t PacePercent = 0;     ///< Stated with its state; or 0.
   bool IsEngineLeaving = false; ///< It states that it takes no new requests.
   std::string LastOrderSender;  ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
@@ -221,8 +223,10 @@
   HttpCallbacks callbacks;
   callbacks.OnHead = [status, stated](const HttpResponseHead &Head) {
     *status = Head.Status;
+    auto load = platform::readResponseFields(Head.Status, Head.Fields).Load;
     *stated = {platform::readRequestLimit(Head.Fields),
-               platform::readLeaving(Head.Fields)};
+               platform::readLeaving(Head.Fields),
+               load ? load->PacePercent.value_or(0) : 0};
   };
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
   callbacks.OnEnd = [self = shared_from_this(), text, status, stated] {
@@ -263,6 +267,7 @@
   else
     RequestLimit = Stated.Limit.PerSecond;
   IsEngineLeaving = Stated.IsLeaving;
+  PacePercent = Stated.PacePercent;
   applyEngineReport(State, report);
   uint64_t done = State.OrderDone;
   sendNextCommand();
@@ -289,6 +294,7 @@
   IsSilent = true;
   RequestLimit.reset();
   IsEngineLeaving = false;
+  PacePercent = 0;
   clearEngineReport(State);
   publishReport(Clock::now());
   schedulePoll(IdlePollInterval);
@@ -369,6 +375,7 @@
   out.set_has_limit(RequestLimit.has_value());
   out.set_requests_per_s(RequestLimit.value_or(0));
   out.set_is_leaving(IsEngineLeaving);
+  out.set_pace_percent(PacePercent);
   out.set_order_done(State.OrderDone);
   out.set_number(NextReportNumber++);
   return out;
--- a/fleet/endpoint_directory.cpp
+++ b/fleet/endpoint_directory.cpp
@@ -163,6 +163,7 @@
   state.Queued = Report.queued();
   state.KvUsed = Report.kv_used();
   state.KvTotal = Report.kv_total();
+  state.PacePercent = Report.pace_percent();
   state.OrderDone = Report.order_done();
   state.AgentAddress = Report.self().address();
   if (Report.is_plain())
@@ -193,6 +194,8 @@
   state.ReadAt = readAt;
   state.Active = Load.active();
   state.Queued = Load.queued();
+  state.KvUsed = Load.kv_used();
+  state.PacePercent = Load.pace_percent();
   return true;
 }
 
--- a/fleet/endpoint_directory.h
+++ b/fleet/endpoint_directory.h
@@ -41,6 +41,8 @@
   uint32_t Queued = 0;
   uint64_t KvUsed = 0;
   uint64_t KvTotal = 0;
+  /// Time that work takes there, in percent of the usual time; 0: not stated.
+  uint32_t PacePercent = 0;
   uint64_t OrderDone = 0;
   std::string AgentAddress; ///< Inner-protocol address, or empty.
   std::string Loading;      ///< Model of its agent's load order, or empty.
--- a/front/endpoint_figures.cpp
+++ b/front/endpoint_figures.cpp
@@ -4,6 +4,13 @@
 
 namespace sassafras {
 
+namespace {
+
+/// Least number of events that a measured speed is taken from.
+constexpr uint32_t MinMeasuredEvents = 8;
+
+} // namespace
+
 RequestSize sizeOf(const FrontRequest &Request) {
   const RequestAttributes &attributes = Request.Attributes;
   RequestSize out;
@@ -23,12 +30,30 @@
   if (Engine && Spec)
     out.MemoryTokens =
         static_cast<double>(Engine->KvTotal ? Engine->KvTotal : Spec->KvTokens);
+  if (Engine)
+    out.Pace = learnedPace(State.Speeds, Endpoint.Id);
   auto record = State.Records.find(Endpoint.Id);
   if (record == State.Records.end())
     return out;
   out.Held = estimateLoad(record->second, Now);
-  out.Pace = paceOf(record->second, Now);
+  if (record->second.StatedPace)
+    out.Pace = paceOf(record->second, Now);
   return out;
 }
 
+void recordEventTimes(FrontState &State, const FrontRequest &Request,
+                      const std::string &Endpoint, const EventTimes &Times,
+                      TimePoint Now) {
+  const EngineSpec *spec = findEngineSpec(State, Request.Service);
+  if (!spec || spec->Slots == 0 || Times.Count < MinMeasuredEvents)
+    return;
+  SpeedSample sample;
+  sample.Service = Request.Service;
+  sample.Model = Request.Attributes.Model;
+  sample.Endpoint = Endpoint;
+  sample.PerEvent = (Times.Last - Times.First) / (Times.Count - 1);
+  sample.LoadShare = Times.LoadBefore / spec->Slots;
+  recordSpeed(State.Speeds, sample, Now);
+}
+
 } // namespace sassafras
--- a/front/endpoint_figures.h
+++ b/front/endpoint_figures.h
@@ -11,6 +11,19 @@
 
 /// Sizes of \p Request. Pure and thread safe.
 RequestSize sizeOf(const FrontRequest &Request);
+/// Events of one exchange and the time between its first and its last.
+struct EventTimes {
+  uint32_t Count = 0;
+  TimePoint First;
+  TimePoint Last;
+  double LoadBefore = 0; ///< Requests at the endpoint when it was chosen.
+};
+
+/// Records how fast \p Endpoint brought the events of a complete exchange. Not
+/// thread safe.
+void recordEventTimes(FrontState &State, const FrontRequest &Request,
+                      const std::string &Endpoint, const EventTimes &Times,
+                      TimePoint Now);
 /// What is known of \p Endpoint. \p Engine and \p Spec are null for plain
 /// services. \p Slots are those that requests may use now. Thread safe while
 /// \p State does not change.
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -451,6 +451,8 @@
     load.set_agent_incarnation(it.Incarnation);
     load.set_active(it.State.Active);
     load.set_queued(it.State.Queued);
+    load.set_kv_used(it.State.KvUsed);
+    load.set_pace_percent(it.State.PacePercent);
     load.set_heard_ago_ms(
         static_cast<uint32_t>(toMillis(Now - it.State.ReadAt)));
   }
@@ -502,12 +504,20 @@
 
 namespace {
 
+/// Load of the engine at \p Address, as the directory has it now.
 void recordEngineLoad(FrontState &State, const std::string &Address,
-                      uint32_t Load, TimePoint Now) {
+                      TimePoint Now) {
   auto id = State.Directory.IdByAddress.find(Address);
-  if (id != State.Directory.IdByAddress.end())
-    recordLoadReport(State.Records[id->second], Load, EngineReportLifetime,
-                     Now);
+  auto report = State.Directory.AgentReports.find(Address);
+  if (id == State.Directory.IdByAddress.end() ||
+      report == State.Directory.AgentReports.end())
+    return;
+  const EngineState &engine = report->second.State;
+  EndpointRecord &record = State.Records[id->second];
+  recordLoadReport(record, engine.Active + engine.Queued, EngineReportLifetime,
+                   Now);
+  if (engine.PacePercent > 0)
+    recordPace(record, engine.PacePercent / UsualPacePercent, Now);
 }
 
 } // namespace
@@ -531,7 +541,7 @@
     applyObservation(State.Directory, it, Now);
   for (const wire::EngineLoad &it : Summary.loads())
     if (applyLoad(State.Directory, it, Now))
-      recordEngineLoad(State, it.address(), it.active() + it.queued(), Now);
+      recordEngineLoad(State, it.address(), Now);
   if (Summary.is_passed_on())
     return;
   wire::Envelope message;
@@ -551,8 +561,7 @@
   if (!applyReport(State.Directory, Report, Now))
     return false;
   recordReportedStatements(State, Report, Now);
-  recordEngineLoad(State, Report.address(), Report.active() + Report.queued(),
-                   Now);
+  recordEngineLoad(State, Report.address(), Now);
   return true;
 }
 
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -695,6 +695,7 @@
   expireNodes(Core.State.Roster, Now);
   checkOriginContact(Core.State, Now);
   expireEndpoints(Core.State.Directory, Now);
+  expireSpeeds(Core.State.Speeds, Now);
   expireFeatures(Core.State.Quarantine, Now);
   expireStatements(Core.State, Now);
   expireStreamOrigins(Core.State, Now);
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -10,6 +10,7 @@
 #include "fleet/serving_table.h"
 #include "policy/crash_quarantine.h"
 #include "policy/endpoint_choice.h"
+#include "policy/endpoint_speed.h"
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
 #include "policy/row_demand.h"
@@ -172,6 +173,7 @@
   sassafras::Roster Roster;
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
+  SpeedBook Speeds;
   std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
   CrashQuarantine Quarantine;
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -21,8 +21,6 @@
 /// Connecting within the fleet takes a few milliseconds, and less than this
 /// even when one packet is lost.
 constexpr Millis ConnectTimeout{700};
-/// Stated pace of an endpoint at which work takes as long as usual.
-constexpr double UsualPacePercent = 100;
 /// Persistent connections that were idle for longer are not used for requests
 /// that must not run twice: the endpoint may be closing them.
 constexpr Millis MaxIdleNonRepeatable{1'500};
@@ -200,7 +198,8 @@
   IsStream = false;
   HasOrigin = false;
   IsTailDue = false;
-  EventCount = 0;
+  Times = {};
+  Times.LoadBefore = Chosen.Load;
   StatedPace.reset();
   dropProof();
   // Endpoints of other routes do not go on with a stream, whatever its caller
@@ -552,7 +551,7 @@
       break;
     due += it.Bytes;
     HasEvents = true;
-    ++EventCount;
+    ++Times.Count;
     if (it.Id)
       Request.LastEvent = it.Id;
   }
@@ -592,9 +591,9 @@
     LongestGap = std::max(LongestGap, now - LastEventAt);
   }
   LastEventAt = now;
-  LatestEventAt = now;
-  if (FirstEventAt < SentAt)
-    FirstEventAt = now;
+  Times.Last = now;
+  if (Times.First == TimePoint())
+    Times.First = now;
   recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   if (now - AnsweredAt >= ProvenRunTime)
     recordProof();
@@ -621,6 +620,7 @@
   }
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
+  recordEventTimes(Core.State, Request, Endpoint, Times, Clock::now());
   // Without framing, the end of the connection is the only sign of the end, and
   // an endpoint that fails may close it as well, within an event or before the
   // first one. Nothing follows the last event that a caller may have.
@@ -957,12 +957,10 @@
                            ? 0
                            : toMillis(FirstByteAt - Request.ArrivedAt))},
        {"gap_ms", std::to_string(toMillis(LongestGap))},
-       {"events", std::to_string(EventCount)},
-       {"events_ms",
-        std::to_string(
-            EventCount < 2 ? 0 : toMillis(LatestEventAt - FirstEventAt))},
+       {"events", std::to_string(Times.Count)},
+       {"events_ms", std::to_string(toMillis(Times.Last - Times.First))},
        {"answer_ms",
-        std::to_string(EventCount == 0 ? 0 : toMillis(FirstEventAt - SentAt))},
+        std::to_string(Times.Count == 0 ? 0 : toMillis(Times.First - SentAt))},
        {"pace_percent", StatedPace ? std::to_string(*StatedPace) : ""},
        {"prompt_tokens", std::to_string(Request.Attributes.PromptTokens)},
        {"output_tokens", std::to_string(Request.Attributes.OutputTokens)},
--- a/front/relay.h
+++ b/front/relay.h
@@ -6,6 +6,7 @@
 
 #include "front/admission.h"
 #include "front/dispatch.h"
+#include "front/endpoint_figures.h"
 #include "front/event_order.h"
 #include "front/front_core.h"
 #include "front/process_proof.h"
@@ -134,11 +135,8 @@
   TimePoint AnsweredAt;  ///< Head of this exchange's response; or zero.
   TimePoint FirstByteAt;
   TimePoint LastEventAt;
-  Clock::duration LongestGap{0}; ///< Between forwarded events.
-  /// Events of this exchange, and when the first and the last were received.
-  uint32_t EventCount = 0;
-  TimePoint FirstEventAt;
-  TimePoint LatestEventAt;
+  Clock::duration LongestGap{0};      ///< Between forwarded events.
+  EventTimes Times;                   ///< Of this exchange.
   std::optional<uint32_t> StatedPace; ///< In percent, in the latest answer.
   bool HasHead = false;
   bool IsProven = false;   ///< This exchange has shown that it can be run.
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -17,7 +17,8 @@
 /// Part of the time of a request that does not depend on the load, as a
 /// multiple of the slots: a request at a full endpoint takes as much again.
 constexpr double FixedTime = 0.5;
-/// Smoothing factor of the learned pace: weight of the newest statement.
+/// Least weight of the newest statement in the learned pace. The first ones all
+/// have the same weight.
 constexpr double PaceWeight = 0.05;
 
 double secondsOf(Clock::duration Span) {
@@ -127,10 +128,9 @@
 }
 
 void recordPace(EndpointRecord &Record, double Pace, TimePoint Now) {
-  Record.LearnedPace =
-      Record.StatedPace
-          ? Record.LearnedPace * (1 - PaceWeight) + Pace * PaceWeight
-          : Pace;
+  ++Record.PaceStatements;
+  double weight = std::max(PaceWeight, 1.0 / Record.PaceStatements);
+  Record.LearnedPace += (Pace - Record.LearnedPace) * weight;
   Record.StatedPace = Pace;
   Record.PaceStatedAt = Now;
 }
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -71,8 +71,11 @@
   std::optional<double> StatedPace;
   TimePoint PaceStatedAt;
   double LearnedPace = 1; ///< The same, smoothed over its statements.
+  uint32_t PaceStatements = 0;
 };
 
+/// Statement of an endpoint at which work takes the usual time.
+inline constexpr double UsualPacePercent = 100;
 /// A stated pace counts in full for Full and then less and less until Max; it
 /// changes many times a second.
 inline constexpr ReportLifetime PaceLifetime{Millis(100), Millis(600)};
--- a/policy/endpoint_speed.cpp
+++ b/policy/endpoint_speed.cpp
@@ -12,6 +12,10 @@
 constexpr double LeastWeight = 0.1;
 /// Measurements that the assumption of an average factor counts for.
 constexpr double PriorSamples = 1;
+/// Factors of fewer measurements, or that differ from 1 by less, may come from
+/// chance and are read as 1.
+constexpr uint32_t MinSamples = 3;
+constexpr double LeastFactor = 1.3;
 /// Bounds of one measurement against what was expected; a stream that stood
 /// still says little of the speed.
 constexpr double MaxLogDeviation = 1.5;
@@ -42,7 +46,10 @@
 double readFactor(const std::map<std::string, SpeedFactor> &Factors,
                   const std::string &Key) {
   auto it = Factors.find(Key);
-  return it == Factors.end() ? 1 : std::exp(it->second.Log);
+  if (it == Factors.end() || it->second.Samples < MinSamples)
+    return 1;
+  double factor = std::exp(it->second.Log);
+  return std::max(factor, 1 / factor) < LeastFactor ? 1 : factor;
 }
 
 } // namespace
