--- a/core/reason.cpp
+++ b/core/reason.cpp
@@ -37,6 +37,7 @@
     {RefusalReason::CrashesEndpoints, "crashes_endpoints", 503, true},
     {RefusalReason::StreamVersionUnknown, "stream_version_unknown", 503, false},
     {RefusalReason::StreamVersionGone, "stream_version_gone", 503, true},
+    {RefusalReason::LargerThanEngine, "larger_than_engine", 400, false},
 };
 
 const RefusalTraits &traitsOf(RefusalReason Reason) {
--- a/core/reason.h
+++ b/core/reason.h
@@ -35,6 +35,7 @@
   CrashesEndpoints,
   StreamVersionUnknown,
   StreamVersionGone,
+  LargerThanEngine,
 };
 
 /// All reasons, in declaration order.
@@ -51,7 +52,7 @@
     RefusalReason::TableUnknown,      RefusalReason::TimeoutWaiting,
     RefusalReason::TimeoutRunning,    RefusalReason::RetriesExhausted,
     RefusalReason::CrashesEndpoints,  RefusalReason::StreamVersionUnknown,
-    RefusalReason::StreamVersionGone,
+    RefusalReason::StreamVersionGone, RefusalReason::LargerThanEngine,
 };
 
 /// Stable name of \p Reason, as used in response bodies, metrics and docs.
--- a/core/settings.h
+++ b/core/settings.h
@@ -55,6 +55,8 @@
   Millis RateWindow{8'000};   ///< Limits are checked over this window.
   double RateOvershoot = 0.1; ///< Allowed over rate and burst, as a fraction.
   double RateSlack = 0;       ///< Allowed beyond that, in tokens.
+  /// Engines fail when their requests exceed their memory.
+  bool EnginesFailWhenFull = false;
   /// Bounds of how long an endpoint's word keeps it without requests: one that
   /// asks for a pause, and one that states that it leaves.
   Millis LongestPause{60'000};
--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -124,6 +124,7 @@
   out.Record = &State.Records[Known.Id];
   out.Estimate = estimateEndpoint(
       makeFigures(State, Known, Engine, Spec, out.Slots, Now), sizeOf(Request));
+  out.FailsWhenFull = Engine && State.Limits.EnginesFailWhenFull;
   return out;
 }
 
@@ -159,6 +160,15 @@
   return out;
 }
 
+/// True if no endpoint can ever run the request.
+bool isLargerThanAll(const EndpointSurvey &Found) {
+  return !Found.Candidates.empty() &&
+         std::all_of(Found.Candidates.begin(), Found.Candidates.end(),
+                     [](const EndpointCandidate &it) {
+                       return it.Estimate.IsTooLarge;
+                     });
+}
+
 /// Picks an engine for the adapter among those that have the model loaded.
 /// Rendezvous hashing spreads the adapters and keeps each on few engines.
 /// Returns nothing while the previous request for it is recent.
@@ -695,6 +705,10 @@
       return wait;
     }
   }
+  if (isLargerThanAll(found)) {
+    out.Decision = FrontRefusal{RefusalReason::LargerThanEngine, {}};
+    return out;
+  }
   EndpointDecision decision = decideEndpoint(State, found, Now);
   if (!decision.Chosen || decision.NeedsPermit) {
     DispatchResult wait =
@@ -743,7 +757,8 @@
   ++usage.Open;
   ++usage.OpenByEndpoint[Endpoint];
   ++Request.Sends;
-  recordSend(State.Records[Endpoint]);
+  recordSend(State.Records[Endpoint], memoryOf(sizeOf(Request)));
+  recordSize(State, Request);
   takePermit(State, Endpoint, Now);
   for (const std::string &it :
        beginTrial(State.Quarantine, Request.Features, Now))
@@ -761,7 +776,7 @@
   auto at = usage.OpenByEndpoint.find(Endpoint);
   if (at != usage.OpenByEndpoint.end() && --at->second == 0)
     usage.OpenByEndpoint.erase(at);
-  recordClose(State.Records[Endpoint]);
+  recordClose(State.Records[Endpoint], memoryOf(sizeOf(Request)));
 }
 
 void applyQuotaGrant(FrontState &State, const wire::QuotaGrant &Grant,
--- a/front/endpoint_figures.cpp
+++ b/front/endpoint_figures.cpp
@@ -6,9 +6,24 @@
 
 namespace {
 
+/// Smoothing factor of the mean memory of requests.
+constexpr double MemoryWeight = 0.02;
 /// Least number of events that a measured speed is taken from.
 constexpr uint32_t MinMeasuredEvents = 8;
 
+/// Memory that requests at an engine may take up until their ends, those
+/// included that other fronts may have sent since its last report.
+double boundMemory(const EndpointRecord &Record, const EndpointFigures &Figures,
+                   double Known, TimePoint Now) {
+  double others = std::max(0.0, Figures.Held - Record.Open);
+  double age = Record.ReportedAt == TimePoint()
+                   ? ExpectedArrivalShare
+                   : std::chrono::duration<double>(Now - Record.ReportedAt) /
+                         Figures.MeanServiceTime;
+  others *= 1 + std::min(age, ExpectedArrivalShare);
+  return std::max(Known, Record.OpenTokens + others * Figures.MeanTokens);
+}
+
 } // namespace
 
 RequestSize sizeOf(const FrontRequest &Request) {
@@ -38,9 +53,25 @@
   out.Held = estimateLoad(record->second, Now);
   if (record->second.StatedPace)
     out.Pace = paceOf(record->second, Now);
+  if (out.MemoryTokens <= 0)
+    return out;
+  auto mean = State.MeanTokens.find(Endpoint.Service);
+  out.MeanTokens = mean == State.MeanTokens.end() ? 0 : mean->second;
+  out.HeldTokens = estimateMemory(record->second, Now);
+  if (State.Limits.EnginesFailWhenFull)
+    out.HeldTokens = boundMemory(record->second, out, out.HeldTokens, Now);
   return out;
 }
 
+void recordSize(FrontState &State, const FrontRequest &Request) {
+  double tokens = memoryOf(sizeOf(Request));
+  if (tokens <= 0)
+    return;
+  auto [mean, isNew] = State.MeanTokens.emplace(Request.Service, tokens);
+  if (!isNew)
+    mean->second += (tokens - mean->second) * MemoryWeight;
+}
+
 void recordEventTimes(FrontState &State, const FrontRequest &Request,
                       const std::string &Endpoint, const EventTimes &Times,
                       TimePoint Now) {
--- a/front/endpoint_figures.h
+++ b/front/endpoint_figures.h
@@ -11,6 +11,8 @@
 
 /// Sizes of \p Request. Pure and thread safe.
 RequestSize sizeOf(const FrontRequest &Request);
+/// Records the size of a request that is sent. Not thread safe.
+void recordSize(FrontState &State, const FrontRequest &Request);
 /// Events of one exchange and the time between its first and its last.
 struct EventTimes {
   uint32_t Count = 0;
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -516,6 +516,7 @@
   EndpointRecord &record = State.Records[id->second];
   recordLoadReport(record, engine.Active + engine.Queued, EngineReportLifetime,
                    Now);
+  recordMemoryReport(record, static_cast<double>(engine.KvUsed), Now);
   if (engine.PacePercent > 0)
     recordPace(record, engine.PacePercent / UsualPacePercent, Now);
 }
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -206,6 +206,7 @@
                     Settings.RetryWindow};
   limits.Tolerance = {Settings.RateWindow, Settings.RateOvershoot,
                       Settings.RateSlack};
+  limits.EnginesFailWhenFull = Settings.EnginesFailWhenFull;
   limits.LongestPause = Settings.LongestPause;
   limits.LongestLeaving = Settings.LongestLeaving;
 }
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -45,6 +45,8 @@
   /// Bounds of how long an endpoint's word keeps it without requests.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  /// Engines fail when their requests exceed their memory.
+  bool EnginesFailWhenFull = false;
 };
 
 /// Use of one model or plain service at this front.
@@ -174,6 +176,8 @@
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
   SpeedBook Speeds;
+  /// Smoothed memory of a request, in tokens, by service.
+  std::map<std::string, double> MeanTokens;
   std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
   CrashQuarantine Quarantine;
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -239,6 +239,7 @@
   reader.readSeconds("rate_window_s", Out.RateWindow);
   reader.readNonNegative("rate_overshoot", Out.RateOvershoot);
   reader.readNonNegative("rate_slack", Out.RateSlack);
+  reader.readBool("engines_fail_when_full", Out.EnginesFailWhenFull);
   reader.readSeconds("longest_pause_s", Out.LongestPause);
   reader.readSeconds("longest_leaving_s", Out.LongestLeaving);
   reader.readSeconds("stop_grace_s", Out.StopGrace);
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -14,6 +14,9 @@
 /// in the same unit.
 constexpr double WarmUpPenalty = 0.5;
 constexpr double AffinityBonus = 0.05;
+/// Penalty of an endpoint without memory for the request, in the same unit: it
+/// stops other requests for it, which start again later.
+constexpr double MemoryPenalty = 0.5;
 /// Part of the time of a request that does not depend on the load, as a
 /// multiple of the slots: a request at a full endpoint takes as much again.
 constexpr double FixedTime = 0.5;
@@ -21,6 +24,9 @@
 /// have the same weight.
 constexpr double PaceWeight = 0.05;
 
+/// Running engines report at least this often.
+constexpr Millis MemoryReportLifetime{12'000};
+
 double secondsOf(Clock::duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -61,9 +67,11 @@
     double slots = it.Slots;
     double load = estimateLoad(record, Now);
     if (!isPast(std::max(record.PausedUntil, it.PausedUntil), Now) ||
-        load >= slots * (1 + MaxQueueShare))
+        load >= slots * (1 + MaxQueueShare) || it.Estimate.IsTooLarge ||
+        (it.Estimate.LacksMemory && it.FailsWhenFull))
       continue;
-    double penalty = FailurePenalty * record.FailureRate +
+    double penalty = (it.Estimate.LacksMemory ? MemoryPenalty : 0) +
+                     FailurePenalty * record.FailureRate +
                      (it.Zone == OwnZone ? 0 : CrossZonePenalty) +
                      (it.IsWarmingUp ? WarmUpPenalty : 0) -
                      AffinityBonus * it.Affinity;
@@ -113,9 +121,26 @@
   return ranked.front().Candidate;
 }
 
-void recordSend(EndpointRecord &Record) {
+double estimateMemory(const EndpointRecord &Record, TimePoint Now) {
+  double out = Record.TokensSinceReport + Record.TokensBeforeReport;
+  if (Record.MemoryReportedAt != TimePoint() &&
+      Now - Record.MemoryReportedAt < MemoryReportLifetime)
+    out += Record.ReportedTokens;
+  return std::max(out, Record.OpenTokens);
+}
+
+void recordSend(EndpointRecord &Record, double Tokens) {
   ++Record.Open;
   ++Record.SentSinceReport;
+  Record.OpenTokens += Tokens;
+  Record.TokensSinceReport += Tokens;
+}
+
+void recordMemoryReport(EndpointRecord &Record, double Tokens, TimePoint Now) {
+  Record.ReportedTokens = Tokens;
+  Record.TokensBeforeReport = Record.TokensSinceReport;
+  Record.TokensSinceReport = 0;
+  Record.MemoryReportedAt = Now;
 }
 
 void recordLoadReport(EndpointRecord &Record, uint32_t Load,
@@ -161,7 +186,15 @@
       std::min<Millis>(MinEndpointPause * (1 << doublings), MaxEndpointPause);
 }
 
-void recordClose(EndpointRecord &Record) {
+void recordClose(EndpointRecord &Record, double Tokens) {
+  // The oldest figure that can hold the request gives its memory back.
+  Record.OpenTokens = std::max(0.0, Record.OpenTokens - Tokens);
+  for (double *it : {&Record.ReportedTokens, &Record.TokensBeforeReport,
+                     &Record.TokensSinceReport}) {
+    double part = std::min(*it, Tokens);
+    *it -= part;
+    Tokens -= part;
+  }
   if (Record.Open > 0)
     --Record.Open;
   if (Record.SentSinceReport > 0)
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -63,7 +63,15 @@
   TimePoint ReportedAt;
   TimePoint ReportFullUntil; ///< The report has full weight before this time
   TimePoint ReportExpiresAt; ///< and none after this time.
-  double FailureRate = 0;    ///< Exponentially smoothed.
+  /// Memory in tokens: of the own requests in progress, of those sent since the
+  /// latest report and between it and the one before, which it may lack, and
+  /// what the engine reported as in use.
+  double OpenTokens = 0;
+  double TokensSinceReport = 0;
+  double TokensBeforeReport = 0;
+  double ReportedTokens = 0;
+  TimePoint MemoryReportedAt;
+  double FailureRate = 0; ///< Exponentially smoothed.
   uint32_t ConsecutiveFailures = 0;
   TimePoint PausedUntil;
   TimePoint ConnectionLostAt; ///< The latest one that was refused or broken.
@@ -91,6 +99,9 @@
   std::optional<double> RequestLimit = std::nullopt;
   TimePoint PausedUntil = {}; ///< It asked for a pause until then.
   EndpointEstimate Estimate = {};
+  /// The endpoint fails when its requests exceed its memory. Others stop some
+  /// of them and start them again later.
+  bool FailsWhenFull = false;
 };
 
 /// Estimates the number of requests that the endpoint holds from its last
@@ -103,7 +114,13 @@
 chooseEndpoint(const std::vector<EndpointCandidate> &Candidates,
                const std::string &OwnZone, double Draw, TimePoint Now);
 
-void recordSend(EndpointRecord &Record);
+/// Estimates the memory in use there, in tokens, from the last report and this
+/// front's own requests. Pure and thread safe.
+double estimateMemory(const EndpointRecord &Record, TimePoint Now);
+/// \p Tokens: memory that the request takes at most.
+void recordSend(EndpointRecord &Record, double Tokens = 0);
+/// Records the memory in use that an engine or its agent reported, in tokens.
+void recordMemoryReport(EndpointRecord &Record, double Tokens, TimePoint Now);
 /// Records the load that an endpoint or its agent reported.
 void recordLoadReport(EndpointRecord &Record, uint32_t Load,
                       ReportLifetime Life, TimePoint Now);
@@ -118,7 +135,8 @@
 /// unavailable, for example because it refuses connections, and is paused at
 /// once. Otherwise it is paused only after repeated failures.
 void recordFailure(EndpointRecord &Record, bool IsCertain, TimePoint Now);
-void recordClose(EndpointRecord &Record);
+/// Records the end of a request that was sent with \p Tokens.
+void recordClose(EndpointRecord &Record, double Tokens = 0);
 
 } // namespace sassafras
 
--- a/policy/endpoint_estimate.cpp
+++ b/policy/endpoint_estimate.cpp
@@ -38,6 +38,7 @@
   out.FreeSlots = Figures.Slots - Figures.Held;
   out.FreeTokens = Figures.MemoryTokens - Figures.HeldTokens;
   out.IsTooLarge = hasMemory && needed > Figures.MemoryTokens;
+  out.LacksMemory = hasMemory && needed > out.FreeTokens;
   out.HasRoom = !out.IsTooLarge && out.FreeSlots >= 1 &&
                 (!hasMemory || needed <= out.FreeTokens);
   Millis service = scaled(Figures.MeanServiceTime, out.Pace);
--- a/policy/endpoint_estimate.h
+++ b/policy/endpoint_estimate.h
@@ -46,6 +46,7 @@
   bool HasRoom = false;  ///< A slot and the memory of this request are free.
   /// The request is larger than the endpoint's memory.
   bool IsTooLarge = false;
+  bool LacksMemory = false; ///< It has a known memory without enough room.
   /// Time that work takes there against the mean endpoint of the service.
   double Pace = 1;
   Millis Wait{0};       ///< Until it would begin.
