Room in engines' memory: own sends at once, reports, and the other fronts' sends

A request holds its prompt and the most output that it may ask for. Where engines fail when their memory is exceeded (settings: deployment_rules), one without that room is not chosen; each front takes it that every other one has sent one and a half times what it sent itself since the last two reports, and sends now what it sends, to where there is room. Elsewhere room is preferred, not required. Larger requests than every engine are refused at once, larger_than_engine (400).

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -157,6 +157,7 @@
     out.Engines.push_back(engine);
     out.Endpoints.push_back(&known);
   }
+  withholdForOthers(State, Request, out.Candidates, Now);
   return out;
 }
 
--- a/front/endpoint_figures.cpp
+++ b/front/endpoint_figures.cpp
@@ -6,22 +6,20 @@
 
 namespace {
 
+/// The other fronts may have sent more than this one, by this factor.
+constexpr double UnevenSends = 1.5;
 /// Smoothing factor of the mean memory of requests.
 constexpr double MemoryWeight = 0.02;
 /// Least number of events that a measured speed is taken from.
 constexpr uint32_t MinMeasuredEvents = 8;
 
-/// Memory that requests at an engine may take up until their ends, those
-/// included that other fronts may have sent since its last report.
-double boundMemory(const EndpointRecord &Record, const EndpointFigures &Figures,
-                   double Known, TimePoint Now) {
-  double others = std::max(0.0, Figures.Held - Record.Open);
-  double age = Record.ReportedAt == TimePoint()
-                   ? ExpectedArrivalShare
-                   : std::chrono::duration<double>(Now - Record.ReportedAt) /
-                         Figures.MeanServiceTime;
-  others *= 1 + std::min(age, ExpectedArrivalShare);
-  return std::max(Known, Record.OpenTokens + others * Figures.MeanTokens);
+/// Memory that the requests at an engine may take up until their ends. What it
+/// reported is in use now; all of them can grow.
+double boundMemory(const EndpointRecord &Record, double MeanTokens,
+                   double InUse) {
+  double reported = Record.ReportedLoad * MeanTokens;
+  return std::max(InUse, std::max(reported, Record.ReportedTokens) +
+                             unseenMemory(Record));
 }
 
 } // namespace
@@ -59,10 +57,34 @@
   out.MeanTokens = mean == State.MeanTokens.end() ? 0 : mean->second;
   out.HeldTokens = estimateMemory(record->second, Now);
   if (State.Limits.EnginesFailWhenFull)
-    out.HeldTokens = boundMemory(record->second, out, out.HeldTokens, Now);
+    out.HeldTokens =
+        boundMemory(record->second, out.MeanTokens, out.HeldTokens);
   return out;
 }
 
+void withholdForOthers(const FrontState &State, const FrontRequest &Request,
+                       std::vector<EndpointCandidate> &Candidates,
+                       TimePoint Now) {
+  if (!State.Limits.EnginesFailWhenFull || Candidates.empty())
+    return;
+  RequestSize size = sizeOf(Request);
+  double unseen = memoryOf(size);
+  double free = 0;
+  for (const EndpointCandidate &it : Candidates) {
+    unseen += unseenMemory(*it.Record);
+    free += std::max(0.0, it.Estimate.FreeTokens);
+  }
+  if (free <= 0)
+    return;
+  auto others = static_cast<double>(countServingFronts(State, Now) - 1);
+  // They go where there is room, as this front's do.
+  for (EndpointCandidate &it : Candidates)
+    withholdMemory(it.Estimate,
+                   UnevenSends * others * unseen *
+                       std::max(0.0, it.Estimate.FreeTokens) / free,
+                   size);
+}
+
 void recordSize(FrontState &State, const FrontRequest &Request) {
   double tokens = memoryOf(sizeOf(Request));
   if (tokens <= 0)
--- a/front/endpoint_figures.h
+++ b/front/endpoint_figures.h
@@ -11,6 +11,13 @@
 
 /// Sizes of \p Request. Pure and thread safe.
 RequestSize sizeOf(const FrontRequest &Request);
+/// Where engines fail when their memory is exceeded: keeps free of each
+/// candidate what the other fronts may have sent there since its last report,
+/// as if each of them had as many requests for these candidates as this front,
+/// this one included. Thread safe while \p State does not change.
+void withholdForOthers(const FrontState &State, const FrontRequest &Request,
+                       std::vector<EndpointCandidate> &Candidates,
+                       TimePoint Now);
 /// Records the size of a request that is sent. Not thread safe.
 void recordSize(FrontState &State, const FrontRequest &Request);
 /// Events of one exchange and the time between its first and its last.
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -1,6 +1,7 @@
 #include "main/settings_file.h"
 
 #include "http/address.h"
+#include "platform/deployment_rules.h"
 
 #include <toml++/toml.h>
 
@@ -110,6 +111,25 @@
     }
   }
 
+  void readStrings(const char *Key, std::vector<std::string> &Values) {
+    const toml::node *node = findNode(Key, false);
+    if (!node)
+      return;
+    const toml::array *array = node->as_array();
+    if (!array) {
+      fail(node, quoteKey(Key) + " must be a list of strings");
+      return;
+    }
+    for (const toml::node &it : *array) {
+      auto value = it.value_exact<std::string>();
+      if (!value) {
+        fail(&it, quoteKey(Key) + " must be a list of strings");
+        return;
+      }
+      Values.push_back(*value);
+    }
+  }
+
   const toml::table *readSection(const char *Key) {
     const toml::node *node = findNode(Key, false);
     if (!node)
@@ -239,7 +259,9 @@
   reader.readSeconds("rate_window_s", Out.RateWindow);
   reader.readNonNegative("rate_overshoot", Out.RateOvershoot);
   reader.readNonNegative("rate_slack", Out.RateSlack);
-  reader.readBool("engines_fail_when_full", Out.EnginesFailWhenFull);
+  std::vector<std::string> rules;
+  reader.readStrings("deployment_rules", rules);
+  Out.EnginesFailWhenFull = platform::doEnginesFailWhenFull(rules);
   reader.readSeconds("longest_pause_s", Out.LongestPause);
   reader.readSeconds("longest_leaving_s", Out.LongestLeaving);
   reader.readSeconds("stop_grace_s", Out.StopGrace);
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -121,8 +121,12 @@
   return ranked.front().Candidate;
 }
 
+double unseenMemory(const EndpointRecord &Record) {
+  return Record.TokensSinceReport + Record.TokensBeforeReport;
+}
+
 double estimateMemory(const EndpointRecord &Record, TimePoint Now) {
-  double out = Record.TokensSinceReport + Record.TokensBeforeReport;
+  double out = unseenMemory(Record);
   if (Record.MemoryReportedAt != TimePoint() &&
       Now - Record.MemoryReportedAt < MemoryReportLifetime)
     out += Record.ReportedTokens;
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -117,6 +117,8 @@
 /// Estimates the memory in use there, in tokens, from the last report and this
 /// front's own requests. Pure and thread safe.
 double estimateMemory(const EndpointRecord &Record, TimePoint Now);
+/// Part of it that this front sent and the last report may lack.
+double unseenMemory(const EndpointRecord &Record);
 /// \p Tokens: memory that the request takes at most.
 void recordSend(EndpointRecord &Record, double Tokens = 0);
 /// Records the memory in use that an engine or its agent reported, in tokens.
--- a/policy/endpoint_estimate.cpp
+++ b/policy/endpoint_estimate.cpp
@@ -38,6 +38,7 @@
   out.FreeSlots = Figures.Slots - Figures.Held;
   out.FreeTokens = Figures.MemoryTokens - Figures.HeldTokens;
   out.IsTooLarge = hasMemory && needed > Figures.MemoryTokens;
+  out.HasMemory = hasMemory;
   out.LacksMemory = hasMemory && needed > out.FreeTokens;
   out.HasRoom = !out.IsTooLarge && out.FreeSlots >= 1 &&
                 (!hasMemory || needed <= out.FreeTokens);
@@ -52,4 +53,13 @@
   return out;
 }
 
+void withholdMemory(EndpointEstimate &Estimate, double Tokens,
+                    const RequestSize &Size) {
+  if (!Estimate.HasMemory)
+    return;
+  Estimate.FreeTokens -= Tokens;
+  Estimate.LacksMemory = memoryOf(Size) > Estimate.FreeTokens;
+  Estimate.HasRoom = Estimate.HasRoom && !Estimate.LacksMemory;
+}
+
 } // namespace sassafras
--- a/policy/endpoint_estimate.h
+++ b/policy/endpoint_estimate.h
@@ -46,6 +46,7 @@
   bool HasRoom = false;  ///< A slot and the memory of this request are free.
   /// The request is larger than the endpoint's memory.
   bool IsTooLarge = false;
+  bool HasMemory = false;   ///< Its memory is known.
   bool LacksMemory = false; ///< It has a known memory without enough room.
   /// Time that work takes there against the mean endpoint of the service.
   double Pace = 1;
@@ -60,6 +61,11 @@
 EndpointEstimate estimateEndpoint(const EndpointFigures &Figures,
                                   const RequestSize &Size);
 
+/// Takes \p Tokens from the free memory of \p Estimate, which was made for a
+/// request of \p Size. Without a known memory nothing changes.
+void withholdMemory(EndpointEstimate &Estimate, double Tokens,
+                    const RequestSize &Size);
+
 } // namespace sassafras
 
 #endif
--- a/tests/front/test_dispatch.cpp
+++ b/tests/front/test_dispatch.cpp
@@ -552,3 +552,215 @@
   }
   CHECK(reached.size() == 2);
 }
+
+namespace {
+
+ServingTablePtr makeTableWithMemory(uint64_t KvTokens) {
+  auto table = std::make_shared<ServingTable>(*makeTable());
+  table->Services["chat"].Engine->KvTokens = KvTokens;
+  table->Services["chat"].Engine->Slots = 48;
+  indexServingTable(*table);
+  return table;
+}
+
+/// Fronts that send large requests to engines of which each fails when its
+/// requests exceed its memory. Reports come late, and state what was in use
+/// some time before.
+class MemoryReplay {
+public:
+  static constexpr double Memory = 138'000;
+  static constexpr size_t FrontCount = 20;
+  static constexpr int EngineCount = 4;
+
+  MemoryReplay(bool FailsWhenFull, uint64_t Seed) : Random(Seed) {
+    for (size_t i = 0; i < FrontCount; ++i) {
+      Fronts.push_back(makeState());
+      FrontState &state = Fronts.back();
+      state.Table = makeTableWithMemory(Memory);
+      state.Limits.EnginesFailWhenFull = FailsWhenFull;
+      state.FrontCountTold = FrontCount;
+      state.Random.seed(Seed * FrontCount + i);
+      for (int engine = 0; engine < EngineCount; ++engine) {
+        std::string id = "e" + std::to_string(engine);
+        addEndpoint(state, id.c_str(), "chat", addressOf(engine).c_str(),
+                    {"m"});
+        state.Directory.Endpoints[id].Slots = 48;
+      }
+    }
+  }
+
+  /// Most memory that one engine's requests could take up, within 30 s.
+  double run() {
+    double most = 0;
+    for (TimePoint now = Start; now < Start + Millis(30'000);
+         now += Millis(10)) {
+      endRequests(now);
+      report(now);
+      for (auto &state : Fronts)
+        for (auto &[id, it] : state.Directory.Endpoints)
+          it.HeardAt = now;
+      // Bursts: five times the usual rate for three seconds in every six.
+      bool isBurst = (now - Start) % Millis(6'000) < Millis(3'000);
+      if (Random() % 100 < (isBurst ? 100 : 20))
+        send(now);
+      for (int engine = 0; engine < EngineCount; ++engine)
+        most = std::max(most, reserved(engine));
+    }
+    return most;
+  }
+
+  size_t SentCount = 0;
+
+private:
+  struct Running {
+    TimePoint Began;
+    TimePoint Ends;
+    size_t Front;
+    FrontRequest Request;
+  };
+
+  static std::string addressOf(int Engine) {
+    return "10.0.0." + std::to_string(Engine + 1) + ":80";
+  }
+
+  double reserved(int Engine) const {
+    double out = 0;
+    for (const Running &it : Engines[Engine])
+      out += static_cast<double>(it.Request.Attributes.PromptTokens +
+                                 it.Request.Attributes.OutputTokens);
+    return out;
+  }
+
+  void endRequests(TimePoint Now) {
+    for (int engine = 0; engine < EngineCount; ++engine)
+      std::erase_if(Engines[engine], [&](const Running &it) {
+        if (it.Ends > Now)
+          return false;
+        recordExchangeEnd(Fronts[it.Front], it.Request,
+                          "e" + std::to_string(engine));
+        return true;
+      });
+  }
+
+  void report(TimePoint Now) {
+    for (int engine = 0; engine < EngineCount; ++engine) {
+      if ((Now - Start) % Millis(800) != Millis(engine * 200))
+        continue;
+      wire::EngineReport message;
+      message.mutable_self()->set_incarnation(1);
+      message.set_address(addressOf(engine));
+      message.set_number(++ReportNumber);
+      message.set_born_ms(1);
+      message.set_kv_total(static_cast<uint64_t>(Memory));
+      message.add_models()->set_name("m");
+      uint32_t active = 0;
+      uint64_t used = 0;
+      for (const Running &it : Engines[engine]) {
+        if (Now - it.Began < Millis(300))
+          continue;
+        ++active;
+        used += it.Request.Attributes.PromptTokens;
+      }
+      message.set_active(active);
+      message.set_kv_used(used);
+      NodeMessages unused;
+      for (FrontState &state : Fronts)
+        handleEngineReport(state, message, Now, unused);
+    }
+  }
+
+  void send(TimePoint Now) {
+    size_t front = Random() % FrontCount;
+    auto attributes = makeAttributes("/stream/x");
+    attributes.HasTokenCounts = true;
+    attributes.PromptTokens = 1'500 + Random() % 2'000;
+    attributes.OutputTokens = 900;
+    auto admitted = admitRequest(Fronts[front], attributes, Now);
+    REQUIRE(std::holds_alternative<FrontRequest>(admitted));
+    auto &request = std::get<FrontRequest>(admitted);
+    request.Number = ++LastNumber;
+    auto result = decideDispatch(Fronts[front], request, Now);
+    auto *target = std::get_if<SendTo>(&result.Decision);
+    if (!target) {
+      removeWaitingRequest(Fronts[front], request);
+      return;
+    }
+    recordDispatch(Fronts[front], request, target->Endpoint, Now);
+    ++SentCount;
+    int engine = target->Endpoint[1] - '0';
+    Engines[engine].push_back(
+        {Now, Now + Millis(800 + Random() % 1'600), front, request});
+  }
+
+  std::mt19937_64 Random;
+  std::vector<FrontState> Fronts;
+  std::vector<Running> Engines[EngineCount];
+  uint64_t ReportNumber = 0;
+  uint64_t LastNumber = 0;
+};
+
+} // namespace
+
+// Requests were counted by slots only: 48 of them took twice the memory.
+TEST_CASE("requests of many fronts never exceed the memory of an engine") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    MemoryReplay bounded(true, seed);
+    double most = bounded.run();
+    CHECK(most <= MemoryReplay::Memory);
+    // The bound leaves the engines in use.
+    CHECK(most > MemoryReplay::Memory / 2);
+    MemoryReplay unbounded(false, seed);
+    CHECK(unbounded.run() > MemoryReplay::Memory);
+    INFO("most " << most << " sent " << bounded.SentCount << " unbounded "
+                 << unbounded.SentCount);
+    CHECK(bounded.SentCount > unbounded.SentCount / 2);
+  }
+}
+
+TEST_CASE("request that is larger than every engine is refused at once") {
+  FrontState state = makeState();
+  state.Table = makeTableWithMemory(4'000);
+  addEndpoint(state, "e1", "chat", "10.0.0.1:80", {"m"});
+  auto attributes = makeAttributes("/stream/x");
+  attributes.HasTokenCounts = true;
+  attributes.PromptTokens = 3'500;
+  attributes.OutputTokens = 501;
+  auto admitted = admitRequest(state, attributes, Start);
+  REQUIRE(std::holds_alternative<FrontRequest>(admitted));
+  auto request = std::get<FrontRequest>(admitted);
+  auto result = decideDispatch(state, request, Start);
+  REQUIRE(refusalOf(result));
+  CHECK(refusalOf(result)->Reason == RefusalReason::LargerThanEngine);
+  CHECK_FALSE(refusalOf(result)->RetryAfter);
+  request.Attributes.OutputTokens = 500;
+  auto next = decideDispatch(state, request, Start);
+  CHECK(std::holds_alternative<SendTo>(next.Decision));
+}
+
+TEST_CASE("engine that stops requests itself is used without room, as the last "
+          "choice") {
+  FrontState state = makeState();
+  state.Table = makeTableWithMemory(4'000);
+  addEndpoint(state, "e1", "chat", "10.0.0.1:80", {"m"});
+  addEndpoint(state, "e2", "chat", "10.0.0.2:80", {"m"});
+  recordMemoryReport(state.Records["e1"], 3'000, Start);
+  recordLoadReport(state.Records["e2"], 1, EngineReportLifetime, Start);
+  auto attributes = makeAttributes("/stream/x");
+  attributes.HasTokenCounts = true;
+  attributes.PromptTokens = 1'200;
+  auto admitted = admitRequest(state, attributes, Start);
+  REQUIRE(std::holds_alternative<FrontRequest>(admitted));
+  auto request = std::get<FrontRequest>(admitted);
+  for (int i = 0; i < 20; ++i) {
+    auto result = decideDispatch(state, request, Start);
+    REQUIRE(std::holds_alternative<SendTo>(result.Decision));
+    CHECK(std::get<SendTo>(result.Decision).Endpoint == "e2");
+  }
+  recordMemoryReport(state.Records["e2"], 3'000, Start);
+  auto full = decideDispatch(state, request, Start);
+  CHECK(std::holds_alternative<SendTo>(full.Decision));
+  state.Limits.EnginesFailWhenFull = true;
+  auto bounded = decideDispatch(state, request, Start);
+  CHECK_FALSE(std::holds_alternative<SendTo>(bounded.Decision));
+}
