--- a/core/settings.h
+++ b/core/settings.h
@@ -60,6 +60,8 @@
   /// rate that it states, and beyond that. There is a bound if both are set.
   std::optional<double> ColdOvershoot;
   std::optional<double> ColdSlack;
+  /// Engines fail when their requests exceed their memory.
+  bool EnginesFailWhenFull = false;
   /// Bounds of how long an endpoint's word keeps it without requests: one that
   /// asks for a pause, and one that states that it leaves.
   Millis LongestPause{60'000};
--- a/engine_agent/engine_agent_shell.cpp
+++ b/engine_agent/engine_agent_shell.cpp
@@ -69,6 +69,7 @@
   platform::StatedLimit Limit;
   bool IsLeaving = false;
   platform::StatedCold Cold;
+  uint32_t PacePercent = 0; ///< 0: not stated.
 };
 
 class EngineAgentShell : public RoleShell,
@@ -120,7 +121,8 @@
   bool WasBusy = false;         ///< As of the last report.
   /// Requests per second that the engine states as its limit.
   std::optional<double> RequestLimit;
-  TimePoint ColdUntil; ///< The engine states that it is cold until then.
+  TimePoint ColdUntil;      ///< The engine states that it is cold until then.
+  uint32_t PacePercent = 0; ///< Stated with its state; or 0.
   bool IsEngineLeaving = false; ///< It states that it takes no new requests.
   std::string LastOrderSender;  ///< Front that sent the latest order.
   uint32_t LastReportedLoad = 0;
@@ -224,9 +226,11 @@
   HttpCallbacks callbacks;
   callbacks.OnHead = [status, stated](const HttpResponseHead &Head) {
     *status = Head.Status;
+    auto load = platform::readResponseFields(Head.Status, Head.Fields).Load;
     *stated = {platform::readRequestLimit(Head.Fields),
                platform::readLeaving(Head.Fields),
-               platform::readColdTime(Head.Fields)};
+               platform::readColdTime(Head.Fields),
+               load ? load->PacePercent.value_or(0) : 0};
   };
   callbacks.OnBody = [text](std::string_view Bytes) { *text += Bytes; };
   callbacks.OnEnd = [self = shared_from_this(), text, status, stated] {
@@ -271,6 +275,7 @@
     Counts.count("statements_invalid_total", "kind=\"cold\"");
   else
     recordCold(Stated.Cold.Left.value_or(Millis(0)), Clock::now());
+  PacePercent = Stated.PacePercent;
   applyEngineReport(State, report);
   uint64_t done = State.OrderDone;
   sendNextCommand();
@@ -307,6 +312,7 @@
   RequestLimit.reset();
   IsEngineLeaving = false;
   ColdUntil = {};
+  PacePercent = 0;
   clearEngineReport(State);
   publishReport(Clock::now());
   schedulePoll(IdlePollInterval);
@@ -389,6 +395,7 @@
   out.set_is_leaving(IsEngineLeaving);
   if (TimePoint now = Clock::now(); !isPast(ColdUntil, now))
     out.set_cold_left_ms(toMillis(ColdUntil - now));
+  out.set_pace_percent(PacePercent);
   out.set_order_done(State.OrderDone);
   out.set_number(NextReportNumber++);
   return out;
--- a/front/endpoint_figures.cpp
+++ b/front/endpoint_figures.cpp
@@ -4,6 +4,26 @@
 
 namespace sassafras {
 
+namespace {
+
+/// The other fronts may have sent more than this one, by this factor.
+constexpr double UnevenSends = 1.5;
+/// Smoothing factor of the mean memory of requests.
+constexpr double MemoryWeight = 0.02;
+/// Least number of events that a measured speed is taken from.
+constexpr uint32_t MinMeasuredEvents = 8;
+
+/// Memory that the requests at an engine may take up until their ends. What it
+/// reported is in use now; all of them can grow.
+double boundMemory(const EndpointRecord &Record, double MeanTokens,
+                   double InUse) {
+  double reported = Record.ReportedLoad * MeanTokens;
+  return std::max(InUse, std::max(reported, Record.ReportedTokens) +
+                             unseenMemory(Record));
+}
+
+} // namespace
+
 RequestSize sizeOf(const FrontRequest &Request) {
   const RequestAttributes &attributes = Request.Attributes;
   RequestSize out;
@@ -23,12 +43,70 @@
   if (Engine && Spec)
     out.MemoryTokens =
         static_cast<double>(Engine->KvTotal ? Engine->KvTotal : Spec->KvTokens);
+  if (Engine)
+    out.Pace = learnedPace(State.Speeds, Endpoint.Id);
   auto record = State.Records.find(Endpoint.Id);
   if (record == State.Records.end())
     return out;
   out.Held = estimateLoad(record->second, Now);
-  out.Pace = paceOf(record->second, Now);
+  if (record->second.StatedPace)
+    out.Pace = paceOf(record->second, Now);
+  if (out.MemoryTokens <= 0)
+    return out;
+  auto mean = State.MeanTokens.find(Endpoint.Service);
+  out.MeanTokens = mean == State.MeanTokens.end() ? 0 : mean->second;
+  out.HeldTokens = estimateMemory(record->second, Now);
+  if (State.Limits.EnginesFailWhenFull)
+    out.HeldTokens =
+        boundMemory(record->second, out.MeanTokens, out.HeldTokens);
   return out;
 }
 
+void withholdForOthers(const FrontState &State, const FrontRequest &Request,
+                       std::vector<EndpointCandidate> &Candidates,
+                       TimePoint Now) {
+  if (!State.Limits.EnginesFailWhenFull || Candidates.empty())
+    return;
+  RequestSize size = sizeOf(Request);
+  double unseen = memoryOf(size);
+  double free = 0;
+  for (const EndpointCandidate &it : Candidates) {
+    unseen += unseenMemory(*it.Record);
+    free += std::max(0.0, it.Estimate.FreeTokens);
+  }
+  if (free <= 0)
+    return;
+  auto others = static_cast<double>(countServingFronts(State, Now) - 1);
+  // They go where there is room, as this front's do.
+  for (EndpointCandidate &it : Candidates)
+    withholdMemory(it.Estimate,
+                   UnevenSends * others * unseen *
+                       std::max(0.0, it.Estimate.FreeTokens) / free,
+                   size);
+}
+
+void recordSize(FrontState &State, const FrontRequest &Request) {
+  double tokens = memoryOf(sizeOf(Request));
+  if (tokens <= 0)
+    return;
+  auto [mean, isNew] = State.MeanTokens.emplace(Request.Service, tokens);
+  if (!isNew)
+    mean->second += (tokens - mean->second) * MemoryWeight;
+}
+
+void recordEventTimes(FrontState &State, const FrontRequest &Request,
+                      const std::string &Endpoint, const EventTimes &Times,
+                      TimePoint Now) {
+  const EngineSpec *spec = findEngineSpec(State, Request.Service);
+  if (!spec || spec->Slots == 0 || Times.Count < MinMeasuredEvents)
+    return;
+  SpeedSample sample;
+  sample.Service = Request.Service;
+  sample.Model = Request.Attributes.Model;
+  sample.Endpoint = Endpoint;
+  sample.PerEvent = (Times.Last - Times.First) / (Times.Count - 1);
+  sample.LoadShare = Times.LoadBefore / spec->Slots;
+  recordSpeed(State.Speeds, sample, Now);
+}
+
 } // namespace sassafras
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -219,6 +219,7 @@
   limits.Cold.reset();
   if (Settings.ColdOvershoot && Settings.ColdSlack)
     limits.Cold = ColdBound{*Settings.ColdOvershoot, *Settings.ColdSlack};
+  limits.EnginesFailWhenFull = Settings.EnginesFailWhenFull;
   limits.LongestPause = Settings.LongestPause;
   limits.LongestLeaving = Settings.LongestLeaving;
   limits.Crossing.reset();
@@ -749,6 +750,7 @@
   expireNodes(Core.State.Roster, Now);
   checkOriginContact(Core.State, Now);
   expireEndpoints(Core.State.Directory, Now);
+  expireSpeeds(Core.State.Speeds, Now);
   expireFeatures(Core.State.Quarantine, Now);
   expireStatements(Core.State, Now);
   expireStreamOrigins(Core.State, Now);
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -12,6 +12,7 @@
 #include "policy/caller_order.h"
 #include "policy/crash_quarantine.h"
 #include "policy/endpoint_choice.h"
+#include "policy/endpoint_speed.h"
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
 #include "policy/return_time.h"
@@ -48,6 +49,8 @@
   /// Bounds of how long an endpoint's word keeps it without requests.
   Millis LongestPause{60'000};
   Millis LongestLeaving{600'000};
+  /// Engines fail when their requests exceed their memory.
+  bool EnginesFailWhenFull = false;
   std::optional<ColdBound> Cold; ///< Nothing if the deployment sets no bound.
   /// Terms of leaving the availability zone; absent: a fixed penalty applies.
   std::optional<CrossingTerms> Crossing;
@@ -200,6 +203,9 @@
   sassafras::Roster Roster;
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
+  SpeedBook Speeds;
+  /// Smoothed memory of a request, in tokens, by service.
+  std::map<std::string, double> MeanTokens;
   std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
   CrashQuarantine Quarantine;
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -22,8 +22,6 @@
 /// Connecting within the fleet takes a few milliseconds, and less than this
 /// even when one packet is lost.
 constexpr Millis ConnectTimeout{700};
-/// Stated pace of an endpoint at which work takes as long as usual.
-constexpr double UsualPacePercent = 100;
 /// Persistent connections that were idle for longer are not used for requests
 /// that must not run twice: the endpoint may be closing them.
 constexpr Millis MaxIdleNonRepeatable{1'500};
@@ -201,6 +199,9 @@
   IsStream = false;
   HasOrigin = false;
   IsTailDue = false;
+  Times = {};
+  Times.LoadBefore = Chosen.Load;
+  StatedPace.reset();
   dropProof();
   // Endpoints of other routes do not go on with a stream, whatever its caller
   // asks for.
@@ -282,10 +283,11 @@
                          ? EngineReportLifetime
                          : PlainReportLifetime,
                      now);
-  if (fields.Load && fields.Load->PacePercent)
-    recordPace(
-        Core.State.Records[Endpoint],
-        static_cast<double>(*fields.Load->PacePercent) / UsualPacePercent, now);
+  if (fields.Load)
+    StatedPace = fields.Load->PacePercent;
+  if (StatedPace)
+    recordPace(Core.State.Records[Endpoint],
+               static_cast<double>(*StatedPace) / UsualPacePercent, now);
   // An answer without an id may belong to another request.
   if (!fields.RequestId.empty())
     recordStatements(fields, now);
@@ -568,6 +570,7 @@
       break;
     due += it.Bytes;
     HasEvents = true;
+    ++Times.Count;
     if (it.Id)
       Request.LastEvent = it.Id;
   }
@@ -607,6 +610,9 @@
     LongestGap = std::max(LongestGap, now - LastEventAt);
   }
   LastEventAt = now;
+  Times.Last = now;
+  if (Times.First == TimePoint())
+    Times.First = now;
   recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   if (now - AnsweredAt >= ProvenRunTime)
     recordProof();
@@ -633,6 +639,7 @@
   }
   Call.reset();
   recordExchangeEnd(Core.State, Request, Endpoint);
+  recordEventTimes(Core.State, Request, Endpoint, Times, Clock::now());
   // Without framing, the end of the connection is the only sign of the end, and
   // an endpoint that fails may close it as well, within an event or before the
   // first one. Nothing follows the last event that a caller may have.
@@ -977,6 +984,13 @@
                            ? 0
                            : toMillis(FirstByteAt - Request.ArrivedAt))},
        {"gap_ms", std::to_string(toMillis(LongestGap))},
+       {"events", std::to_string(Times.Count)},
+       {"events_ms", std::to_string(toMillis(Times.Last - Times.First))},
+       {"answer_ms",
+        std::to_string(Times.Count == 0 ? 0 : toMillis(Times.First - SentAt))},
+       {"pace_percent", StatedPace ? std::to_string(*StatedPace) : ""},
+       {"prompt_tokens", std::to_string(Request.Attributes.PromptTokens)},
+       {"output_tokens", std::to_string(Request.Attributes.OutputTokens)},
        {"total_ms", std::to_string(toMillis(now - Request.ArrivedAt))},
        {"left_ms", std::to_string(toMillis(Request.Deadline - now))},
        {"table", std::to_string(Request.Table->Version)}});
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -1,6 +1,7 @@
 #include "main/settings_file.h"
 
 #include "http/address.h"
+#include "platform/deployment_rules.h"
 
 #include <toml++/toml.h>
 
@@ -125,6 +126,25 @@
     }
   }
 
+  void readStrings(const char *Key, std::vector<std::string> &Values) {
+    const toml::node *node = findNode(Key, false);
+    if (!node)
+      return;
+    const toml::array *array = node->as_array();
+    if (!array) {
+      fail(node, quoteKey(Key) + " must be a list of strings");
+      return;
+    }
+    for (const toml::node &it : *array) {
+      auto value = it.value_exact<std::string>();
+      if (!value) {
+        fail(&it, quoteKey(Key) + " must be a list of strings");
+        return;
+      }
+      Values.push_back(*value);
+    }
+  }
+
   const toml::table *readSection(const char *Key) {
     const toml::node *node = findNode(Key, false);
     if (!node)
@@ -256,6 +276,9 @@
   reader.readNonNegative("rate_slack", Out.RateSlack);
   reader.readNonNegative("cold_overshoot", Out.ColdOvershoot);
   reader.readNonNegative("cold_slack", Out.ColdSlack);
+  std::vector<std::string> rules;
+  reader.readStrings("deployment_rules", rules);
+  Out.EnginesFailWhenFull = platform::doEnginesFailWhenFull(rules);
   reader.readSeconds("longest_pause_s", Out.LongestPause);
   reader.readSeconds("longest_leaving_s", Out.LongestLeaving);
   reader.readMillis("crossing_wait_ms_per_mb", Out.CrossingWaitPerMegabyte);
--- a/policy/endpoint_choice.cpp
+++ b/policy/endpoint_choice.cpp
@@ -14,9 +14,19 @@
 /// in the same unit.
 constexpr double WarmUpPenalty = 0.5;
 constexpr double AffinityBonus = 0.05;
-/// Smoothing factor of the learned pace: weight of the newest statement.
+/// Penalty of an endpoint without memory for the request, in the same unit: it
+/// stops other requests for it, which start again later.
+constexpr double MemoryPenalty = 0.5;
+/// Part of the time of a request that does not depend on the load, as a
+/// multiple of the slots: a request at a full endpoint takes as much again.
+constexpr double FixedTime = 0.5;
+/// Least weight of the newest statement in the learned pace. The first ones all
+/// have the same weight.
 constexpr double PaceWeight = 0.05;
 
+/// Running engines report at least this often.
+constexpr Millis MemoryReportLifetime{12'000};
+
 double secondsOf(Clock::duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -36,11 +46,13 @@
 
 namespace {
 
-/// An available endpoint and its score in requests: its estimated load plus its
-/// penalties converted to requests. Lower is better.
+/// An available endpoint and its score in requests at an endpoint of pace 1:
+/// the time that its estimated load takes, plus its penalties converted to
+/// requests. Lower is better. Each further request adds the pace.
 struct ScoredEndpoint {
   size_t Candidate = 0;
   double Score = 0;
+  double Pace = 1;
 };
 
 /// Lists the available endpoints by ascending score. Adds their estimated load
@@ -55,13 +67,17 @@
     double slots = it.Slots;
     double load = estimateLoad(record, Now);
     if (!isPast(std::max(record.PausedUntil, it.PausedUntil), Now) ||
-        load >= slots * (1 + MaxQueueShare))
+        load >= slots * (1 + MaxQueueShare) || it.Estimate.IsTooLarge ||
+        (it.Estimate.LacksMemory && it.FailsWhenFull))
       continue;
-    double penalty = FailurePenalty * record.FailureRate +
+    double penalty = (it.Estimate.LacksMemory ? MemoryPenalty : 0) +
+                     FailurePenalty * record.FailureRate +
                      (it.Zone == OwnZone ? 0 : CrossZonePenalty) +
                      (it.IsWarmingUp ? WarmUpPenalty : 0) -
                      AffinityBonus * it.Affinity;
-    out.push_back({i, load + slots * penalty});
+    double pace = it.Estimate.Pace;
+    double score = pace * load + slots * ((pace - 1) * FixedTime + penalty);
+    out.push_back({i, score, pace});
     TotalLoad += load;
   }
   std::sort(out.begin(), out.end(),
@@ -85,26 +101,50 @@
   // Water-filling: distributes the expected requests over the endpoints with
   // the lowest scores until their scores are equal.
   double sum = 0;
+  double width = 0;
   double waterLevel = 0;
   size_t filled = 0;
   while (filled < ranked.size()) {
-    sum += ranked[filled++].Score;
-    waterLevel = (sum + expected) / static_cast<double>(filled);
+    sum += ranked[filled].Score / ranked[filled].Pace;
+    width += 1 / ranked[filled].Pace;
+    ++filled;
+    waterLevel = (sum + expected) / width;
     if (filled < ranked.size() && waterLevel <= ranked[filled].Score)
       break;
   }
   double remaining = Draw * expected;
   for (size_t i = 0; i < filled; ++i) {
-    remaining -= waterLevel - ranked[i].Score;
+    remaining -= (waterLevel - ranked[i].Score) / ranked[i].Pace;
     if (remaining < 0)
       return ranked[i].Candidate;
   }
   return ranked.front().Candidate;
 }
 
-void recordSend(EndpointRecord &Record) {
+double unseenMemory(const EndpointRecord &Record) {
+  return Record.TokensSinceReport + Record.TokensBeforeReport;
+}
+
+double estimateMemory(const EndpointRecord &Record, TimePoint Now) {
+  double out = unseenMemory(Record);
+  if (Record.MemoryReportedAt != TimePoint() &&
+      Now - Record.MemoryReportedAt < MemoryReportLifetime)
+    out += Record.ReportedTokens;
+  return std::max(out, Record.OpenTokens);
+}
+
+void recordSend(EndpointRecord &Record, double Tokens) {
   ++Record.Open;
   ++Record.SentSinceReport;
+  Record.OpenTokens += Tokens;
+  Record.TokensSinceReport += Tokens;
+}
+
+void recordMemoryReport(EndpointRecord &Record, double Tokens, TimePoint Now) {
+  Record.ReportedTokens = Tokens;
+  Record.TokensBeforeReport = Record.TokensSinceReport;
+  Record.TokensSinceReport = 0;
+  Record.MemoryReportedAt = Now;
 }
 
 void recordLoadReport(EndpointRecord &Record, uint32_t Load,
@@ -117,10 +157,9 @@
 }
 
 void recordPace(EndpointRecord &Record, double Pace, TimePoint Now) {
-  Record.LearnedPace =
-      Record.StatedPace
-          ? Record.LearnedPace * (1 - PaceWeight) + Pace * PaceWeight
-          : Pace;
+  ++Record.PaceStatements;
+  double weight = std::max(PaceWeight, 1.0 / Record.PaceStatements);
+  Record.LearnedPace += (Pace - Record.LearnedPace) * weight;
   Record.StatedPace = Pace;
   Record.PaceStatedAt = Now;
 }
@@ -151,7 +190,15 @@
       std::min<Millis>(MinEndpointPause * (1 << doublings), MaxEndpointPause);
 }
 
-void recordClose(EndpointRecord &Record) {
+void recordClose(EndpointRecord &Record, double Tokens) {
+  // The oldest figure that can hold the request gives its memory back.
+  Record.OpenTokens = std::max(0.0, Record.OpenTokens - Tokens);
+  for (double *it : {&Record.ReportedTokens, &Record.TokensBeforeReport,
+                     &Record.TokensSinceReport}) {
+    double part = std::min(*it, Tokens);
+    *it -= part;
+    Tokens -= part;
+  }
   if (Record.Open > 0)
     --Record.Open;
   if (Record.SentSinceReport > 0)
