--- a/front/dispatch.h
+++ b/front/dispatch.h
@@ -56,7 +56,7 @@
   std::optional<ModelLoadRequest> LoadRequest;
   /// Demand to report to the leader without waiting for the next heartbeat.
   std::optional<wire::RowDemand> DemandReport;
-  /// Quota tokens to request from the leader now.
+  /// Quota tokens to request from the leader or other fronts now.
   std::optional<wire::QuotaRequest> PoolQuotaRequest;
   /// Queries to other fronts for the origin of a resumed stream.
   NodeMessages OriginQueries;
