--- a/front/admission.h
+++ b/front/admission.h
@@ -26,6 +26,8 @@
   bool HasTokenCounts = false;
   uint64_t PromptTokens = 0;
   uint64_t OutputTokens = 0;
+  /// The caller's guess of the number of output tokens.
+  std::optional<uint64_t> LengthHint;
   std::string PromptHead;
   std::vector<std::string> SharedParts; ///< Of the prompt.
   std::string BodyDigest;
--- a/front/caller_attributes.cpp
+++ b/front/caller_attributes.cpp
@@ -19,6 +19,7 @@
   out.HasTokenCounts = fields.HasTokenCounts;
   out.PromptTokens = fields.PromptTokens;
   out.OutputTokens = fields.OutputTokens;
+  out.LengthHint = fields.LengthHint;
   out.PromptHead = fields.PromptHead;
   out.SharedParts = std::move(fields.SharedParts);
   out.BodyDigest = std::to_string(checksumOf(Request.Body));
--- a/front/endpoint_figures.cpp
+++ b/front/endpoint_figures.cpp
@@ -8,8 +8,8 @@
 
 /// The other fronts may have sent more than this one, by this factor.
 constexpr double UnevenSends = 1.5;
-/// Smoothing factor of the mean memory of requests.
-constexpr double MemoryWeight = 0.02;
+/// Smoothing factor of the mean sizes of requests.
+constexpr double SizeWeight = 0.02;
 /// Least number of events that a measured speed is taken from.
 constexpr uint32_t MinMeasuredEvents = 8;
 
@@ -28,8 +28,9 @@
   const RequestAttributes &attributes = Request.Attributes;
   RequestSize out;
   out.PromptTokens = attributes.PromptTokens;
-  out.ExpectedOutput = attributes.OutputTokens;
   out.MaxOutput = attributes.OutputTokens;
+  out.ExpectedOutput =
+      expectedOutput(attributes.OutputTokens, attributes.LengthHint);
   return out;
 }
 
@@ -45,6 +46,9 @@
         static_cast<double>(Engine->KvTotal ? Engine->KvTotal : Spec->KvTokens);
   if (Engine)
     out.Pace = learnedPace(State.Speeds, Endpoint.Id);
+  if (auto mean = State.MeanOutput.find(Endpoint.Service);
+      mean != State.MeanOutput.end())
+    out.MeanOutput = mean->second;
   auto record = State.Records.find(Endpoint.Id);
   if (record == State.Records.end())
     return out;
@@ -86,12 +90,16 @@
 }
 
 void recordSize(FrontState &State, const FrontRequest &Request) {
-  double tokens = memoryOf(sizeOf(Request));
-  if (tokens <= 0)
-    return;
-  auto [mean, isNew] = State.MeanTokens.emplace(Request.Service, tokens);
-  if (!isNew)
-    mean->second += (tokens - mean->second) * MemoryWeight;
+  RequestSize size = sizeOf(Request);
+  auto smooth = [&](std::map<std::string, double> &Means, double Value) {
+    if (Value <= 0)
+      return;
+    auto [mean, isNew] = Means.emplace(Request.Service, Value);
+    if (!isNew)
+      mean->second += (Value - mean->second) * SizeWeight;
+  };
+  smooth(State.MeanTokens, memoryOf(size));
+  smooth(State.MeanOutput, static_cast<double>(size.ExpectedOutput));
 }
 
 void recordEventTimes(FrontState &State, const FrontRequest &Request,
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -176,8 +176,9 @@
   EndpointDirectory Directory;
   std::map<std::string, EndpointRecord> Records; ///< By endpoint id.
   SpeedBook Speeds;
-  /// Smoothed memory of a request, in tokens, by service.
+  /// Smoothed memory and expected output of a request, in tokens, by service.
   std::map<std::string, double> MeanTokens;
+  std::map<std::string, double> MeanOutput;
   std::map<std::string, LocalQuota> Quotas;
   std::map<std::string, RetryBudget> Retries; ///< By service.
   CrashQuarantine Quarantine;
--- a/policy/endpoint_estimate.cpp
+++ b/policy/endpoint_estimate.cpp
@@ -1,6 +1,7 @@
 #include "policy/endpoint_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafras {
 
@@ -9,6 +10,11 @@
 /// Bounds of the pace that decisions use.
 constexpr double MinPace = 0.1;
 constexpr double MaxPace = 20;
+/// Part of the output that a request may ask for that it usually has.
+constexpr double UsualOutputPart = 0.3;
+/// Bounds of the time of a request against one of mean size.
+constexpr double MinSizeFactor = 0.1;
+constexpr double MaxSizeFactor = 10;
 
 Millis scaled(Millis Time, double Factor) {
   return Millis(
@@ -25,6 +31,14 @@
 
 } // namespace
 
+uint64_t expectedOutput(uint64_t Most, std::optional<uint64_t> Hint) {
+  double usual = UsualOutputPart * static_cast<double>(Most);
+  if (!Hint || *Hint == 0)
+    return static_cast<uint64_t>(usual);
+  double guess = static_cast<double>(std::min(*Hint, Most));
+  return static_cast<uint64_t>(std::sqrt(usual * guess));
+}
+
 double memoryOf(const RequestSize &Size) {
   return static_cast<double>(Size.PromptTokens + Size.MaxOutput);
 }
@@ -49,7 +63,12 @@
                                                 Figures.MemoryTokens, service));
   out.FirstPiece = out.Wait + 2 * Figures.OneWayDelay +
                    scaled(Figures.MeanFirstPiece, out.Pace);
-  out.LastPiece = out.Wait + 2 * Figures.OneWayDelay + service;
+  double factor = 1;
+  if (Figures.MeanOutput > 0 && Size.ExpectedOutput > 0)
+    factor = std::clamp(static_cast<double>(Size.ExpectedOutput) /
+                            Figures.MeanOutput,
+                        MinSizeFactor, MaxSizeFactor);
+  out.LastPiece = out.Wait + 2 * Figures.OneWayDelay + scaled(service, factor);
   return out;
 }
 
--- a/policy/endpoint_estimate.h
+++ b/policy/endpoint_estimate.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace sassafras {
 
@@ -36,6 +37,7 @@
   Millis MeanServiceTime{0}; ///< Of a request of mean size at pace 1.
   Millis MeanFirstPiece{0};  ///< The same until its first piece.
   double MeanTokens = 0;     ///< Memory of a request of mean size.
+  double MeanOutput = 0;     ///< Its expected output, in tokens; 0: unknown.
   Millis OneWayDelay{0};     ///< Network delay from this front.
 };
 
@@ -55,6 +57,11 @@
   Millis LastPiece{0};
 };
 
+/// Output that a request is expected to have, of at most \p Most tokens, if its
+/// caller guesses \p Hint. A guess is right at the median and often far off, so
+/// that it counts as half, in the logarithm, against the usual part of the
+/// most.
+uint64_t expectedOutput(uint64_t Most, std::optional<uint64_t> Hint);
 /// Memory that a request takes until its end, in tokens.
 double memoryOf(const RequestSize &Size);
 /// Estimates for one request of \p Size. Pure and thread safe.
--- a/tests/main/test_settings_file.cpp
+++ b/tests/main/test_settings_file.cpp
@@ -99,3 +99,30 @@
       CHECK(readSettings(path, problem));
     }
 }
+
+TEST_CASE("rules of the deployment are read, and unknown ones say nothing") {
+  std::string front = "role = \"front\"\n"
+                      "fleet = \"f\"\n"
+                      "node = \"n\"\n"
+                      "zone = \"z\"\n"
+                      "listen = \"127.0.0.1:1\"\n"
+                      "http = \"127.0.0.1:2\"\n"
+                      "[front_role]\n"
+                      "ready = \"127.0.0.1:3\"\n"
+                      "control = \"127.0.0.1:4\"\n"
+                      "seeds = [\"127.0.0.1:4\"]\n";
+  auto doFail = [&](const std::string &Rules) {
+    SettingsProblem problem;
+    auto settings = read(front + Rules, problem);
+    INFO(describe(problem));
+    REQUIRE(settings);
+    return settings->FrontRole.EnginesFailWhenFull;
+  };
+  CHECK_FALSE(doFail(""));
+  CHECK_FALSE(doFail("deployment_rules = []\n"));
+  CHECK_FALSE(doFail("deployment_rules = [\"other\", \"pressures\"]\n"));
+  CHECK(doFail("deployment_rules = [\"other\", \"pressure\"]\n"));
+  SettingsProblem problem;
+  CHECK_FALSE(read(front + "deployment_rules = [1]\n", problem));
+  CHECK(problem.Line == 11);
+}
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -320,6 +320,7 @@
   CHECK(fields.Adapter == "a3");
   CHECK(fields.PromptTokens == 14);
   CHECK(fields.OutputTokens == 80);
+  CHECK_FALSE(fields.LengthHint);
   platform::EndpointFields endpointFields;
   endpointFields.TimeLeft = Millis(900);
   endpointFields.Endpoint = "i-1";
@@ -417,3 +418,24 @@
           it.IsRunning);
   }
 }
+
+// A field with a further figure was taken for one without any.
+TEST_CASE("token counts are read beside figures that are not known") {
+  struct Case {
+    const char *Value;
+    bool IsRead;
+  } cases[] = {{"14,80", true},     {"14,80,3", true}, {"14, 80", true},
+               {"14,80,x;y", true}, {"14", false},     {"14,", false},
+               {",80", false},      {"", false},       {"x,80,1", false}};
+  for (const Case &it : cases) {
+    INFO(it.Value);
+    HttpRequest request{"POST", "/p", {}, {}};
+    request.Fields.push_back({"sassafrasseam-token-counts", it.Value});
+    request.Fields.push_back({"sassafrasseam-length-hint", "31"});
+    auto fields = platform::extractCallerFields(request);
+    CHECK(fields.HasTokenCounts == it.IsRead);
+    CHECK(fields.PromptTokens == (it.IsRead ? 14U : 0U));
+    CHECK(fields.OutputTokens == (it.IsRead ? 80U : 0U));
+    CHECK(fields.LengthHint == 31U);
+  }
+}
--- a/tests/policy/test_endpoint_estimate.cpp
+++ b/tests/policy/test_endpoint_estimate.cpp
@@ -220,3 +220,22 @@
   CHECK(book.Models.empty());
   CHECK(book.Services.empty());
 }
+
+TEST_CASE(
+    "caller's guess of the output moves the estimate, but not all the way") {
+  uint64_t usual = expectedOutput(1'000, std::nullopt);
+  CHECK(expectedOutput(1'000, usual) <= usual);
+  CHECK(expectedOutput(1'000, 10) > 10);
+  CHECK(expectedOutput(1'000, 10) < usual);
+  CHECK(expectedOutput(1'000, 1'000) > usual);
+  CHECK(expectedOutput(1'000, 1'000) < 1'000);
+  // A guess beyond what the request may have, and none at all.
+  CHECK(expectedOutput(100, 50'000) <= 100);
+  CHECK(expectedOutput(0, 50'000) == 0);
+  CHECK(expectedOutput(1'000, 0) == usual);
+  EndpointFigures figures;
+  figures.MeanServiceTime = Millis(1'000);
+  figures.MeanOutput = 100;
+  CHECK(estimateEndpoint(figures, {0, 0, 200, 400}).LastPiece == Millis(2'000));
+  CHECK(estimateEndpoint(figures, {}).LastPiece == Millis(1'000));
+}
