Zone names that are not UTF-8 or hold quotes are refused

Cause: the log keeps the name in a proto3 string; a\xff serialises but cannot be parsed, so followers drop the record and it ends the log at a restart. Refused (400) at the call, at proposals of other fronts and at the store.

--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -159,6 +159,11 @@
 
 void handleEvacuate(ServingStore &Store, const StoreEvacuate &Order,
                     TimePoint Now, RaftEffects &Raft, StoreEffects &Out) {
+  // A record that cannot be read back would end the log of every member.
+  if (findZoneNameProblem(Order.Zone)) {
+    Out.push_back(StoreResult{Order.Number, StoreOutcome::Unavailable, 0, {}});
+    return;
+  }
   if (!canPropose(Store.Raft, Now) || Store.IsStopping) {
     Out.push_back(StoreResult{Order.Number, failureOutcome(Store), 0, {}});
     return;
--- a/fleet/evacuations.cpp
+++ b/fleet/evacuations.cpp
@@ -1,6 +1,7 @@
 #include "fleet/evacuations.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace sassafras {
 
@@ -9,6 +10,36 @@
 /// Longest time since a change that is told apart.
 constexpr uint64_t MaxChangeAgeMs = 30ULL * 24 * 3'600'000;
 
+/// Number of bytes of the UTF-8 character that starts at \p Begin; 0 if there
+/// is none, or a longer form than needed, a surrogate or above U+10FFFF.
+size_t countCharacterBytes(std::string_view Text, size_t Begin) {
+  auto byteAt = [&](size_t i) { return static_cast<unsigned char>(Text[i]); };
+  unsigned char first = byteAt(Begin);
+  if (first < 0x80)
+    return 1;
+  size_t size = first < 0xE0 ? 2 : first < 0xF0 ? 3 : 4;
+  if (first < 0xC2 || first > 0xF4 || Text.size() - Begin < size)
+    return 0;
+  for (size_t i = 1; i < size; ++i)
+    if ((byteAt(Begin + i) & 0xC0) != 0x80)
+      return 0;
+  unsigned char second = byteAt(Begin + 1);
+  bool isOutside =
+      (first == 0xE0 && second < 0xA0) || (first == 0xED && second > 0x9F) ||
+      (first == 0xF0 && second < 0x90) || (first == 0xF4 && second > 0x8F);
+  return isOutside ? 0 : size;
+}
+
+bool isValidUtf8(std::string_view Text) {
+  for (size_t i = 0; i < Text.size();) {
+    size_t size = countCharacterBytes(Text, i);
+    if (size == 0)
+      return false;
+    i += size;
+  }
+  return true;
+}
+
 /// Keeps the state small when names of zones that do not exist were used.
 void dropOldestEnded(wire::EvacuationState &State) {
   auto &zones = *State.mutable_zones();
@@ -32,9 +63,11 @@
   if (Zone.size() > MaxZoneNameBytes)
     return "the name of the availability zone is too long";
   bool isPrintable = std::all_of(Zone.begin(), Zone.end(), [](char it) {
-    return static_cast<unsigned char>(it) > ' ' && it != '\x7f' && it != '/';
+    return static_cast<unsigned char>(it) > ' ' && it != '\x7f' && it != '/' &&
+           it != '"' && it != '\\';
   });
-  if (!isPrintable)
+  // The log holds the name as text: other bytes could not be read back.
+  if (!isPrintable || !isValidUtf8(Zone))
     return "the name of the availability zone has invalid characters";
   return std::nullopt;
 }
--- a/tests/control/test_serving_store.cpp
+++ b/tests/control/test_serving_store.cpp
@@ -420,6 +420,21 @@
   CHECK(group.Members[group.leader()].Store.Evacuations.version() == 1);
 }
 
+TEST_CASE("name of a zone that is not text never gets into the log") {
+  Group group(23);
+  startFourMembers(group);
+  std::string leader = group.leader();
+  uint64_t last = lastIndex(group.Members[leader].Store.Raft);
+  for (const char *zone : {"a\xFF", "\xC3", "a\"", "a\\"}) {
+    uint64_t number = ++group.LastNumber;
+    group.handleEvent(leader, StoreEvacuate{number, zone, true});
+    group.run(Millis(300));
+    REQUIRE(group.Results.contains(number));
+    CHECK(group.Results[number].Outcome == StoreOutcome::Unavailable);
+    CHECK(lastIndex(group.Members[leader].Store.Raft) == last);
+  }
+}
+
 TEST_CASE("of a start and an end that race the later one in the log holds") {
   Group group(22);
   startFourMembers(group);
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -483,6 +483,22 @@
     REQUIRE(std::holds_alternative<platform::MalformedCall>(odd));
     CHECK_FALSE(std::get<platform::MalformedCall>(odd).Reason.empty());
   }
+  // What the log holds as text must be text; quotes would break the metrics.
+  for (const std::string &name :
+       {std::string("%FF"), std::string("a%ff"), std::string("%C3"),
+        std::string("%C3a"), std::string("\xFF"), std::string("%C0%80"),
+        std::string("%E0%80%80"), std::string("%ED%A0%80"),
+        std::string("%F4%90%80%80"), std::string("%E2%82"), std::string("%80"),
+        std::string("%22"), std::string("a%5Cb"), std::string("a\"b")}) {
+    INFO("name " << name);
+    CHECK(std::holds_alternative<platform::MalformedCall>(
+        read("/Evacuations.Start/" + name)));
+  }
+  for (const char *name : {"%E2%82%AC", "%F0%9F%98%80", "%ED%9F%BF"}) {
+    INFO("name " << name);
+    CHECK(std::holds_alternative<platform::EvacuationOrder>(
+        read(std::string("/Evacuations.Start/") + name)));
+  }
   auto other = read("/Evacuations.Start/a", "GET");
   CHECK(std::holds_alternative<platform::UnknownCall>(other));
 }
