Late announcement neither ends a suspicion nor shortens a stated cold time

Cause: what was sent before the engine turned cold, or by the process before with the same start, counted as its word that it is warm. For one process a stated cold time is never shortened; a suspicion ends by its deadline, a new process, a stated cold time or a word heard 2.5 s later. Suspicions are not told to other fronts any more: each has its own. Changed tests: broken connection, zone that returns: words before the margin must now leave the endpoint cold, words after it end it.

--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -91,31 +91,62 @@
   return true;
 }
 
-/// Applies that the process that started at \p BornMs is cold until \p Until;
-/// in the past: warm. Returns true if the other fronts are to be told.
+/// Who says that an endpoint is cold.
+enum class ColdWord {
+  Own,        ///< Its process.
+  NewProcess, ///< Nobody yet, but a process has started.
+  Suspected,  ///< Nobody; its process may be another one or have been idle.
+};
+
+struct ColdStatement {
+  ColdWord Word = ColdWord::Own;
+  TimePoint Until; ///< In the past: warm.
+  TimePoint StatedAt;
+  const char *Source = "";
+};
+
+/// True if \p Stated may end the time in force sooner. What the process itself
+/// stated is never ended sooner: announcements may be late.
+bool mayShorten(const EndpointStatement &Known, const ColdStatement &Stated,
+                TimePoint Now) {
+  // Two that were made at about the same time may arrive in any order.
+  bool isLater = Stated.StatedAt >= Known.ColdStatedAt + StatementMargin;
+  bool isCold = !isPast(Stated.Until, Now);
+  return Stated.Word == ColdWord::Own && isLater &&
+         (isCold || Stated.StatedAt >= Known.ColdEndableAt);
+}
+
+/// Applies what is said of the process that started at \p BornMs. Returns true
+/// if the other fronts are to be told.
 bool applyCold(FrontState &State, const std::string &Endpoint, uint64_t BornMs,
-               TimePoint Until, TimePoint StatedAt, const char *Source,
-               TimePoint Now) {
-  bool isCold = !isPast(Until, Now);
-  if (!isCold && !State.Statements.contains(Endpoint))
+               const ColdStatement &Stated, TimePoint Now) {
+  if (isPast(Stated.Until, Now) && !State.Statements.contains(Endpoint))
     return false;
   EndpointStatement *known = findStatement(State, Endpoint, BornMs);
   if (!known)
     return false;
-  // Two that were made at about the same time may arrive in any order.
-  bool mayShorten = StatedAt >= known->ColdStatedAt + StatementMargin;
-  if (Until <= known->ColdUntil && !mayShorten)
+  TimePoint until = Stated.Until;
+  if (Stated.Word == ColdWord::Own) {
+    until = std::max(until, known->ColdOwnUntil);
+    known->ColdOwnUntil = until;
+  }
+  if (until <= known->ColdUntil && !mayShorten(*known, Stated, Now))
     return false;
+  bool isCold = !isPast(until, Now);
   bool wasCold = !isPast(known->ColdUntil, Now);
-  bool isLonger = Until > known->ColdUntil + StatementMargin;
-  known->ColdUntil = isCold ? Until : TimePoint();
-  known->ColdStatedAt = std::max(known->ColdStatedAt, StatedAt);
+  bool isLonger = until > known->ColdUntil + StatementMargin;
+  known->ColdUntil = isCold ? until : TimePoint();
+  known->ColdStatedAt = std::max(known->ColdStatedAt, Stated.StatedAt);
+  known->ColdEndableAt = Stated.Word == ColdWord::Suspected
+                             ? Stated.StatedAt + SuspicionMargin
+                             : TimePoint();
   if (isCold != wasCold)
-    logEvent(LogLevel::Info, isCold ? "endpoint_cold" : "endpoint_warm",
-             {{"endpoint", Endpoint},
-              {"for_ms", std::to_string(toMillis(Until - Now))},
-              {"stated_ago_ms", std::to_string(toMillis(Now - StatedAt))},
-              {"source", Source}});
+    logEvent(
+        LogLevel::Info, isCold ? "endpoint_cold" : "endpoint_warm",
+        {{"endpoint", Endpoint},
+         {"for_ms", std::to_string(toMillis(until - Now))},
+         {"stated_ago_ms", std::to_string(toMillis(Now - Stated.StatedAt))},
+         {"source", Stated.Source}});
   return isCold && (!wasCold || isLonger);
 }
 
@@ -148,22 +179,41 @@
   return service ? std::min(service->ColdTime, LongestColdTime) : Millis(0);
 }
 
+/// True if the process of \p Endpoint itself has stated since \p Since how long
+/// it is cold.
+bool hasStatedCold(const FrontState &State, const KnownEndpoint &Endpoint,
+                   TimePoint Since) {
+  auto it = State.Statements.find(Endpoint.Id);
+  return it != State.Statements.end() && it->second.BornMs >= Endpoint.BornMs &&
+         it->second.ColdStatedAt > Since && it->second.ColdOwnUntil > Since &&
+         it->second.ColdEndableAt == TimePoint();
+}
+
 /// End of the time in which a process that nothing is known of may be cold.
 TimePoint suspectedColdUntil(const FrontState &State,
                              const KnownEndpoint &Endpoint) {
   auto record = State.Records.find(Endpoint.Id);
   if (record == State.Records.end())
     return {};
-  TimePoint lostAt = record->second.ConnectionLostAt;
-  if (lostAt == TimePoint() || Endpoint.HeardAt > lostAt)
+  TimePoint since = record->second.MaybeColdSince;
+  if (since == TimePoint() ||
+      Endpoint.BornMs > record->second.MaybeColdBornMs ||
+      Endpoint.HeardAt > since + SuspicionMargin ||
+      hasStatedCold(State, Endpoint, since))
     return {};
-  return lostAt + coldTimeOf(State, Endpoint);
+  return since + coldTimeOf(State, Endpoint);
 }
 
 bool isValidLimit(double Limit) {
   return std::isfinite(Limit) && Limit >= 0 && Limit <= MaxRequestLimit;
 }
 
+/// End of the cold time as told to other fronts: each suspects by itself.
+TimePoint toldColdUntil(const EndpointStatement &Known) {
+  return Known.ColdEndableAt == TimePoint() ? Known.ColdUntil
+                                            : Known.ColdOwnUntil;
+}
+
 wire::EndpointStatement toWire(const std::string &Id,
                                const EndpointStatement &Known, TimePoint Now) {
   wire::EndpointStatement out;
@@ -173,8 +223,8 @@
   out.set_has_limit(Known.RequestLimit.has_value());
   out.set_requests_per_s(Known.RequestLimit.value_or(0));
   out.set_is_leaving(Known.LeavingUntil != TimePoint());
-  if (!isPast(Known.ColdUntil, Now))
-    out.set_cold_left_ms(toMillis(Known.ColdUntil - Now));
+  if (TimePoint until = toldColdUntil(Known); !isPast(until, Now))
+    out.set_cold_left_ms(toMillis(until - Now));
   return out;
 }
 
@@ -287,8 +337,10 @@
                       Millis Left, TimePoint Now) {
   const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
   if (endpoint &&
-      applyCold(State, Endpoint, endpoint->BornMs,
-                Now + std::min(Left, LongestColdTime), Now, "answer", Now))
+      applyCold(
+          State, Endpoint, endpoint->BornMs,
+          {ColdWord::Own, Now + std::min(Left, LongestColdTime), Now, "answer"},
+          Now))
     State.ChangedStatements.insert(Endpoint);
 }
 
@@ -297,8 +349,8 @@
   const KnownEndpoint *endpoint = findEndpoint(State, Endpoint);
   Millis cold = endpoint ? coldTimeOf(State, *endpoint) : Millis(0);
   if (cold > Millis(0))
-    applyCold(State, Endpoint, endpoint->BornMs, Now + cold, Now, "suspected",
-              Now);
+    applyCold(State, Endpoint, endpoint->BornMs,
+              {ColdWord::Suspected, Now + cold, Now, "suspected"}, Now);
 }
 
 ObservationResult
@@ -312,9 +364,10 @@
   TimePoint heardAt = Now - Millis(Observation.heard_ago_ms());
   Millis left(std::min<uint64_t>(Observation.cold_left_ms(),
                                  toMillis(LongestColdTime)));
-  bool isNews =
-      applyCold(State, Observation.id(), Observation.born_ms(), heardAt + left,
-                heardAt, IsOwn ? "announcement" : "front", Now);
+  bool isNews = applyCold(State, Observation.id(), Observation.born_ms(),
+                          {ColdWord::Own, heardAt + left, heardAt,
+                           IsOwn ? "announcement" : "front"},
+                          Now);
   // Observations that change the directory reach all fronts by themselves.
   if (isNews && IsOwn && result == ObservationResult::Refreshed)
     State.ChangedStatements.insert(Observation.id());
@@ -324,8 +377,15 @@
 void recordRegainedEngine(FrontState &State, const wire::EngineReport &Report,
                           TimePoint Now) {
   auto id = State.Directory.IdByAddress.find(Report.address());
-  if (id != State.Directory.IdByAddress.end() && Report.born_ms() == 0)
-    State.Records[id->second].ConnectionLostAt = Now;
+  const KnownEndpoint *endpoint = id == State.Directory.IdByAddress.end()
+                                      ? nullptr
+                                      : findEndpoint(State, id->second);
+  if (!endpoint || Report.born_ms() != 0)
+    return;
+  EndpointRecord &record = State.Records[id->second];
+  record.ConnectionLostAt = Now;
+  record.MaybeColdSince = Now;
+  record.MaybeColdBornMs = endpoint->BornMs;
 }
 
 void recordReportedStatements(FrontState &State,
@@ -336,17 +396,20 @@
   const KnownEndpoint *endpoint = findEndpoint(State, id->second);
   Millis cold(
       std::min<uint64_t>(Report.cold_left_ms(), toMillis(LongestColdTime)));
+  ColdWord word = ColdWord::Own;
   if (endpoint && Report.born_ms() > endpoint->BornMs) {
     auto known = State.Statements.find(endpoint->Id);
     bool isNew = known == State.Statements.end() ||
                  known->second.BornMs < Report.born_ms();
     // It has not announced itself yet.
-    if (isNew)
-      cold = std::max(cold, coldTimeOf(State, *endpoint));
+    if (isNew && coldTimeOf(State, *endpoint) > cold) {
+      cold = coldTimeOf(State, *endpoint);
+      word = ColdWord::NewProcess;
+    }
   }
   if (endpoint && Report.born_ms() >= endpoint->BornMs && cold > Millis(0))
-    applyCold(State, endpoint->Id, Report.born_ms(), Now + cold, Now, "agent",
-              Now);
+    applyCold(State, endpoint->Id, Report.born_ms(),
+              {word, Now + cold, Now, "agent"}, Now);
   bool isSameProcess = endpoint && Report.born_ms() == endpoint->BornMs;
   if (!isSameProcess || !isValidLimit(Report.requests_per_s()))
     return;
@@ -381,9 +444,11 @@
       applyLeaving(State, it.endpoint(), it.born_ms(), "front", Now);
     if (it.cold_left_ms() > 0 && !hasColdTimeEnded(State, it, Now))
       applyCold(State, it.endpoint(), it.born_ms(),
-                Now + Millis(std::min<uint64_t>(it.cold_left_ms(),
-                                                toMillis(LongestColdTime))),
-                Now, "front", Now);
+                {ColdWord::Own,
+                 Now + Millis(std::min<uint64_t>(it.cold_left_ms(),
+                                                 toMillis(LongestColdTime))),
+                 Now, "front"},
+                Now);
     LimitStatement stated{std::nullopt,
                           Now - Millis(std::min(it.age_ms(), MaxAgeMs))};
     if (it.has_limit())
@@ -417,11 +482,11 @@
   uint64_t digest = 0;
   for (const auto &[id, it] : State.Statements)
     if (it.RequestLimit || it.LeavingUntil != TimePoint() ||
-        it.ColdUntil != TimePoint())
+        toldColdUntil(it) != TimePoint())
       digest += checksumOf(id + '/' + std::to_string(it.BornMs) + '/' +
                            textOf(it.RequestLimit) +
                            (it.LeavingUntil != TimePoint() ? "/leaving" : "") +
-                           (it.ColdUntil != TimePoint() ? "/cold" : ""));
+                           (toldColdUntil(it) != TimePoint() ? "/cold" : ""));
   return digest;
 }
 
@@ -430,6 +495,7 @@
     if (it.ColdUntil != TimePoint() && isPast(it.ColdUntil, Now)) {
       it.ColdEndedAt = it.ColdUntil;
       it.ColdUntil = {};
+      it.ColdEndableAt = {};
       logEvent(LogLevel::Info, "endpoint_warm",
                {{"endpoint", id}, {"source", "time"}});
     }
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -27,6 +27,9 @@
 /// newer by this much, so that two fronts never restore for each other what has
 /// ended.
 inline constexpr Millis StatementMargin{500};
+/// An announcement may be late by this much: one that was heard sooner after an
+/// endpoint may have become cold does not say that it is warm.
+inline constexpr Millis SuspicionMargin{2'500};
 /// An ended statement is remembered for this long, against late notices.
 inline constexpr Millis EndedStatementRetention{10'000};
 
@@ -82,7 +85,7 @@
                       Millis Left, TimePoint Now);
 /// Records that \p Endpoint may have become cold without having said so. It
 /// counts as cold for the time that its service's table gives, until it states
-/// otherwise. Other fronts are not told. Not thread safe.
+/// otherwise SuspicionMargin later. Other fronts are not told. Not thread safe.
 void recordSuspectedCold(FrontState &State, const std::string &Endpoint,
                          TimePoint Now);
 /// Applies an observation to the directory, and what it says of being cold.
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -115,6 +115,10 @@
   TimePoint ColdUntil;    ///< It is cold before this time.
   TimePoint ColdEndedAt;  ///< End of the latest cold time that is over.
   TimePoint ColdStatedAt; ///< Zero if nothing is known about that.
+  TimePoint ColdOwnUntil; ///< The part of it that the process itself stated.
+  /// Where the rest is only suspected: a statement made earlier does not end
+  /// it.
+  TimePoint ColdEndableAt;
 };
 
 /// The right to send one request to an endpoint (front/send_permits.h).
--- a/front/process_proof.cpp
+++ b/front/process_proof.cpp
@@ -106,7 +106,13 @@
 
 void recordConnectionLoss(FrontState &State, const std::string &Endpoint,
                           TimePoint Now) {
-  State.Records[Endpoint].ConnectionLostAt = Now;
+  EndpointRecord &record = State.Records[Endpoint];
+  record.ConnectionLostAt = Now;
+  auto known = State.Directory.Endpoints.find(Endpoint);
+  if (known == State.Directory.Endpoints.end())
+    return;
+  record.MaybeColdSince = Now;
+  record.MaybeColdBornMs = known->second.BornMs;
 }
 
 void recordLifeSign(FrontState &State, const std::string &Endpoint,
@@ -117,6 +123,9 @@
   TimePoint &lostAt = record->second.ConnectionLostAt;
   if (ConnectedAt < lostAt && lostAt + LastBytesTime < Now)
     lostAt = TimePoint();
+  TimePoint &since = record->second.MaybeColdSince;
+  if (ConnectedAt < since && since + LastBytesTime < Now)
+    since = TimePoint();
 }
 
 void recordSameProcess(FrontState &State, const std::string &Endpoint) {
--- a/policy/endpoint_choice.h
+++ b/policy/endpoint_choice.h
@@ -75,6 +75,9 @@
   uint32_t ConsecutiveFailures = 0;
   TimePoint PausedUntil;
   TimePoint ConnectionLostAt; ///< The latest one that was refused or broken.
+  /// Another process may run there since then, after this one.
+  TimePoint MaybeColdSince;
+  uint64_t MaybeColdBornMs = 0;
   /// Time that work takes there against the usual, as it stated last.
   std::optional<double> StatedPace;
   TimePoint PaceStatedAt;
--- a/tests/front/test_cold_endpoints.cpp
+++ b/tests/front/test_cold_endpoints.cpp
@@ -502,8 +502,39 @@
         ColdTime - Millis(100));
   CHECK(coldTimeLeft(state, endpointOf(state),
                      Start + Millis(100) + ColdTime) == Millis(0));
+  // That may have been sent before.
   recordObservation(state, makeObservation(5, 2), true, Start + Millis(300));
   CHECK(coldTimeLeft(state, endpointOf(state), Start + Millis(300)) ==
+        ColdTime - Millis(200));
+  TimePoint later = Start + Millis(101) + SuspicionMargin;
+  CHECK(coldTimeLeft(state, endpointOf(state), later) > Millis(0));
+  recordObservation(state, makeObservation(5, 3), true, later);
+  CHECK(coldTimeLeft(state, endpointOf(state), later) == Millis(0));
+  // A new process has a word of its own.
+  recordConnectionLoss(state, "e", later);
+  recordObservation(state, makeObservation(6, 1), true, later + Millis(10));
+  CHECK(coldTimeLeft(state, endpointOf(state), later + Millis(10)) ==
+        Millis(0));
+  recordConnectionLoss(state, "e", later + Millis(100));
+  wire::EndpointObservation cold = makeObservation(6, 2);
+  cold.set_cold_left_ms(400);
+  recordObservation(state, cold, true, later + Millis(200));
+  CHECK(coldTimeLeft(state, endpointOf(state), later + Millis(200)) ==
+        Millis(400));
+}
+
+TEST_CASE("late announcement never shortens a cold time that was stated") {
+  FrontState state = makeState();
+  recordStatedCold(state, "e", Millis(5'000), Start);
+  for (int i = 1; i <= 9; ++i) {
+    TimePoint now = Start + Millis(500 * i);
+    recordObservation(state, makeObservation(5, 1 + i), true, now);
+    CHECK(coldTimeLeft(state, endpointOf(state), now) ==
+          Millis(5'000 - 500 * i));
+  }
+  // The next process is another matter.
+  recordObservation(state, makeObservation(6, 1), true, Start + Millis(4'600));
+  CHECK(coldTimeLeft(state, endpointOf(state), Start + Millis(4'600)) ==
         Millis(0));
 }
 
--- a/tests/front/test_evacuation_effects.cpp
+++ b/tests/front/test_evacuation_effects.cpp
@@ -243,7 +243,12 @@
   warm.set_born_ms(1);
   warm.set_sequence(2);
   warm.set_slots(4);
-  now += Millis(900);
+  // What is heard at once may have been sent before it became cold.
+  recordObservation(state, warm, false, now + Millis(900));
+  CHECK(coldLimitOf(state, state.Directory.Endpoints.at("i-b"),
+                    now + Millis(900)));
+  warm.set_sequence(3);
+  now += SuspicionMargin + Millis(100);
   recordObservation(state, warm, false, now);
   CHECK_FALSE(coldLimitOf(state, state.Directory.Endpoints.at("i-b"), now));
 }
