--- a/front/endpoint_statements.cpp
+++ b/front/endpoint_statements.cpp
@@ -251,14 +251,21 @@
                             : std::chrono::ceil<Millis>(until - Now);
 }
 
+std::optional<double> coldPaceOf(const FrontState &State,
+                                 const KnownEndpoint &Endpoint) {
+  const ServingService *service = findService(State, Endpoint);
+  if (!service || service->ColdPerSecond <= 0)
+    return std::nullopt;
+  return coldPace(service->ColdPerSecond, State.Limits.Cold, PermitLifetime);
+}
+
 std::optional<double> coldLimitOf(const FrontState &State,
                                   const KnownEndpoint &Endpoint,
                                   TimePoint Now) {
-  const ServingService *service = findService(State, Endpoint);
-  if (!service || service->ColdPerSecond <= 0 ||
-      coldTimeLeft(State, Endpoint, Now) <= Millis(0))
+  auto pace = coldPaceOf(State, Endpoint);
+  if (!pace || coldTimeLeft(State, Endpoint, Now) <= Millis(0))
     return std::nullopt;
-  return coldPace(service->ColdPerSecond, State.Limits.Cold, PermitLifetime);
+  return pace;
 }
 
 std::optional<double> requestLimitOf(const FrontState &State,
@@ -380,10 +387,11 @@
   const KnownEndpoint *endpoint = id == State.Directory.IdByAddress.end()
                                       ? nullptr
                                       : findEndpoint(State, id->second);
-  if (!endpoint || Report.born_ms() != 0)
+  const ServingService *service =
+      endpoint ? findService(State, *endpoint) : nullptr;
+  if (!service || service->ColdPerSecond <= 0 || Report.born_ms() != 0)
     return;
   EndpointRecord &record = State.Records[id->second];
-  record.ConnectionLostAt = Now;
   record.MaybeColdSince = Now;
   record.MaybeColdBornMs = endpoint->BornMs;
 }
--- a/front/endpoint_statements.h
+++ b/front/endpoint_statements.h
@@ -45,6 +45,10 @@
 /// may run there; 0 if it is warm. Thread safe while \p State does not change.
 Millis coldTimeLeft(const FrontState &State, const KnownEndpoint &Endpoint,
                     TimePoint Now);
+/// Request limit of \p Endpoint while it is cold; nothing if its service states
+/// none. Thread safe while \p State does not change.
+std::optional<double> coldPaceOf(const FrontState &State,
+                                 const KnownEndpoint &Endpoint);
 /// Request limit of \p Endpoint because it is cold; nothing if it is warm or
 /// its service states no rate for cold endpoints. Thread safe while \p State
 /// does not change.
