--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -4,6 +4,7 @@
 #include "front/send_permits.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sassafras {
 
@@ -566,9 +567,12 @@
     if (known != State.Directory.Endpoints.end())
       limit = requestLimitOf(State, known->second, Now);
     SendSchedule &schedule = Leader.SendSchedules[best->endpoint()];
+    double pace = limit.value_or(best->requests_per_s());
     // The front that asks may know already that the endpoint is cold.
-    double pace = std::min(limit.value_or(best->requests_per_s()),
-                           best->requests_per_s());
+    if (known != State.Directory.Endpoints.end())
+      if (auto cold = coldPaceOf(State, known->second))
+        pace = std::min(limit ? *limit : std::numeric_limits<double>::max(),
+                        std::max(best->requests_per_s(), *cold));
     auto slot = takeSlot(schedule, pace, latest, Now);
     if (!slot) {
       out.set_wait_ms(static_cast<uint32_t>(
