--- a/front/front_state.h
+++ b/front/front_state.h
@@ -131,6 +131,9 @@
 /// Permits for one endpoint that states a limit.
 struct EndpointPermits {
   std::vector<SendPermit> Held;
+  bool IsColdPaced = false; ///< It counted as cold when last looked at.
+  /// Replies up to this number are of the time before it became cold.
+  uint64_t LastWarmNumber = 0;
   uint64_t AskedWith = 0; ///< Number of the unanswered request; or 0.
   TimePoint ClosedUntil;  ///< The leader has no slot for this front before.
   LeaderlessSchedule Leaderless;
--- a/front/send_permits.cpp
+++ b/front/send_permits.cpp
@@ -28,6 +28,27 @@
   return isPast(Permit.ValidFrom, Now) && !isPast(Permit.ExpiresAt, Now);
 }
 
+/// Gives up the permits for \p Endpoint, also those that are on their way, if
+/// it has become cold and takes fewer requests since then.
+EndpointPermits &updatePermits(FrontState &State, const KnownEndpoint &Endpoint,
+                               TimePoint Now) {
+  EndpointPermits &out = State.Permits.Endpoints[Endpoint.Id];
+  auto cold = coldLimitOf(State, Endpoint, Now);
+  auto stated = statedLimitOf(State, Endpoint);
+  bool isColdPaced = cold && (!stated || *cold < *stated);
+  if (isColdPaced && !out.IsColdPaced) {
+    out.LastWarmNumber = State.Permits.LastNumber;
+    if (!out.Held.empty())
+      logEvent(LogLevel::Info, "permits_given_up",
+               {{"endpoint", Endpoint.Id},
+                {"count", std::to_string(out.Held.size())},
+                {"cold_requests_per_s", std::to_string(*cold)}});
+    out.Held.clear();
+  }
+  out.IsColdPaced = isColdPaced;
+  return out;
+}
+
 } // namespace
 
 bool holdsPermit(const FrontState &State, const std::string &Endpoint,
@@ -42,9 +63,11 @@
 SendPermission checkPermission(FrontState &State, const KnownEndpoint &Endpoint,
                                TimePoint Now) {
   auto limit = requestLimitOf(State, Endpoint, Now);
-  if (!limit || holdsPermit(State, Endpoint.Id, Now))
+  if (!limit)
+    return SendPermission::Open;
+  EndpointPermits &permits = updatePermits(State, Endpoint, Now);
+  if (holdsPermit(State, Endpoint.Id, Now))
     return SendPermission::Open;
-  EndpointPermits &permits = State.Permits.Endpoints[Endpoint.Id];
   if (isLeaderReachable(State, Now)) {
     permits.Leaderless = {};
     return isPast(permits.ClosedUntil, Now) ? SendPermission::Asking
@@ -78,7 +101,7 @@
   auto limit = requestLimitOf(State, known->second, Now);
   if (!limit)
     return;
-  EndpointPermits &permits = State.Permits.Endpoints[Endpoint];
+  EndpointPermits &permits = updatePermits(State, known->second, Now);
   auto held = std::find_if(
       permits.Held.begin(), permits.Held.end(),
       [&](const SendPermit &Permit) { return isValid(Permit, Now); });
@@ -96,7 +119,7 @@
   SendPermits &all = State.Permits;
   size_t held = 0;
   for (const KnownEndpoint *it : Endpoints) {
-    const EndpointPermits &permits = all.Endpoints[it->Id];
+    const EndpointPermits &permits = updatePermits(State, *it, Now);
     if (permits.AskedWith != 0)
       return std::nullopt;
     held += permits.Held.size();
@@ -144,6 +167,11 @@
     return;
   for (const wire::SendPermit &it : Reply.permits()) {
     TimePoint from = Now + Millis(it.in_ms());
+    auto known = State.Directory.Endpoints.find(it.endpoint());
+    if (known != State.Directory.Endpoints.end() &&
+        Reply.number() <=
+            updatePermits(State, known->second, Now).LastWarmNumber)
+      continue;
     all.Endpoints[it.endpoint()].Held.push_back({from, from + PermitLifetime});
   }
 }
--- a/tests/front/test_cold_endpoints.cpp
+++ b/tests/front/test_cold_endpoints.cpp
@@ -523,6 +523,82 @@
         Millis(400));
 }
 
+TEST_CASE("engine that its agent reaches again may be cold, not ended") {
+  for (double rate : {ColdPerSecond, 0.0}) {
+    FrontState state = makeState();
+    auto table = std::make_shared<ServingTable>(*state.Table);
+    table->Services["desk"].ColdPerSecond = rate;
+    state.Table = table;
+    wire::EngineReport report;
+    report.set_address("10.1.0.1:80");
+    TimePoint now = Start + Millis(500);
+    recordRegainedEngine(state, report, now);
+    CHECK_FALSE(mayHaveEnded(state, endpointOf(state)));
+    CHECK((coldTimeLeft(state, endpointOf(state), now) > Millis(0)) ==
+          (rate > 0));
+  }
+}
+
+TEST_CASE("outdated limit of one front does not hold up the schedule of all") {
+  for (double rate : {ColdPerSecond, 0.0}) {
+    FrontState state = makeState();
+    auto table = std::make_shared<ServingTable>(*state.Table);
+    table->Services["desk"].ColdPerSecond = rate;
+    state.Table = table;
+    recordStatedLimit(state, "e", 50.0, Start, Start);
+    LeaderState leader;
+    startLeaderTerm(leader, 1, Start);
+    wire::SendPermitRequest request;
+    request.set_count(1);
+    request.set_horizon_ms(1'000);
+    request.add_endpoints()->set_endpoint("e");
+    request.mutable_endpoints(0)->set_has_limit(true);
+    request.mutable_endpoints(0)->set_requests_per_s(0);
+    grantPermits(leader, state, request, Start);
+    request.mutable_endpoints(0)->set_requests_per_s(50);
+    auto reply = grantPermits(leader, state, request, Start);
+    REQUIRE(reply.permits_size() == 1);
+    CHECK(reply.permits(0).in_ms() <= (rate > 0 ? 100 : 20));
+  }
+}
+
+TEST_CASE("permits of the time before an endpoint became cold are given up") {
+  for (bool isSuspected : {false, true}) {
+    INFO("suspected " << isSuspected);
+    FrontState state = makeState();
+    recordStatedLimit(state, "e", 50.0, Start, Start);
+    state.Leader.Node = "x";
+    auto ask = [&](TimePoint Now) {
+      auto out = requestPermits(state, {&endpointOf(state)}, 8,
+                                Now + Millis(1'000), Now);
+      REQUIRE(out);
+      return out->number();
+    };
+    auto reply = [&](uint64_t Number, TimePoint Now) {
+      wire::SendPermitReply out;
+      out.set_term(1);
+      out.set_number(Number);
+      for (uint32_t i = 0; i < 4; ++i)
+        out.add_permits()->set_endpoint("e");
+      applyPermits(state, out, Now);
+    };
+    reply(ask(Start), Start);
+    CHECK(holdsPermit(state, "e", Start));
+    uint64_t earlier = ask(Start + Millis(10));
+    TimePoint now = Start + Millis(20);
+    if (isSuspected)
+      recordConnectionLoss(state, "e", now);
+    else
+      recordStatedCold(state, "e", Millis(2'000), now);
+    checkPermission(state, endpointOf(state), now);
+    CHECK_FALSE(holdsPermit(state, "e", now));
+    reply(earlier, now);
+    CHECK_FALSE(holdsPermit(state, "e", now));
+    reply(ask(now), now);
+    CHECK(holdsPermit(state, "e", now));
+  }
+}
+
 TEST_CASE("late announcement never shortens a cold time that was stated") {
   FrontState state = makeState();
   recordStatedCold(state, "e", Millis(5'000), Start);
