--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -59,8 +59,9 @@
     if (command.has_evacuation())
       applyEvacuationChange(Store.Evacuations, command.evacuation());
   }
-  publishNewestTable(Store, Out);
+  // Nothing is served by a table before the evacuations are known.
   publishEvacuations(Store, Out);
+  publishNewestTable(Store, Out);
   if (Store.Applied == before)
     return;
   // The commit index is persisted so that, after a restart, the table can be
--- a/front/fleet_view.cpp
+++ b/front/fleet_view.cpp
@@ -659,8 +659,10 @@
 void pushTable(const FrontState &State, TimePoint Now, NodeMessages &Out) {
   for (const auto &[name, it] : State.Roster.Nodes)
     if (it.Entry.kind() == wire::NODE_FRONT && !it.Entry.is_voter() &&
-        Now - it.HeardAt < 2 * NodeTimeout)
+        Now - it.HeardAt < 2 * NodeTimeout) {
+      sendEvacuations(State, it.Entry.address(), Now, Out);
       sendTable(State, it.Entry.address(), Out);
+    }
 }
 
 } // namespace sassafras
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -473,6 +473,7 @@
     takePermitReply(Message.send_permit_reply(), now);
     break;
   case wire::Envelope::kTableRequest:
+    sendEvacuations(state, Message.reply_address(), now, out);
     sendTable(state, Message.reply_address(), out);
     break;
   case wire::Envelope::kTableUpdate:
--- a/tests/control/test_serving_store.cpp
+++ b/tests/control/test_serving_store.cpp
@@ -435,6 +435,21 @@
   }
 }
 
+TEST_CASE("started member publishes the evacuations before the table") {
+  Group group(24);
+  startFourMembers(group);
+  ServingStore store = makeServingStore(group.Members["a"].Store.Raft, nullptr);
+  store.Applied = store.Raft.Commit;
+  store.Table.set_version(3);
+  store.Evacuations.set_version(2);
+  std::vector<bool> published;
+  for (StoreEffect &it : stepServingStore(store, StoreTick{}, group.Now))
+    if (std::holds_alternative<StorePublishEvacuations>(it) ||
+        std::holds_alternative<StorePublish>(it))
+      published.push_back(std::holds_alternative<StorePublishEvacuations>(it));
+  CHECK(published == std::vector<bool>{true, false});
+}
+
 TEST_CASE("of a start and an end that race the later one in the log holds") {
   Group group(22);
   startFourMembers(group);
--- a/tests/front/test_evacuation_effects.cpp
+++ b/tests/front/test_evacuation_effects.cpp
@@ -162,6 +162,23 @@
       CHECK(it.Message.node_heartbeat().evacuation_version() == 1);
 }
 
+TEST_CASE("evacuations are sent before a new table") {
+  FrontState state = makeState();
+  auto table = std::make_shared<ServingTable>();
+  table->Version = 1;
+  state.Table = table;
+  GossipState gossip;
+  FleetDemand demand;
+  NodeMessages out;
+  handleNodeHeartbeat(state, gossip, demand, makeHeartbeat("x", 0), Start, out);
+  applyEvacuations(state, makeEvacuations(1, true), "log", Start);
+  out.clear();
+  pushTable(state, Start, out);
+  REQUIRE(out.size() == 2);
+  CHECK(out[0].Message.has_evacuation_update());
+  CHECK(out[1].Message.has_table_update());
+}
+
 TEST_CASE("front that starts waits for a word on the evacuations, but not for "
           "long") {
   FrontState state = makeState();
