--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -59,8 +59,9 @@
     if (command.has_evacuation())
       applyEvacuationChange(Store.Evacuations, command.evacuation());
   }
-  publishNewestTable(Store, Out);
+  // Nothing is served by a table before the evacuations are known.
   publishEvacuations(Store, Out);
+  publishNewestTable(Store, Out);
   if (Store.Applied == before)
     return;
   // The commit index is persisted so that, after a restart, the table can be
@@ -159,6 +160,11 @@
 
 void handleEvacuate(ServingStore &Store, const StoreEvacuate &Order,
                     TimePoint Now, RaftEffects &Raft, StoreEffects &Out) {
+  // A record that cannot be read back would end the log of every member.
+  if (findZoneNameProblem(Order.Zone)) {
+    Out.push_back(StoreResult{Order.Number, StoreOutcome::Unavailable, 0, {}});
+    return;
+  }
   if (!canPropose(Store.Raft, Now) || Store.IsStopping) {
     Out.push_back(StoreResult{Order.Number, failureOutcome(Store), 0, {}});
     return;
--- a/front/front_state.h
+++ b/front/front_state.h
@@ -115,6 +115,10 @@
   TimePoint ColdUntil;    ///< It is cold before this time.
   TimePoint ColdEndedAt;  ///< End of the latest cold time that is over.
   TimePoint ColdStatedAt; ///< Zero if nothing is known about that.
+  TimePoint ColdOwnUntil; ///< The part of it that the process itself stated.
+  /// Where the rest is only suspected: a statement made earlier does not end
+  /// it.
+  TimePoint ColdEndableAt;
 };
 
 /// The right to send one request to an endpoint (front/send_permits.h).
@@ -127,6 +131,9 @@
 /// Permits for one endpoint that states a limit.
 struct EndpointPermits {
   std::vector<SendPermit> Held;
+  bool IsColdPaced = false; ///< It counted as cold when last looked at.
+  /// Replies up to this number are of the time before it became cold.
+  uint64_t LastWarmNumber = 0;
   uint64_t AskedWith = 0; ///< Number of the unanswered request; or 0.
   TimePoint ClosedUntil;  ///< The leader has no slot for this front before.
   LeaderlessSchedule Leaderless;
--- a/tests/control/test_serving_store.cpp
+++ b/tests/control/test_serving_store.cpp
@@ -420,6 +420,36 @@
   CHECK(group.Members[group.leader()].Store.Evacuations.version() == 1);
 }
 
+TEST_CASE("name of a zone that is not text never gets into the log") {
+  Group group(23);
+  startFourMembers(group);
+  std::string leader = group.leader();
+  uint64_t last = lastIndex(group.Members[leader].Store.Raft);
+  for (const char *zone : {"a\xFF", "\xC3", "a\"", "a\\"}) {
+    uint64_t number = ++group.LastNumber;
+    group.handleEvent(leader, StoreEvacuate{number, zone, true});
+    group.run(Millis(300));
+    REQUIRE(group.Results.contains(number));
+    CHECK(group.Results[number].Outcome == StoreOutcome::Unavailable);
+    CHECK(lastIndex(group.Members[leader].Store.Raft) == last);
+  }
+}
+
+TEST_CASE("started member publishes the evacuations before the table") {
+  Group group(24);
+  startFourMembers(group);
+  ServingStore store = makeServingStore(group.Members["a"].Store.Raft, nullptr);
+  store.Applied = store.Raft.Commit;
+  store.Table.set_version(3);
+  store.Evacuations.set_version(2);
+  std::vector<bool> published;
+  for (StoreEffect &it : stepServingStore(store, StoreTick{}, group.Now))
+    if (std::holds_alternative<StorePublishEvacuations>(it) ||
+        std::holds_alternative<StorePublish>(it))
+      published.push_back(std::holds_alternative<StorePublishEvacuations>(it));
+  CHECK(published == std::vector<bool>{true, false});
+}
+
 TEST_CASE("of a start and an end that race the later one in the log holds") {
   Group group(22);
   startFourMembers(group);
--- a/tests/front/test_evacuation_effects.cpp
+++ b/tests/front/test_evacuation_effects.cpp
@@ -162,6 +162,23 @@
       CHECK(it.Message.node_heartbeat().evacuation_version() == 1);
 }
 
+TEST_CASE("evacuations are sent before a new table") {
+  FrontState state = makeState();
+  auto table = std::make_shared<ServingTable>();
+  table->Version = 1;
+  state.Table = table;
+  GossipState gossip;
+  FleetDemand demand;
+  NodeMessages out;
+  handleNodeHeartbeat(state, gossip, demand, makeHeartbeat("x", 0), Start, out);
+  applyEvacuations(state, makeEvacuations(1, true), "log", Start);
+  out.clear();
+  pushTable(state, Start, out);
+  REQUIRE(out.size() == 2);
+  CHECK(out[0].Message.has_evacuation_update());
+  CHECK(out[1].Message.has_table_update());
+}
+
 TEST_CASE("front that starts waits for a word on the evacuations, but not for "
           "long") {
   FrontState state = makeState();
@@ -243,7 +260,12 @@
   warm.set_born_ms(1);
   warm.set_sequence(2);
   warm.set_slots(4);
-  now += Millis(900);
+  // What is heard at once may have been sent before it became cold.
+  recordObservation(state, warm, false, now + Millis(900));
+  CHECK(coldLimitOf(state, state.Directory.Endpoints.at("i-b"),
+                    now + Millis(900)));
+  warm.set_sequence(3);
+  now += SuspicionMargin + Millis(100);
   recordObservation(state, warm, false, now);
   CHECK_FALSE(coldLimitOf(state, state.Directory.Endpoints.at("i-b"), now));
 }
