Loans end when a leader is asked

Cause: a request to the leader set GrantEnd anew and left LoanNumbers, so that a loan answer of a lender that had refilled since was accepted, and unspent loans above the maximum were kept. endLoans drops the numbers and cuts received loans to the maximum level before GrantEnd is extended. Test 'loans do not outlive a request to the leader': failed before (level 100,000 and 200,000 of a maximum of 11,440), passes now.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -577,6 +577,7 @@
   if (Quota.PoolRequestedAt != TimePoint())
     return std::nullopt;
   Quota.PoolRequestedAt = Now;
+  endLoans(Quota, Limit, Position, Now);
   // In the order in which they are to be served. What is reserved for favoured
   // requests is not requested for others.
   double wanted = 0;
--- a/front/quota_loans.cpp
+++ b/front/quota_loans.cpp
@@ -103,6 +103,7 @@
     return;
   }
   quota.Level += Grant.granted();
+  quota.HasLoans = true;
   quota.Tally.Borrowed += Grant.granted();
 }
 
--- a/policy/rate_share.cpp
+++ b/policy/rate_share.cpp
@@ -245,6 +245,14 @@
   return out;
 }
 
+void endLoans(LocalQuota &Quota, const QuotaLimit &Limit,
+              const QuotaPosition &Position, TimePoint Now) {
+  Quota.LoanNumbers.clear();
+  if (Quota.HasLoans)
+    Quota.Level = std::min(Quota.Level, maxLevel(Quota, Limit, Position, Now));
+  Quota.HasLoans = false;
+}
+
 void returnQuota(LocalQuota &Quota, double Cost) { Quota.Level += Cost; }
 
 Millis estimateQuotaWait(const LocalQuota &Quota, const QuotaLimit &Limit,
--- a/policy/rate_share.h
+++ b/policy/rate_share.h
@@ -100,6 +100,7 @@
   uint64_t RequestNumber = 0; ///< Of the last request to the leader.
   /// Of the last requests to other fronts, those without an answer.
   std::set<uint64_t> LoanNumbers;
+  bool HasLoans = false; ///< Loans were received since the last request.
   /// Until then tokens granted for that request are accepted and kept.
   TimePoint GrantEnd;
   TimePoint PoolEmptyUntil; ///< The leader grants nothing before this time.
@@ -175,6 +176,11 @@
 /// they are not to be used for longer than GrantLifetime. Not thread safe.
 double takeLoan(LocalQuota &Quota, const QuotaLimit &Limit, double Wanted,
                 const QuotaPosition &Position, TimePoint Now);
+/// Ends the loans to this front before GrantEnd is set anew: those without an
+/// answer are not accepted any more, and received ones are kept only up to the
+/// maximum level. Not thread safe.
+void endLoans(LocalQuota &Quota, const QuotaLimit &Limit,
+              const QuotaPosition &Position, TimePoint Now);
 /// Returns the tokens of a request that is known not to have run.
 void returnQuota(LocalQuota &Quota, double Cost);
 /// Estimates the time until this front can grant \p Charge by itself.
--- a/tests/front/test_quota_loans.cpp
+++ b/tests/front/test_quota_loans.cpp
@@ -74,6 +74,56 @@
   CHECK_FALSE(lendQuota(borrower, makeLoanRequest(300, 1), now));
 }
 
+// A leader was elected while loans were under way. Asking it extended the time
+// in which their tokens could be used, and lenders had refilled by then.
+TEST_CASE("loans do not outlive a request to the leader") {
+  TimePoint now = Start + std::chrono::seconds(3);
+  FrontState state = makeFront("b");
+  RequestAttributes attributes;
+  attributes.Id = "1";
+  attributes.Host = "h";
+  attributes.Path = "/x";
+  attributes.Key = "key";
+  auto table = std::make_shared<ServingTable>(*state.Table);
+  ServingRoute route;
+  route.Name = "r";
+  route.Host = "h";
+  route.PathPrefix = "/";
+  route.Timeout = Millis(12'000);
+  route.Objective = Millis(9'000);
+  route.Services = {{"plain", 1}};
+  table->Services["plain"].Name = "plain";
+  table->Routes.push_back(route);
+  indexServingTable(*table);
+  state.Table = table;
+  LocalQuota &quota = state.Quotas["first"];
+  quota.FilledAt = now;
+  quota.FilledRate = 1'000;
+  quota.LoanNumbers = {7, 8};
+  quota.GrantEnd = now + GrantLifetime;
+  wire::QuotaGrant loan;
+  loan.set_organisation("first");
+  loan.set_number(7);
+  loan.set_granted(100'000);
+  applyQuotaGrant(state, loan, now);
+  REQUIRE(quota.Level == Approx(100'000));
+  // Now there is a leader, and a request that needs more.
+  state.Leader.HeardAt = now;
+  state.Leader.Node = state.Leader.Address = "l";
+  auto admitted = admitRequest(state, attributes, now);
+  REQUIRE(std::holds_alternative<FrontRequest>(admitted));
+  FrontRequest request = std::get<FrontRequest>(admitted);
+  request.Cost = 200'000;
+  auto result = decideDispatch(state, request, now);
+  REQUIRE(result.PoolQuotaRequest);
+  CHECK_FALSE(isLoanRequest(*result.PoolQuotaRequest));
+  CHECK(quota.Level < storedBurstOf({1'000, 10'000, {}, true}));
+  double level = quota.Level;
+  loan.set_number(8);
+  applyQuotaGrant(state, loan, now + Millis(100));
+  CHECK(quota.Level == Approx(level));
+}
+
 TEST_CASE(
     "front lends no tokens that it needs, and none for invalid requests") {
   TimePoint now = Start + std::chrono::seconds(3);
