Place in the queue counted in one pass, without a sort

Cause: each decision on a waiting request copied and sorted all of its rank. countServedBefore counts those ahead in linear time and agrees with orderCallers in 'count of callers before one agrees with the order'. 'pass over a thousand waiting requests takes little processor time' (at most 100 ms): 164 ms before, and failed; passes now. It is quadratic still over a pass, with a smaller factor.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -440,27 +440,32 @@
 
 OwnQueue ownQueueOf(const FrontState &State, const ModelUsage &Usage,
                     const FrontRequest &Request, Millis Needed, TimePoint Now) {
-  std::vector<WaitingCaller> callers;
-  for (uint64_t number : Usage.Waiting)
-    if (auto it = State.WaitingRequests.find(number);
-        it != State.WaitingRequests.end() &&
-        it->second.Caller.Position.Rank == Request.Urgency)
-      callers.push_back(it->second.Caller);
+  std::vector<const WaitingCaller *> others;
+  WaitingCaller self = waitingRequestOf(Request, Needed).Caller;
   OwnQueue out;
-  out.InRank = static_cast<uint32_t>(callers.size());
-  if (!Usage.Waiting.contains(Request.Number))
-    callers.push_back(waitingRequestOf(Request, Needed).Caller);
-  auto open = State.OpenByOrganisation.find(Request.Service);
-  callers = orderCallers(std::move(callers),
-                         open == State.OpenByOrganisation.end()
-                             ? std::map<std::string, uint32_t>()
-                             : open->second,
-                         Now);
-  for (const WaitingCaller &it : callers) {
-    if (it.Position.Number == Request.Number)
+  auto it = State.WaitingRequests.begin();
+  if (!Usage.Waiting.empty())
+    it = State.WaitingRequests.lower_bound(*Usage.Waiting.begin());
+  // Both are in the order of their numbers.
+  for (uint64_t number : Usage.Waiting) {
+    while (it != State.WaitingRequests.end() && it->first < number)
+      ++it;
+    if (it == State.WaitingRequests.end())
       break;
-    ++out.AheadInRank;
+    const WaitingCaller &caller = it->second.Caller;
+    if (it->first != number || caller.Position.Rank != Request.Urgency)
+      continue;
+    ++out.InRank;
+    if (number == Request.Number)
+      self = caller;
+    else
+      others.push_back(&caller);
   }
+  static const std::map<std::string, uint32_t> none;
+  auto open = State.OpenByOrganisation.find(Request.Service);
+  out.AheadInRank = countServedBefore(
+      self, others,
+      open == State.OpenByOrganisation.end() ? none : open->second, Now);
   return out;
 }
 
--- a/policy/caller_order.cpp
+++ b/policy/caller_order.cpp
@@ -1,7 +1,9 @@
 #include "policy/caller_order.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 
 namespace sassafras {
 
@@ -61,4 +63,53 @@
   return Callers;
 }
 
+uint32_t countServedBefore(const WaitingCaller &It,
+                           const std::vector<const WaitingCaller *> &Others,
+                           const std::map<std::string, uint32_t> &Served,
+                           TimePoint Now) {
+  struct Queue {
+    uint64_t Served = 0;
+    uint64_t Size = 0;
+    uint64_t Before = 0; ///< Before It, apart from the organisations' parts.
+  };
+  std::unordered_map<std::string_view, Queue> queues;
+  uint64_t total = 0;
+  for (const auto &[organisation, count] : Served) {
+    queues[organisation].Served = count;
+    total += count;
+  }
+  CallerPosition self = It.Position;
+  self.ExcessOfOrganisation = 0;
+  uint32_t before = 0;
+  for (const WaitingCaller *other : Others) {
+    CallerPosition position = other->Position;
+    position.ExcessOfOrganisation = 0;
+    Queue &queue = queues[other->Organisation];
+    ++queue.Size;
+    if (isServedBefore(position, self, Now)) {
+      ++queue.Before;
+      ++before;
+    }
+  }
+  const Queue own = queues[It.Organisation];
+  if (queues.size() < 2)
+    return before;
+  uint64_t even = (total + queues.size() - 1) / queues.size();
+  uint64_t step = std::max<uint64_t>(even / StepsOfPart, 1);
+  uint64_t n = own.Served + own.Before;
+  uint64_t excess = n > even ? (n - even) / step : 0;
+  // An organisation's callers have more excess the later they come: those with
+  // less than It are its first ones, then come those with the same.
+  uint64_t out = 0;
+  for (const auto &[organisation, queue] : queues) {
+    auto countBelow = [&](uint64_t Excess) {
+      uint64_t end = Excess == 0 ? 0 : even + Excess * step;
+      return std::min(end > queue.Served ? end - queue.Served : 0, queue.Size);
+    };
+    uint64_t less = countBelow(excess);
+    out += std::max(less, std::min(countBelow(excess + 1), queue.Before));
+  }
+  return static_cast<uint32_t>(out);
+}
+
 } // namespace sassafras
--- a/policy/caller_order.h
+++ b/policy/caller_order.h
@@ -51,6 +51,14 @@
 orderCallers(std::vector<WaitingCaller> Callers,
              const std::map<std::string, uint32_t> &Served, TimePoint Now);
 
+/// Returns how many of \p Others orderCallers() puts before \p It, which is not
+/// one of them. All have the same rank. Takes linear time, for decisions on
+/// each of many waiting requests. Pure and thread safe.
+uint32_t countServedBefore(const WaitingCaller &It,
+                           const std::vector<const WaitingCaller *> &Others,
+                           const std::map<std::string, uint32_t> &Served,
+                           TimePoint Now);
+
 } // namespace sassafras
 
 #endif
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
 #include <deque>
 
 using namespace sassafras;
@@ -152,6 +153,14 @@
   }
 };
 
+/// Processor time that this thread has used.
+std::chrono::nanoseconds processorTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
 const FrontRefusal *refusalOf(const DispatchResult &Result) {
   return std::get_if<FrontRefusal>(&Result.Decision);
 }
@@ -326,6 +335,32 @@
   CHECK(listInOrder(state, Start).empty());
 }
 
+// A burst waited at one front. Each decision of a pass sorted all that waited,
+// and the front had no processor time left for streams.
+TEST_CASE("pass over a thousand waiting requests takes little processor time") {
+  FrontState state = makeState();
+  addEngine(state, "e1", Start);
+  std::map<uint64_t, FrontRequest> waiting;
+  while (state.ModelUsages["m"].Waiting.size() < 1'000) {
+    FrontRequest request = admit(state, 1, Start);
+    request.Organisation = "";
+    request.FirstByteDeadline = Start + std::chrono::hours(10);
+    request.Deadline = Start + std::chrono::hours(20);
+    auto result = decideDispatch(state, request, Start);
+    if (auto *target = std::get_if<SendTo>(&result.Decision))
+      recordDispatch(state, request, target->Endpoint, Start);
+    else
+      waiting[request.Number] = request;
+    REQUIRE_FALSE(refusalOf(result));
+  }
+  std::chrono::nanoseconds start = processorTime();
+  for (uint64_t number : listInOrder(state, Start))
+    decideDispatch(state, waiting[number], Start);
+  auto used = processorTime() - start;
+  INFO(used.count() / 1'000 << " us");
+  CHECK(used < Millis(100));
+}
+
 TEST_CASE("front knows a caller that it refuses again, within a bound") {
   FrontState state = makeState();
   FrontRequest request = admit(state, 1, Start);
--- a/tests/policy/test_caller_order.cpp
+++ b/tests/policy/test_caller_order.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 
 using namespace sassafras;
 
@@ -56,6 +57,32 @@
         std::vector<uint64_t>{1, 2});
 }
 
+TEST_CASE("count of callers before one agrees with the order") {
+  std::mt19937 random(4);
+  for (int round = 0; round < 300; ++round) {
+    std::map<std::string, uint32_t> served;
+    for (const char *it : {"a", "b", "c", "d"})
+      if (random() % 2 == 0)
+        served[it] = static_cast<uint32_t>(random() % 30);
+    std::vector<WaitingCaller> callers;
+    size_t size = 1 + random() % 40;
+    for (uint64_t i = 0; i < size; ++i)
+      callers.push_back(caller(
+          i, 1, Millis(static_cast<int>(random() % 3'000)) - Millis(2'000),
+          std::string(1, "abcd"[random() % 4])));
+    std::vector<uint64_t> order = orderOf(callers, served);
+    for (const WaitingCaller &it : callers) {
+      std::vector<const WaitingCaller *> others;
+      for (const WaitingCaller &other : callers)
+        if (&other != &it)
+          others.push_back(&other);
+      auto place = std::find(order.begin(), order.end(), it.Position.Number);
+      CHECK(countServedBefore(it, others, served, Start) ==
+            place - order.begin());
+    }
+  }
+}
+
 // One organisation asked ten times as much as each of two others. In the order
 // of arrival its requests took ten twelfths of the room.
 TEST_CASE("organisation with ten times its part does not take the others'") {
