Only callers that wait for the same room go before an arrival

Cause: listCallersBefore went by service and listed those that wait for tokens or another model; three of them used up MaxStuckCallers. Test failed before ({1,2,3,4,5} instead of {5}), passes now. The limit itself is still in the shell.

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -1089,10 +1089,18 @@
                                         TimePoint Now) {
   std::vector<WaitingCaller> callers{
       waitingRequestOf(Request, Millis(0)).Caller};
-  for (const auto &[number, it] : State.WaitingRequests)
-    if (it.Service == Request.Service)
-      callers.push_back(it.Caller);
   std::vector<uint64_t> out;
+  bool isEngine = findEngineSpec(State, Request.Service) != nullptr &&
+                  !Request.Attributes.Model.empty();
+  auto usage = State.ModelUsages.find(isEngine ? Request.Attributes.Model
+                                               : "service " + Request.Service);
+  if (usage == State.ModelUsages.end())
+    return out;
+  // Those that wait for tokens or another model can't take this room.
+  for (uint64_t number : usage->second.Waiting)
+    if (auto it = State.WaitingRequests.find(number);
+        it != State.WaitingRequests.end() && number != Request.Number)
+      callers.push_back(it->second.Caller);
   if (callers.size() == 1)
     return out;
   auto open = State.OpenByOrganisation.find(Request.Service);
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -335,6 +335,21 @@
   CHECK(listInOrder(state, Start).empty());
 }
 
+// Requests that waited for tokens or another model came first in the list; the
+// arrival then overtook an urgent one that could take the slot.
+TEST_CASE("only callers that wait for the same room go before an arrival") {
+  FrontState state = makeState();
+  addEngine(state, "e1", Start);
+  state.Records["e1"].Open = 5;
+  for (int i = 0; i < 4; ++i)
+    recordWaiting(state, admit(state, 0, Start));
+  FrontRequest urgent = admit(state, 0, Start);
+  decideDispatch(state, urgent, Start);
+  REQUIRE(state.ModelUsages["m"].Waiting.size() == 1);
+  CHECK(listCallersBefore(state, admit(state, 2, Start), Start) ==
+        std::vector<uint64_t>{urgent.Number});
+}
+
 // A burst waited at one front. Each decision of a pass sorted all that waited,
 // and the front had no processor time left for streams.
 TEST_CASE("pass over a thousand waiting requests takes little processor time") {
