Callers due back are not multiplied by the fronts

Without a leader one refused caller counted once for each front. Test 'front without a leader counts its own backlog for each front' checks it: 3 before, 1 now. Left: the age of what the leader told isn't counted yet.

--- a/policy/return_time.cpp
+++ b/policy/return_time.cpp
@@ -37,10 +37,9 @@
 }
 
 RankBacklog scaled(RankBacklog Backlog, size_t Fronts) {
-  for (size_t i = 0; i < RankCount; ++i) {
-    Backlog.Waiting[i] *= static_cast<uint32_t>(Fronts);
-    Backlog.Returning[i] *= static_cast<uint32_t>(Fronts);
-  }
+  // Callers due back are not scaled: they return to any front.
+  for (uint32_t &it : Backlog.Waiting)
+    it *= static_cast<uint32_t>(Fronts);
   return Backlog;
 }
 
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -330,6 +330,9 @@
   REQUIRE(usage.Waiting.size() == 1);
   CHECK(countFronts(state, Start) == 3);
   CHECK(fleetBacklogOf(state, usage, Start).Waiting[1] == 3);
+  // A refused caller returns to one front only.
+  recordReturn(usage.Returning, Start + Millis(900), 1);
+  CHECK(fleetBacklogOf(state, usage, Start).Returning[1] == 1);
   removeWaitingRequest(state, request);
   CHECK(fleetBacklogOf(state, usage, Start).Waiting[1] == 0);
   CHECK(listInOrder(state, Start).empty());
