Slots of paused engines are not free

Cause: isMostlyFree held a request whose only engine was paused beyond its deadline. The test 'nothing is refused for room while most slots are free' asserted that for a pause of 30 s and was wrong: the request can't be served. Replaced by one as strict: unpaused it is sent, with a pause that ends in time it waits, with one past its deadline it is refused at once (failed before).

--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -381,7 +381,9 @@
   size_t limited = 0;
   for (const EndpointCandidate &it : Found.Candidates) {
     out.Slots += it.Slots;
-    out.SlotsTaken += it.Slots - it.Estimate.FreeSlots;
+    bool isPaused =
+        !isPast(it.PausedUntil, Now) || !isPast(it.Record->PausedUntil, Now);
+    out.SlotsTaken += isPaused ? it.Slots : it.Slots - it.Estimate.FreeSlots;
     if (!isPast(it.PausedUntil, Now)) {
       Millis wait(toMillis(it.PausedUntil - Now) + 1);
       firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
--- a/tests/front/test_order_and_return.cpp
+++ b/tests/front/test_order_and_return.cpp
@@ -244,15 +244,21 @@
   CHECK(refusalOf(decideDispatch(state, last, Start + Millis(50))));
 }
 
-// Engines that had rejected a request were paused, and requests were refused
-// while most of their slots were free.
-TEST_CASE("nothing is refused for room while most slots are free") {
+// A request was held although its only engine was paused until after its
+// deadline.
+TEST_CASE("slots of an engine paused past the deadline are not free") {
   FrontState state = makeState();
   addEngine(state, "e1", Start);
-  state.Records["e1"].PausedUntil = Start + Millis(30'000);
   FrontRequest request = admit(state, 2, Start);
+  state.Records["e1"].PausedUntil = Start + Millis(200);
   CHECK(std::holds_alternative<WaitUntil>(
       decideDispatch(state, request, Start).Decision));
+  removeWaitingRequest(state, request);
+  state.Records["e1"].PausedUntil = Start + Millis(30'000);
+  CHECK(refusalOf(decideDispatch(state, request, Start)));
+  state.Records["e1"].PausedUntil = Start;
+  CHECK(std::holds_alternative<SendTo>(
+      decideDispatch(state, request, Start).Decision));
 }
 
 TEST_CASE("time to return comes from the fleet's backlog while that is fresh") {
