--- a/front/front_state.cpp
+++ b/front/front_state.cpp
@@ -108,10 +108,16 @@
 RankBacklog ownBacklogOf(const FrontState &State, const ModelUsage &Usage,
                          TimePoint Now) {
   RankBacklog out;
+  auto it = State.WaitingRequests.begin();
+  if (!Usage.Waiting.empty())
+    it = State.WaitingRequests.lower_bound(*Usage.Waiting.begin());
+  // Both are in the order of their numbers.
   for (uint64_t number : Usage.Waiting) {
-    auto it = State.WaitingRequests.find(number);
-    if (it != State.WaitingRequests.end() &&
-        it->second.Caller.Position.Rank < RankCount)
+    while (it != State.WaitingRequests.end() && it->first < number)
+      ++it;
+    if (it == State.WaitingRequests.end())
+      break;
+    if (it->first == number && it->second.Caller.Position.Rank < RankCount)
       ++out.Waiting[it->second.Caller.Position.Rank];
   }
   for (const auto &[at, rank] : Usage.Returning)
