--- a/policy/caller_order.cpp
+++ b/policy/caller_order.cpp
@@ -101,7 +101,8 @@
   // An organisation's callers have more excess the later they come: those with
   // less than It are its first ones, then come those with the same.
   uint64_t out = 0;
-  for (const auto &[organisation, queue] : queues) {
+  for (const auto &it : queues) {
+    const Queue &queue = it.second;
     auto countBelow = [&](uint64_t Excess) {
       uint64_t end = Excess == 0 ? 0 : even + Excess * step;
       return std::min(end > queue.Served ? end - queue.Served : 0, queue.Size);
