--- a/front/dispatch.cpp
+++ b/front/dispatch.cpp
@@ -381,7 +381,9 @@
   size_t limited = 0;
   for (const EndpointCandidate &it : Found.Candidates) {
     out.Slots += it.Slots;
-    out.SlotsTaken += it.Slots - it.Estimate.FreeSlots;
+    bool isPaused =
+        !isPast(it.PausedUntil, Now) || !isPast(it.Record->PausedUntil, Now);
+    out.SlotsTaken += isPaused ? it.Slots : it.Slots - it.Estimate.FreeSlots;
     if (!isPast(it.PausedUntil, Now)) {
       Millis wait(toMillis(it.PausedUntil - Now) + 1);
       firstSlot = firstSlot ? std::min(*firstSlot, wait) : wait;
@@ -440,27 +442,32 @@
 
 OwnQueue ownQueueOf(const FrontState &State, const ModelUsage &Usage,
                     const FrontRequest &Request, Millis Needed, TimePoint Now) {
-  std::vector<WaitingCaller> callers;
-  for (uint64_t number : Usage.Waiting)
-    if (auto it = State.WaitingRequests.find(number);
-        it != State.WaitingRequests.end() &&
-        it->second.Caller.Position.Rank == Request.Urgency)
-      callers.push_back(it->second.Caller);
+  std::vector<const WaitingCaller *> others;
+  WaitingCaller self = waitingRequestOf(Request, Needed).Caller;
   OwnQueue out;
-  out.InRank = static_cast<uint32_t>(callers.size());
-  if (!Usage.Waiting.contains(Request.Number))
-    callers.push_back(waitingRequestOf(Request, Needed).Caller);
-  auto open = State.OpenByOrganisation.find(Request.Service);
-  callers = orderCallers(std::move(callers),
-                         open == State.OpenByOrganisation.end()
-                             ? std::map<std::string, uint32_t>()
-                             : open->second,
-                         Now);
-  for (const WaitingCaller &it : callers) {
-    if (it.Position.Number == Request.Number)
+  auto it = State.WaitingRequests.begin();
+  if (!Usage.Waiting.empty())
+    it = State.WaitingRequests.lower_bound(*Usage.Waiting.begin());
+  // Both are in the order of their numbers.
+  for (uint64_t number : Usage.Waiting) {
+    while (it != State.WaitingRequests.end() && it->first < number)
+      ++it;
+    if (it == State.WaitingRequests.end())
       break;
-    ++out.AheadInRank;
+    const WaitingCaller &caller = it->second.Caller;
+    if (it->first != number || caller.Position.Rank != Request.Urgency)
+      continue;
+    ++out.InRank;
+    if (number == Request.Number)
+      self = caller;
+    else
+      others.push_back(&caller);
   }
+  static const std::map<std::string, uint32_t> none;
+  auto open = State.OpenByOrganisation.find(Request.Service);
+  out.AheadInRank = countServedBefore(
+      self, others,
+      open == State.OpenByOrganisation.end() ? none : open->second, Now);
   return out;
 }
 
@@ -577,6 +584,7 @@
   if (Quota.PoolRequestedAt != TimePoint())
     return std::nullopt;
   Quota.PoolRequestedAt = Now;
+  endLoans(Quota, Limit, Position, Now);
   // In the order in which they are to be served. What is reserved for favoured
   // requests is not requested for others.
   double wanted = 0;
@@ -1083,10 +1091,18 @@
                                         TimePoint Now) {
   std::vector<WaitingCaller> callers{
       waitingRequestOf(Request, Millis(0)).Caller};
-  for (const auto &[number, it] : State.WaitingRequests)
-    if (it.Service == Request.Service)
-      callers.push_back(it.Caller);
   std::vector<uint64_t> out;
+  bool isEngine = findEngineSpec(State, Request.Service) != nullptr &&
+                  !Request.Attributes.Model.empty();
+  auto usage = State.ModelUsages.find(isEngine ? Request.Attributes.Model
+                                               : "service " + Request.Service);
+  if (usage == State.ModelUsages.end())
+    return out;
+  // Those that wait for tokens or another model can't take this room.
+  for (uint64_t number : usage->second.Waiting)
+    if (auto it = State.WaitingRequests.find(number);
+        it != State.WaitingRequests.end() && number != Request.Number)
+      callers.push_back(it->second.Caller);
   if (callers.size() == 1)
     return out;
   auto open = State.OpenByOrganisation.find(Request.Service);
