--- a/fleet/evacuations.cpp
+++ b/fleet/evacuations.cpp
@@ -13,7 +13,7 @@
 /// Number of bytes of the UTF-8 character that starts at \p Begin; 0 if there
 /// is none, or a longer form than needed, a surrogate or above U+10FFFF.
 size_t countCharacterBytes(std::string_view Text, size_t Begin) {
-  auto byteAt = [&](size_t i) { return static_cast<unsigned char>(Text[i]); };
+  auto byteAt = [&](size_t At) { return static_cast<unsigned char>(Text[At]); };
   unsigned char first = byteAt(Begin);
   if (first < 0x80)
     return 1;
