--- a/front/leader_work.cpp
+++ b/front/leader_work.cpp
@@ -24,10 +24,10 @@
 /// the store.
 constexpr double StoreBurst = 2;
 /// An order that is not reported as done is abandoned after its load time,
-/// times OrderLoadFactor, plus this allowance for unloads that wait for running
+/// times OrderLoadFactor, plus this margin for unloads that wait for running
 /// requests.
 constexpr Millis OrderSlack{4'000};
-/// Allowance for concurrent loads, which slow one another.
+/// Margin for concurrent loads, which slow one another.
 constexpr int OrderLoadFactor = 3;
 /// Overhead of an order beside the load itself: delivery to the engine, an
 /// unload before the load, and the report back.
--- a/front/leaderless_wish.cpp
+++ b/front/leaderless_wish.cpp
@@ -12,7 +12,7 @@
 /// An engine whose agent has not reported for this long, which is several of
 /// its report periods, may have changed and is not considered.
 constexpr Millis AgentReportLifetime{2'500};
-/// The order expires after the load time plus this allowance.
+/// The order expires after the load time plus this margin.
 constexpr Millis OrderSlack{1'000};
 
 /// True when no leader plans for \p Request: none is known, or the known one
