--- a/review/stand_ins_2/platform.cpp
+++ b/review/stand_ins_2/platform.cpp
@@ -292,11 +292,16 @@
            static_cast<uint64_t>(reading.tv_nsec) / 1'000'000;
 }
 
+void Announcer::beginAt(double At) {
+  NextAt = At;
+  IsNew = false;
+}
+
 void Announcer::announceIfDue() {
   if (now() < NextAt)
     return;
-  NextAt =
-      now() + (Sequence < FirstHeartbeats ? FirstInterval : HeartbeatInterval);
+  bool isEarly = IsNew && Sequence < FirstHeartbeats;
+  NextAt = now() + (isEarly ? FirstInterval : HeartbeatInterval);
   Request message;
   message.Path = "/Instances.Heartbeat/" + Id;
   message.Fields = {{"Content-Type", "application/json"}};
--- a/review/stand_ins_2/platform.h
+++ b/review/stand_ins_2/platform.h
@@ -100,6 +100,9 @@
   Announcer(std::string Id, std::string Service, std::string Address,
             std::string Zone, std::vector<std::string> Controls);
   void announceIfDue();
+  /// Sends the first heartbeat at \p At, and all others an interval apart, as
+  /// an engine does that has run for long.
+  void beginAt(double At);
 
 private:
   std::string Id;
@@ -110,6 +113,7 @@
   uint64_t BornMs = 0;
   uint64_t Sequence = 0;
   double NextAt = 0;
+  bool IsNew = true;
 };
 
 struct FleetSize {
