--- a/review/stand_ins_2/engine.cpp
+++ b/review/stand_ins_2/engine.cpp
@@ -9,6 +9,7 @@
 /// the environment has CRASHES=1.
 #include "review/stand_ins_2/platform.h"
 
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <sys/socket.h>
@@ -40,6 +41,34 @@
   return out;
 }
 
+/// Events of a stream and the time between two, as on the sheet.
+constexpr int Events = 49;
+constexpr double EventInterval = 0.06;
+/// An answer without a length counts as begun after so many events.
+constexpr int BegunEvents = 8;
+
+/// Streams events in chunks, or up to the end of the channel. False once the
+/// channel is to be closed.
+bool serveStream(Engine &Self, const Channel &To, const std::string &Attempt,
+                 const std::string &Start) {
+  bool isUnframed = Self.IsMixed && ++Self.Runs % UnframedInterval == 0;
+  std::string head = Start + "Content-Type: text/event-stream\r\n";
+  To.send(head + (isUnframed ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
+  for (int i = 1; i <= Events; ++i) {
+    std::string event = "id: " + std::to_string(i) + "\ndata: " + Attempt +
+                        "-" + std::to_string(i) + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+    if (!To.send(isUnframed ? event : size + event + "\r\n"))
+      return false;
+    if (isUnframed && i == BegunEvents)
+      Self.Lines.write("half " + Attempt + " at " + Self.Id);
+    sleepFor(EventInterval);
+  }
+  Self.Lines.write("whole " + Attempt + " at " + Self.Id);
+  return !isUnframed && To.send("0\r\n\r\n");
+}
+
 /// Runs one request. False once the channel is to be closed.
 bool serve(Engine &Self, Channel &From) {
   auto head = From.readHead(now() + 15);
@@ -67,6 +96,8 @@
   std::string start = "HTTP/1.1 200 OK\r\n" + echo +
                       "Sassafrasseam-Response-Seal: seal." + Self.Id + "." +
                       attempt + "\r\n";
+  if (head->StartLine.find(" /note/") != std::string::npos)
+    return serveStream(Self, From, attempt, start);
   bool isUnframed = Self.IsMixed && ++Self.Runs % UnframedInterval == 0;
   if (!isUnframed) {
     sleepFor(Self.Work);
--- a/review/stand_ins_2/platform.cpp
+++ b/review/stand_ins_2/platform.cpp
@@ -412,6 +412,16 @@
   Lines.write("killed " + Name);
 }
 
+void Fleet::freeze(const std::string &Name) {
+  ::kill(Processes.at(Name), SIGSTOP);
+  Lines.write("froze " + Name);
+}
+
+void Fleet::thaw(const std::string &Name) {
+  ::kill(Processes.at(Name), SIGCONT);
+  Lines.write("thawed " + Name);
+}
+
 bool Fleet::hasEnded(const std::string &Name) {
   auto found = Processes.find(Name);
   if (found == Processes.end())
--- a/review/stand_ins_2/platform.h
+++ b/review/stand_ins_2/platform.h
@@ -147,6 +147,9 @@
              const std::vector<std::string> &Arguments);
   /// Sends SIGKILL to a process and waits for its end.
   void kill(const std::string &Name);
+  /// Stops a process (SIGSTOP), or lets it go on.
+  void freeze(const std::string &Name);
+  void thaw(const std::string &Name);
   /// True once a process has ended by itself.
   bool hasEnded(const std::string &Name);
   /// Starts all fronts, puts \p Config and waits until all are ready. False if
