--- a/review/stand_ins_2/engine.cpp
+++ b/review/stand_ins_2/engine.cpp
@@ -41,7 +41,7 @@
   return out;
 }
 
-/// Events of a stream and the time between two, as on the sheet.
+/// Events of a stream, as on the sheet, and the time between two.
 constexpr int Events = 49;
 constexpr double EventInterval = 0.06;
 /// An answer without a length counts as begun after so many events.
