A reset amid an upload does not complete an answer without a length

Cause: the kernel reports the error of a connection once. The write of the request, which runs beside the read, took it, so that the read behind it found an end of file, the regular end of such a body. The failed write only kept the connection from the pool.

Why it works: an end of file ends a body only if the write has not met the reset. So where the connection has hung up and the write has no result yet, the end of file waits for it; the write fails at once then.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -89,6 +90,12 @@
          n > 0;
 }
 
+/// True when a connection has ended in both directions, as after a reset.
+bool hasHungUp(Connection &Conn) {
+  pollfd it{Conn.Stream.socket().native_handle(), 0, 0};
+  return ::poll(&it, 1, 0) > 0 && (it.revents & POLLHUP) != 0;
+}
+
 bool mayHaveBody(std::string_view Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
@@ -258,12 +265,21 @@
     asio::async_write(
         Conn->Stream, bytes,
         [self = shared_from_this()](beast::error_code ec, size_t) {
-          self->IsRequestSent = !ec;
-          self->finishIfComplete();
+          self->handleWritten(ec);
         });
     readMore();
   }
 
+  void handleWritten(beast::error_code Error) {
+    WriteResult = Error;
+    if (IsFinished)
+      return;
+    if (std::exchange(IsEndDue, false))
+      handleEndOfInput();
+    else
+      finishIfComplete();
+  }
+
   void readMore() {
     if (IsPaused) {
       IsReadDue = true;
@@ -288,12 +304,31 @@
     if (IsFinished)
       return;
     Conn->Buffer.commit(Size);
-    beast::error_code ec = Error;
-    // The end of the connection may be the end of the body.
-    if (Error == asio::error::eof && Parser->got_some())
+    if (Error == asio::error::eof)
+      handleEndOfInput();
+    else if (Error)
+      fail({true, false, Error == beast::error::timeout});
+    else
+      parse();
+  }
+
+  /// The end of the connection may be the end of the body, unless the
+  /// connection was reset. The kernel reports a reset once: if the write has
+  /// got it, reads find an end of file.
+  void handleEndOfInput() {
+    if (!WriteResult && hasHungUp(*Conn)) {
+      IsEndDue = true;
+      return;
+    }
+    // A write to a peer that had ended its side in order before the reset fails
+    // with a broken pipe.
+    bool isInOrder = !WriteResult || !*WriteResult ||
+                     *WriteResult == asio::error::broken_pipe;
+    beast::error_code ec = asio::error::eof;
+    if (isInOrder && Parser->got_some())
       Parser->put_eof(ec);
     if (ec)
-      fail({true, false, ec == beast::error::timeout});
+      fail({true, false, false});
     else
       parse();
   }
@@ -377,7 +412,8 @@
     if (IsFinished || !IsResponseRead)
       return;
     IsFinished = true;
-    bool isReusable = IsKeptAlive && IsRequestSent &&
+    bool isRequestSent = WriteResult && !*WriteResult;
+    bool isReusable = IsKeptAlive && isRequestSent &&
                       Client->PoolsConnections && Conn->Buffer.size() == 0 &&
                       KeepFor.count() > 0 && !hasUnsentBytes(*Conn);
     if (isReusable) {
@@ -425,11 +461,12 @@
   /// Replaced after each informational response.
   std::optional<ResponseParser> Parser;
   int InformationalHeads = 0;
+  std::optional<beast::error_code> WriteResult; ///< Of the whole request.
   bool IsHeadRequest = false;
   Millis KeepFor{0};
   bool IsKeptAlive = false;
   bool IsReused = false; ///< The connection was pooled.
-  bool IsRequestSent = false;
+  bool IsEndDue = false; ///< An end of file waits for the write's result.
   bool IsResponseRead = false;
   bool IsPaused = false;
   bool IsReadDue = false; ///< A read was put off by the pause.
--- /dev/null
+++ b/tests/process/test_broken_answers.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// What callers get when an endpoint's answer is broken: reset while the
+/// request is still being sent, with a status or a header that is not valid.
+#include "tests/harness/scripted_endpoint.h"
+#include "tests/harness/tested_front.h"
+
+#include <boost/asio/read.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+#include <thread>
+
+using namespace sassafras;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Bodies of requests: one that a connection's buffers take at once, and one
+/// that they do not.
+constexpr size_t ShortUpload = 900'000;
+constexpr size_t LongUpload = 8'000'000;
+/// Two whole events.
+constexpr const char *TwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// Sends a request with a body of \p Size bytes and returns all bytes until the
+/// connection ends.
+std::string upload(TestedFront &Front, const std::string &Route,
+                   const std::string &Id, size_t Size) {
+  Tcp::socket socket = Front.connect();
+  sendText(socket, "POST /" + Route + "/x HTTP/1.1\r\nHost: h\r\n" +
+                       "Sassafrasseam-Attempt-Id: " + Id +
+                       "\r\nConnection: close\r\nContent-Length: " +
+                       std::to_string(Size) + "\r\n\r\n" +
+                       std::string(Size, 'x'));
+  std::string response;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(response), ec);
+  return response;
+}
+
+/// Resets the connection.
+void resetConnection(Tcp::socket &Socket) {
+  boost::system::error_code ec;
+  Socket.set_option(asio::socket_base::linger(true, 0), ec);
+  Socket.close(ec);
+}
+
+/// Ends the endpoint's side of the connection in order.
+void endAnswer(Tcp::socket &Socket) {
+  boost::system::error_code ec;
+  Socket.shutdown(Tcp::socket::shutdown_send, ec);
+}
+
+/// Reads until the front ends the connection.
+void readRest(Tcp::socket &Socket) {
+  std::array<char, 65'536> buf{};
+  boost::system::error_code ec;
+  while (!ec)
+    Socket.read_some(asio::buffer(buf), ec);
+}
+
+} // namespace
+
+TEST_CASE(
+    "answer without a length that is reset amid an upload is incomplete") {
+  struct Case {
+    const char *Route;
+    Millis Pause; ///< Before the reset.
+    int Plays;    ///< Of each size.
+  };
+  // Repeated requests wait while their endpoint is paused.
+  const Case cases[] = {
+      {"once", Millis(0), 20},   {"once", Millis(10), 5},
+      {"stream", Millis(0), 20}, {"stream", Millis(10), 5},
+      {"many", Millis(0), 3},    {"resume", Millis(0), 3},
+  };
+  for (const Case &it : cases)
+    for (size_t size : {ShortUpload, LongUpload}) {
+      int complete = 0;
+      std::string latest;
+      for (int i = 0; i < it.Plays; ++i) {
+        ScriptedEndpoint endpoint(
+            [&](Tcp::socket &Socket, const std::string &Id) {
+              sendText(Socket, headOf(Id, "Connection: close") + TwoEvents);
+              std::this_thread::sleep_for(it.Pause);
+              resetConnection(Socket);
+            });
+        TestedFront front(endpoint.address());
+        std::string response = upload(front, it.Route, std::to_string(i), size);
+        if (!isCompleteSuccess(response))
+          continue;
+        ++complete;
+        latest = response;
+      }
+      INFO(it.Route << ", " << size << " bytes, reset after "
+                    << it.Pause.count() << " ms: " << complete << " of "
+                    << it.Plays << " complete; the latest: " << latest);
+      CHECK(complete == 0);
+    }
+}
+
+TEST_CASE("whole answer that comes amid an upload reaches its caller") {
+  enum class End { Drain, Close, Reset };
+  struct Case {
+    const char *What;
+    std::string Framing;
+    std::string Body;
+    End How;
+  };
+  std::string events = TwoEvents;
+  std::string length = "Content-Length: " + std::to_string(events.size());
+  std::string chunks = chunkOf(events) + "0\r\n\r\n";
+  const Case cases[] = {
+      {"length", length, events, End::Drain},
+      {"length, then a reset", length, events, End::Reset},
+      {"chunks", "Transfer-Encoding: chunked", chunks, End::Drain},
+      {"chunks, then a reset", "Transfer-Encoding: chunked", chunks,
+       End::Reset},
+      {"no length, the rest is read", "Connection: close", events, End::Drain},
+      {"no length, closed with the rest unread", "Connection: close", events,
+       End::Close},
+  };
+  for (const Case &it : cases)
+    for (const char *route : {"once", "many", "stream", "resume"})
+      for (size_t size : {ShortUpload, LongUpload}) {
+        INFO(it.What << " on " << route << ", " << size << " bytes");
+        ScriptedEndpoint endpoint(
+            [&](Tcp::socket &Socket, const std::string &Id) {
+              sendText(Socket, headOf(Id, it.Framing) + it.Body);
+              if (it.How != End::Reset)
+                endAnswer(Socket);
+              if (it.How == End::Drain)
+                readRest(Socket);
+              else
+                resetConnection(Socket);
+            });
+        TestedFront front(endpoint.address());
+        std::string response = upload(front, route, "1", size);
+        INFO(response);
+        CHECK(isCompleteSuccess(response));
+        CHECK((has(response, "data: a") && has(response, "data: b")));
+      }
+}
