Answers with an invalid status are refused

Here it was not the 000 itself: the head was skipped, and bytes behind it that look like an answer, such as its body, reached the caller as a 200 with the engine's seal. 600 and 999 were passed on as "600 <unknown-status>". A health check of status 600 proved its instance.

Cause: every status below 200 was taken for an informational one, and none was compared with the range of statuses.

Why it works: the parser of all answers accepts the statuses 100 to 599 only (RFC 9110, 15), so that the exchange fails with the status line. It serves fronts, agents, health checks and process queries. Requests are parsed without it.

--- a/http/message_parser.h
+++ b/http/message_parser.h
@@ -7,6 +7,7 @@
 #include "http/message.h"
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <string>
 #include <string_view>
@@ -51,7 +52,12 @@
   }
 
   void on_response_impl(int NewStatus, StringView, int NewVersion,
-                        ErrorCode &) override {
+                        ErrorCode &Error) override {
+    // RFC 9110, 15: no other status is valid.
+    constexpr int LeastStatus = 100;
+    constexpr int MostStatus = 599;
+    if (NewStatus < LeastStatus || NewStatus > MostStatus)
+      Error = boost::beast::http::error::bad_status;
     Status = static_cast<unsigned>(NewStatus);
     Version = NewVersion;
   }
--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -144,3 +144,41 @@
         CHECK((has(response, "data: a") && has(response, "data: b")));
       }
 }
+
+TEST_CASE("answer whose status is not valid never reaches its caller") {
+  // The body of an answer that is skipped may look like an answer.
+  for (const char *status : {"000", "007", "099", "600", "999"})
+    for (const char *route : {"once", "many", "stream", "resume"})
+      for (bool hasLength : {true, false}) {
+        INFO(status << " on " << route << ", length: " << hasLength);
+        ScriptedEndpoint endpoint(
+            [&](Tcp::socket &Socket, const std::string &Id) {
+              std::string body = headOf(Id, "Content-Length: 5") + "inner";
+              std::string framing =
+                  hasLength ? "Content-Length: " + std::to_string(body.size())
+                            : "Connection: close";
+              sendText(Socket,
+                       headOf(Id, framing, std::string(status) + " No") + body);
+              Socket.close();
+            });
+        TestedFront front(endpoint.address());
+        std::string response = front.call(route, "1");
+        INFO(response);
+        CHECK(response.starts_with("HTTP/1.1 502 "));
+        CHECK_FALSE(has(response, "inner"));
+        CHECK_FALSE(has(response, "seal"));
+      }
+}
+
+TEST_CASE("health check with an invalid status proves no instance") {
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, "Connection: close") + TwoEvents);
+    Socket.close();
+  });
+  endpoint.setHealthAnswer(600, true);
+  TestedFront front(endpoint.address());
+  std::string response = front.call("stream", "1");
+  INFO(response);
+  CHECK(endpoint.countHealthChecks() > 0);
+  CHECK_FALSE(isCompleteSuccess(response));
+}
