Answers with a folded header field are refused

Of the forms played, one came through here: a line that begins with a blank or a tab. It was joined to the field before it, so that a caller got another seal than the engine's.

Cause: the parser takes such a line for the rest of the field before it (obsolete line folding) and joins the two.

Evidence: the new test on the commit before, 18 of 270 assertions failed, all for lines that begin with a blank or a tab behind the seal:

CHECK( response.starts_with("HTTP/1.1 502 ") ) once: Sassafrasseam-Attempt-Id: 1 Sassafrasseam-Response-Seal: seal X-Bad: 1 Content-Length: 5 HTTP/1.1 200 OK sassafrasseam-response-seal: seal X-Bad: 1

Why it works: a head in which a line begins with a blank or a tab fails the exchange before it is parsed. RFC 9112, 5.2, lets a gateway refuse it or join the lines; only the first keeps each field as the engine sent it.

Blanks and control bytes elsewhere in a name, empty names and lines without a colon were refused already, in the head and in trailers; their tests stay.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -96,6 +96,15 @@
   return ::poll(&it, 1, 0) > 0 && (it.revents & POLLHUP) != 0;
 }
 
+/// True if a field of the header that \p Bytes begin with continues on a second
+/// line. RFC 9112, 5.2, has deprecated that. The parser joins the lines, which
+/// changes the field's value.
+bool hasFoldedField(std::string_view Bytes) {
+  std::string_view head = Bytes.substr(0, Bytes.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 bool mayHaveBody(std::string_view Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
@@ -337,8 +346,14 @@
   void parse() {
     while (Conn->Buffer.size() > 0 && !Parser->is_done()) {
       bool isInHead = !Parser->is_header_done();
+      asio::const_buffer bytes = Conn->Buffer.data();
+      if (isInHead && hasFoldedField({static_cast<const char *>(bytes.data()),
+                                      bytes.size()})) {
+        fail({true, false, false});
+        return;
+      }
       beast::error_code ec;
-      Conn->Buffer.consume(Parser->put(Conn->Buffer.data(), ec));
+      Conn->Buffer.consume(Parser->put(bytes, ec));
       if (isInHead && Parser->is_header_done() && !ec) {
         handleHead();
       } else if (!Parser->Body.empty()) {
--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -182,3 +182,68 @@
   CHECK(endpoint.countHealthChecks() > 0);
   CHECK_FALSE(isCompleteSuccess(response));
 }
+
+TEST_CASE("answer with a field that is not valid never reaches its caller") {
+  using namespace std::string_literals;
+  const std::string lines[] = {
+      "X Bad: 1"s,
+      "X\tBad: 1"s,
+      "X-Bad : 1"s,
+      "X-Bad\t: 1"s,
+      "Content-Length : 1"s,
+      "X\0Bad: 1"s,
+      "X\x01"s
+      "Bad: 1"s,
+      "X\x0b"s
+      "Bad: 1"s,
+      "X\x7f"s
+      "Bad: 1"s,
+      "X\x80"s
+      "Bad: 1"s,
+      ": 1"s,
+      "X-Bad"s,
+      " X-Bad: 1"s,
+      "\tX-Bad: 1"s,
+      " 1"s,
+  };
+  const std::string ids = "Sassafrasseam-Attempt-Id: 1\r\n";
+  const std::string seal = "Sassafrasseam-Response-Seal: seal\r\n";
+  const std::string length = "Content-Length: 5\r\n";
+  for (const std::string &line : lines)
+    for (const char *route : {"once", "stream"}) {
+      const std::string bad = line + "\r\n";
+      const std::string heads[] = {bad + ids + seal + length,
+                                   ids + seal + bad + length,
+                                   ids + seal + length + bad};
+      for (const std::string &head : heads) {
+        INFO(route << ": " << head);
+        ScriptedEndpoint endpoint([&](Tcp::socket &Socket, auto &) {
+          sendText(Socket, "HTTP/1.1 200 OK\r\n" + head + "\r\ninner");
+          Socket.close();
+        });
+        TestedFront front(endpoint.address());
+        std::string response = front.call(route, "1");
+        INFO(response);
+        CHECK(response.starts_with("HTTP/1.1 502 "));
+        CHECK_FALSE(has(response, "inner"));
+        CHECK_FALSE(has(response, "seal"));
+      }
+    }
+}
+
+TEST_CASE("chunks with a trailer that is not valid are not complete") {
+  for (const char *line : {"X Bad: 1", "X-Bad : 1", "X\x01: 1", ": 1", "X-Bad"})
+    for (const char *route : {"once", "stream"}) {
+      INFO(line << " on " << route);
+      ScriptedEndpoint endpoint([&](Tcp::socket &Socket,
+                                    const std::string &Id) {
+        sendText(Socket, headOf(Id, "Transfer-Encoding: chunked") +
+                             chunkOf(TwoEvents) + "0\r\n" + line + "\r\n\r\n");
+        Socket.close();
+      });
+      TestedFront front(endpoint.address());
+      std::string response = front.call(route, "1");
+      INFO(response);
+      CHECK_FALSE(isCompleteSuccess(response));
+    }
+}
