A stream's 204 adds no bytes before the next answer

The caller got it with "Transfer-Encoding: chunked" and a last chunk. A 204 ends with its header, so on a kept connection these five bytes came before the next answer. A 204 without a length was broken off.

Cause: the server framed a body whatever the status, and the relay took a 204 without a length for a body that ends with its connection.

Why it works: for 204 and 304, which have no content, the server adds no framing, and the relay takes the header for the whole answer.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -297,7 +297,8 @@
   recordLifeSign(Core.State, Endpoint, ConnectedAt, now);
   HasHead = true;
   IsNotRun = fields.IsNotRun;
-  IsUnframed = !NewHead.Length && !isChunked(NewHead);
+  IsUnframed =
+      !NewHead.Length && !isChunked(NewHead) && !hasNoContent(NewHead.Status);
   // After the first event only a stream can go on, whatever the status says.
   bool isStreaming = Request.Route->Kind == RequestKind::Streaming &&
                      isSuccess(NewHead.Status) &&
--- a/http/message.h
+++ b/http/message.h
@@ -38,6 +38,14 @@
 /// there.
 bool isHopByHopField(std::string_view Name);
 
+/// True if a response with \p Status ends with its header, whatever its fields
+/// say.
+inline bool hasNoContent(unsigned Status) {
+  constexpr unsigned StatusNoContent = 204;
+  constexpr unsigned StatusNotModified = 304;
+  return Status == StatusNoContent || Status == StatusNotModified;
+}
+
 /// Removes every field called \p Name.
 void eraseField(std::vector<HttpField> &Fields, std::string_view Name);
 
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -232,7 +232,7 @@
 
   void start(unsigned Status, std::vector<HttpField> Fields,
              std::optional<uint64_t> Length) override {
-    IsChunked = !Length && !IsHttp10;
+    IsChunked = !Length && !IsHttp10 && !hasNoContent(Status);
     // Without a length, the end of an HTTP/1.0 connection ends the body.
     HeadWriter head =
         makeHead(Status, Fields, KeepAlive && (Length || !IsHttp10));
--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -247,3 +247,32 @@
       CHECK_FALSE(isCompleteSuccess(response));
     }
 }
+
+TEST_CASE("answer without content adds no bytes before the next answer") {
+  for (const char *status : {"204 No Content", "304 Not Modified"})
+    for (const char *framing :
+         {"Content-Length: 0", "Content-Type: text/event-stream"})
+      for (const char *route : {"once", "many", "stream", "resume"}) {
+        INFO(status << ", " << framing << " on " << route);
+        ScriptedEndpoint endpoint([&](Tcp::socket &Socket,
+                                      const std::string &Id) {
+          sendText(Socket, Id == "1"
+                               ? headOf(Id, framing, status)
+                               : headOf(Id, "Content-Length: 30") + TwoEvents);
+        });
+        TestedFront front(endpoint.address());
+        Tcp::socket socket = front.connect();
+        sendText(socket, TestedFront::requestText(route, "1") +
+                             TestedFront::requestText(route, "2",
+                                                      "Connection: close\r\n"));
+        std::string bytes;
+        boost::system::error_code ec;
+        asio::read(socket, asio::dynamic_buffer(bytes), ec);
+        INFO(bytes);
+        CHECK(bytes.starts_with("HTTP/1.1 " + std::string(status, 3)));
+        size_t end = bytes.find("\r\n\r\n");
+        REQUIRE(end != std::string::npos);
+        std::string next = bytes.substr(end + 4);
+        CHECK(isCompleteSuccess(next));
+      }
+}
