Answers in an unknown transfer coding are refused

With "gzip", "chunked, gzip", "chunked, chunked" or "xchunked" the bytes up to the end of the connection, or as many as a length said, came as the body. Such a body is not the engine's.

Cause: the parser removes chunks if that coding comes last and takes any other transfer coding for none; the field itself ends with the connection.

Evidence: the new test before the fix, 36 of 56 assertions failed, each for a sealed 200 in place of a 502:

Why it works: no request asks for another transfer coding, and an answer with one that the parser does not remove fails the exchange with its head. Chunks stay accepted in each way of writing (second test, green before), and so does "identity", an obsolete name for none.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -5,6 +5,9 @@
 #include "http/head_writer.h"
 #include "http/message_parser.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -105,6 +108,27 @@
          head.find("\r\n\t") != std::string_view::npos;
 }
 
+/// True if a response has other transfer codings than chunks, which the parser
+/// removes, and "identity", an obsolete name for none. No other one is asked
+/// for.
+bool hasUnknownCoding(const ResponseParser &Parser) {
+  size_t chunked = 0;
+  for (const HttpField &it : Parser.Fields) {
+    if (it.Name != "transfer-encoding")
+      continue;
+    std::vector<std::string> codings;
+    boost::algorithm::split(codings, it.Value, boost::is_any_of(","));
+    for (std::string &coding : codings) {
+      boost::algorithm::trim(coding);
+      if (beast::iequals(coding, "chunked"))
+        ++chunked;
+      else if (!coding.empty() && !beast::iequals(coding, "identity"))
+        return true;
+    }
+  }
+  return chunked != (Parser.chunked() ? 1 : 0);
+}
+
 bool mayHaveBody(std::string_view Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
@@ -393,6 +417,10 @@
         prepareParser();
       return;
     }
+    if (hasUnknownCoding(*Parser)) {
+      fail({true, false, false});
+      return;
+    }
     HttpResponseHead head;
     head.Status = Parser->Status;
     head.IsFirstOnConnection = !IsReused;
--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -276,3 +276,55 @@
         CHECK(isCompleteSuccess(next));
       }
 }
+
+TEST_CASE("answer in an unknown transfer coding never reaches its caller") {
+  const std::string chunks = chunkOf(TwoEvents) + "0\r\n\r\n";
+  const char *codings[] = {
+      "gzip",
+      "xchunked",
+      "chunked, gzip",
+      "chunked, chunked",
+      "chunked, identity",
+      "gzip, chunked",
+      "gzip\r\nTransfer-Encoding: chunked",
+      "chunked;q=1",
+      "gzip\r\nContent-Length: 41",
+  };
+  for (const char *coding : codings)
+    for (const char *route : {"once", "stream"}) {
+      INFO(coding << " on " << route);
+      ScriptedEndpoint endpoint(
+          [&](Tcp::socket &Socket, const std::string &Id) {
+            sendText(Socket,
+                     headOf(Id, "Transfer-Encoding: " + std::string(coding)) +
+                         chunks);
+            Socket.close();
+          });
+      TestedFront front(endpoint.address());
+      std::string response = front.call(route, "1");
+      INFO(response);
+      CHECK(response.starts_with("HTTP/1.1 502 "));
+      CHECK_FALSE(has(response, "seal"));
+    }
+}
+
+TEST_CASE(
+    "answer in chunks reaches its caller, however the coding is written") {
+  const std::string chunks = chunkOf(TwoEvents) + "0\r\n\r\n";
+  for (const char *coding :
+       {"chunked", "Chunked", " chunked ", ", chunked", "identity, chunked"})
+    for (const char *route : {"once", "stream"}) {
+      INFO(coding << " on " << route);
+      ScriptedEndpoint endpoint(
+          [&](Tcp::socket &Socket, const std::string &Id) {
+            sendText(Socket,
+                     headOf(Id, "Transfer-Encoding: " + std::string(coding)) +
+                         chunks);
+          });
+      TestedFront front(endpoint.address());
+      std::string response = front.call(route, "1");
+      INFO(response);
+      CHECK(isCompleteSuccess(response));
+      CHECK((has(response, "data: a") && has(response, "data: b")));
+    }
+}
