Answers with two ids or two seals are not trusted

The first id decided, so an answer that also bears the id of another request reached the caller, as did its statement that the request has not run.

Cause: of a field that occurs several times the first was read.

Why it works: such an answer is ambiguous and is handled like one to another request, whatever its status. The codec did this already for the other fields that may occur once, such as the stated load.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -257,6 +257,8 @@
 /// seal, must not reach the caller.
 bool Relay::isTrusted(const HttpResponseHead &Head) const {
   auto fields = platform::readResponseFields(Head.Status, Head.Fields);
+  if (fields.IsAmbiguous)
+    return false;
   // Without an id, it may respond to an earlier request on the connection.
   if (fields.RequestId != Request.Attributes.Id)
     return fields.RequestId.empty() && Head.IsFirstOnConnection &&
--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -328,3 +328,34 @@
       CHECK((has(response, "data: a") && has(response, "data: b")));
     }
 }
+
+TEST_CASE("answer with two ids or two seals never reaches its caller") {
+  const char *lines[] = {
+      "Sassafrasseam-Attempt-Id: 2",
+      "Sassafrasseam-Attempt-Id: 1",
+      "Sassafrasseam-Response-Seal: other",
+      "Sassafrasseam-Response-Seal: seal",
+  };
+  // The last one denies a run, of whichever request.
+  const char *answers[][2] = {
+      {"200 OK", ""},
+      {"404 Not Found", ""},
+      {"429 Too Many Requests", "\r\nSassafrasseam-Not-Executed: 1"},
+  };
+  for (const char *line : lines)
+    for (auto [status, field] : answers)
+      for (const char *route : {"once", "stream"}) {
+        INFO(line << " beside the first, " << status << " on " << route);
+        std::string fields =
+            std::string(line) + field + "\r\nContent-Length: 30";
+        ScriptedEndpoint endpoint(
+            [&](Tcp::socket &Socket, const std::string &Id) {
+              sendText(Socket, headOf(Id, fields, status) + TwoEvents);
+            });
+        TestedFront front(endpoint.address());
+        std::string response = front.call(route, "1");
+        INFO(response);
+        CHECK(response.starts_with("HTTP/1.1 502 "));
+        CHECK_FALSE(has(response, "seal"));
+      }
+}
