--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// What callers get when an endpoint's answer is broken: reset while the
 /// request is still being sent, with a status or a header that is not valid.
+#include "front/instance_check.h"
+#include "front/process_query.h"
 #include "tests/harness/scripted_endpoint.h"
 #include "tests/harness/tested_front.h"
 
@@ -9,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -359,3 +362,60 @@
         CHECK_FALSE(has(response, "seal"));
       }
 }
+
+TEST_CASE("broken answers fail the exchanges of agents, health and queries") {
+  const std::string good = "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: "
+                           "i-1\r\nContent-Length: 0\r\n\r\n";
+  const std::string length =
+      "Content-Length: " + std::to_string(good.size()) + "\r\n";
+  struct Case {
+    const char *What;
+    std::string Answer;
+    bool IsBroken;
+  };
+  const Case cases[] = {
+      {"good", good, false},
+      {"status 000", "HTTP/1.1 000 No\r\n" + length + "\r\n" + good, true},
+      {"status 600", "HTTP/1.1 600 No\r\n" + good.substr(17), true},
+      {"name with a blank", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + good.substr(17),
+       true},
+      {"folded line", "HTTP/1.1 200 OK\r\nX: 1\r\n 2\r\n" + good.substr(17),
+       true},
+      {"coding",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + good.substr(17),
+       true},
+  };
+  for (const Case &it : cases) {
+    INFO(it.What);
+    ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &) {
+      sendText(Socket, it.Answer);
+      Socket.close();
+    });
+    asio::io_context io;
+    Metrics counts;
+    auto memory = std::make_shared<MemoryBudget>(TestMemoryBytes);
+    HttpClient client(io, counts, memory);
+    std::optional<bool> isAnswered;
+    std::optional<InstanceAnswer> instance;
+    std::optional<ProcessAnswer> process;
+    HttpCallbacks callbacks;
+    callbacks.OnHead = [](const HttpResponseHead &) {};
+    callbacks.OnBody = [](std::string_view) {};
+    callbacks.OnEnd = [&] { isAnswered = true; };
+    callbacks.OnFailure = [&](HttpFailure) { isAnswered = false; };
+    // As the agents of both kinds call.
+    startHttpCall(io, endpoint.address(), {"GET", "/state", {}, ""},
+                  Millis(500), std::move(callbacks), memory);
+    TimePoint deadline = Clock::now() + Millis(500);
+    startInstanceCheck(client, {endpoint.address(), "i-1", "/alive", deadline},
+                       [&](const InstanceAnswer &It) { instance = It; });
+    startProcessQuery(client, endpoint.address(), "i-1", deadline,
+                      [&](const ProcessAnswer &It) { process = It; });
+    io.run();
+    CHECK(isAnswered == !it.IsBroken);
+    REQUIRE(instance);
+    CHECK(instance->IsRunning == !it.IsBroken);
+    REQUIRE(process);
+    CHECK(process->IsAnswered == !it.IsBroken);
+  }
+}
