--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -209,16 +209,14 @@
       "\tX-Bad: 1"s,
       " 1"s,
   };
-  const std::string ids = "Sassafrasseam-Attempt-Id: 1\r\n";
-  const std::string seal = "Sassafrasseam-Response-Seal: seal\r\n";
-  const std::string length = "Content-Length: 5\r\n";
+  const std::string first = "Sassafrasseam-Attempt-Id: 1\r\n"
+                            "Sassafrasseam-Response-Seal: seal\r\n";
+  const std::string fields = first + "Content-Length: 5\r\n";
   for (const std::string &line : lines)
-    for (const char *route : {"once", "stream"}) {
-      const std::string bad = line + "\r\n";
-      const std::string heads[] = {bad + ids + seal + length,
-                                   ids + seal + bad + length,
-                                   ids + seal + length + bad};
-      for (const std::string &head : heads) {
+    for (const char *route : {"once", "stream"})
+      for (size_t at : {size_t{0}, first.size(), fields.size()}) {
+        std::string head = fields;
+        head.insert(at, line + "\r\n");
         INFO(route << ": " << head);
         ScriptedEndpoint endpoint([&](Tcp::socket &Socket, auto &) {
           sendText(Socket, "HTTP/1.1 200 OK\r\n" + head + "\r\ninner");
@@ -231,7 +229,6 @@
         CHECK_FALSE(has(response, "inner"));
         CHECK_FALSE(has(response, "seal"));
       }
-    }
 }
 
 TEST_CASE("chunks with a trailer that is not valid are not complete") {
@@ -339,21 +336,25 @@
       "Sassafrasseam-Response-Seal: other",
       "Sassafrasseam-Response-Seal: seal",
   };
+  struct Answer {
+    const char *Status;
+    const char *Statement;
+  };
   // The last one denies a run, of whichever request.
-  const char *answers[][2] = {
+  const Answer answers[] = {
       {"200 OK", ""},
       {"404 Not Found", ""},
       {"429 Too Many Requests", "\r\nSassafrasseam-Not-Executed: 1"},
   };
   for (const char *line : lines)
-    for (auto [status, field] : answers)
+    for (const Answer &it : answers)
       for (const char *route : {"once", "stream"}) {
-        INFO(line << " beside the first, " << status << " on " << route);
+        INFO(line << " beside the first, " << it.Status << " on " << route);
         std::string fields =
-            std::string(line) + field + "\r\nContent-Length: 30";
+            std::string(line) + it.Statement + "\r\nContent-Length: 30";
         ScriptedEndpoint endpoint(
             [&](Tcp::socket &Socket, const std::string &Id) {
-              sendText(Socket, headOf(Id, fields, status) + TwoEvents);
+              sendText(Socket, headOf(Id, fields, it.Status) + TwoEvents);
             });
         TestedFront front(endpoint.address());
         std::string response = front.call(route, "1");
