Tests: agent is signalled once it blocks signals itself

The last check failed with one test of 487:

stop signals at any time of the start end a process with code 0 tests/process/test_stops.cpp:144: FAILED: CHECK( fleet.waitForExit(FrontFleet::agentName(9), seconds(5)) == 0 ) with expansion: -2 == 0, with message: delay in us 0

Cause: the test waits until the process blocks SIGTERM and then sends it. On arm64 an initializer of libcrypto, which runs before main, blocks nearly all signals, probes the processor and restores the mask. The test took this for the block of the process and signalled it in the gap before main.

The test now waits for exactly the signals that blockSignals blocks, so that it still signals from the first moment at which the process has promised to end with 0; its delays, signals and checks are unchanged.

--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -35,14 +35,18 @@
   return out.str();
 }
 
-/// Reads the mask of blocked signals from the text of /proc/PID/status.
-bool blocksSignal(const std::string &Status, int Signal) {
+/// True if a process handles stop signals as events, by the text of its
+/// /proc/PID/status. Libraries block more signals than these for a moment
+/// before main, and take that back.
+bool blocksStopSignals(const std::string &Status) {
   const std::string key = "SigBlk:\t";
   size_t at = Status.find(key);
-  return at != std::string::npos &&
-         (std::stoull(Status.substr(at + key.size()), nullptr, 16) >>
-              (Signal - 1) &
-          1) != 0;
+  if (at == std::string::npos)
+    return false;
+  uint64_t expected = 0;
+  for (int it : {SIGHUP, SIGINT, SIGTERM})
+    expected |= uint64_t{1} << (it - 1);
+  return std::stoull(Status.substr(at + key.size()), nullptr, 16) == expected;
 }
 
 } // namespace
@@ -147,7 +151,7 @@
   launchDaemon(name);
   std::string path = "/proc/" + std::to_string(Processes[name]) + "/status";
   TimePoint deadline = Clock::now() + seconds(5);
-  while (!blocksSignal(readFile(path), SIGTERM)) {
+  while (!blocksStopSignals(readFile(path))) {
     if (isPast(deadline, Clock::now()))
       return false;
     std::this_thread::yield();
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -52,7 +52,8 @@
   /// reads the settings, and returns whether it starts nevertheless.
   bool startAgentWithEarlySignal(int Host, int Signal);
   /// Starts an agent and sends it \p Signals once \p Delay has passed since it
-  /// blocks SIGTERM. Returns false if it does not block it within 5 s.
+  /// blocks SIGHUP, SIGINT and SIGTERM, and no others. Returns false if it does
+  /// not do so within 5 s.
   bool startAgentAndSignal(int Host, std::chrono::microseconds Delay,
                            const std::vector<int> &Signals);
   void startAgent(int Host, const std::string &Engine);
