--- a/tests/process/test_broken_answers.cpp
+++ b/tests/process/test_broken_answers.cpp
@@ -364,6 +364,34 @@
       }
 }
 
+TEST_CASE("reset amid the upload of an agent's call fails the call") {
+  for (size_t size : {ShortUpload, LongUpload}) {
+    int complete = 0;
+    for (int i = 0; i < 20; ++i) {
+      ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &) {
+        sendText(Socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        resetConnection(Socket);
+      });
+      asio::io_context io;
+      std::optional<bool> isAnswered;
+      HttpCallbacks callbacks;
+      callbacks.OnHead = [](const HttpResponseHead &) {};
+      callbacks.OnBody = [](std::string_view) {};
+      callbacks.OnEnd = [&] { isAnswered = true; };
+      callbacks.OnFailure = [&](HttpFailure) { isAnswered = false; };
+      startHttpCall(io, endpoint.address(),
+                    {"POST", "/state", {}, std::string(size, 'x')},
+                    Millis(5'000), std::move(callbacks),
+                    std::make_shared<MemoryBudget>(TestMemoryBytes));
+      io.run();
+      REQUIRE(isAnswered);
+      complete += *isAnswered;
+    }
+    INFO(size << " bytes");
+    CHECK(complete == 0);
+  }
+}
+
 TEST_CASE("broken answers fail the exchanges of agents, health and queries") {
   const std::string good = "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: "
                            "i-1\r\nContent-Length: 0\r\n\r\n";
