--- a/review/stand_ins_3/engine.cpp
+++ b/review/stand_ins_3/engine.cpp
@@ -3,6 +3,7 @@
 // their channel.
 #include "trial.h"
 
+#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -21,9 +22,59 @@
   std::vector<std::string> Controls;
   int Pieces = 5;
   int GapMs = 50;
+  int Slots = 0; ///< 0: no limit.
   bool IsStream = false;
 };
 
+/// The slots of a server. Whoever comes first gets the next one, health checks
+/// included.
+class Slots {
+public:
+  void take(int Count) {
+    std::unique_lock guard(Lock);
+    uint64_t ticket = Last++;
+    ++Waiting;
+    Changed.wait(guard, [&] { return ticket == Next && Running < Count; });
+    --Waiting;
+    ++Running;
+    ++Next;
+    Changed.notify_all();
+  }
+  void give() {
+    std::lock_guard guard(Lock);
+    --Running;
+    Changed.notify_all();
+  }
+  std::string describe(int Count) {
+    std::lock_guard guard(Lock);
+    return std::to_string(Running) + "," + std::to_string(Waiting) + "," +
+           std::to_string(Count);
+  }
+
+private:
+  std::mutex Lock;
+  std::condition_variable Changed;
+  uint64_t Last = 0;
+  uint64_t Next = 0;
+  int Running = 0;
+  int Waiting = 0;
+};
+
+Slots TheSlots;
+
+/// A slot for as long as it lives, if the server has a limit.
+struct Slot {
+  explicit Slot(int Count) : Count(Count) {
+    if (Count > 0)
+      TheSlots.take(Count);
+  }
+  ~Slot() {
+    if (Count > 0)
+      TheSlots.give();
+  }
+  int Count;
+};
+
 std::vector<std::string> splitAtCommas(const std::string &Text) {
   std::vector<std::string> out;
   std::stringstream in(Text);
@@ -41,7 +92,9 @@
     std::string body =
         "{\"service\":\"" + Options.Service + "\",\"address\":\"" +
         Options.Announced + "\",\"zone\":\"" + Options.Zone +
-        "\",\"version\":\"v1\",\"slots\":32,\"state\":\"ready\","
+        "\",\"version\":\"v1\",\"slots\":" +
+        std::to_string(Options.Slots > 0 ? Options.Slots : 32) +
+        ",\"state\":\"ready\","
         "\"cold-left-ms\":0,\"seq\":" +
         std::to_string(seq) + ",\"born\":" + std::to_string(born) + "}";
     size_t first = random();
@@ -88,7 +141,8 @@
 }
 
 void logRun(const EngineOptions &Options, const std::string &Line) {
-  std::ofstream(Options.RunLog, std::ios::app) << Options.Id + " " + Line + "\n";
+  std::ofstream(Options.RunLog, std::ios::app)
+      << Options.Id + " " + Line + "\n";
 }
 
 void serve(const EngineOptions &Options, int File) {
@@ -105,8 +159,8 @@
     }
     std::string head = raw.substr(0, end);
     raw.erase(0, end + 4);
-    size_t length = std::strtoul(fieldOf(head, "content-length").c_str(),
-                                 nullptr, 10);
+    size_t length =
+        std::strtoul(fieldOf(head, "content-length").c_str(), nullptr, 10);
     bool isOpen = true;
     while (raw.size() < length && isOpen) {
       char buf[8192];
@@ -128,6 +182,12 @@
         break;
       continue;
     }
+    Slot slot(Options.Slots);
+    std::string load =
+        Options.Slots > 0
+            ? "Sassafrasseam-Server-Load: " + TheSlots.describe(Options.Slots) +
+                  "\r\n"
+            : "";
     if (head.rfind("GET /health", 0) == 0) {
       if (!sendAll(File, "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: " +
                              Options.Id + "\r\nContent-Length: 0\r\n\r\n"))
@@ -136,21 +196,21 @@
     }
     logRun(Options, "runs " + id);
     std::string type = Options.IsStream ? "text/event-stream" : "text/plain";
-    bool isWritten = sendAll(
-        File, "HTTP/1.1 200 OK\r\n" + echo + "Sassafrasseam-Response-Seal: s." +
-                  id + "\r\nContent-Type: " + type +
-                  "\r\nConnection: close\r\n\r\n");
+    bool isWritten = sendAll(File, "HTTP/1.1 200 OK\r\n" + echo +
+                                       "Sassafrasseam-Response-Seal: s." + id +
+                                       "\r\n" + load + "Content-Type: " + type +
+                                       "\r\nConnection: close\r\n\r\n");
     int first = 1 + std::atoi(fieldOf(head, "last-event-id").c_str());
     int last = 0;
-    for (int i = Options.IsStream ? first : 1;
-         isWritten && i <= Options.Pieces; ++i) {
+    for (int i = Options.IsStream ? first : 1; isWritten && i <= Options.Pieces;
+         ++i) {
       sleepFor(Options.GapMs / 1000.0);
       std::string number = std::to_string(i);
       std::string text =
           "piece " + number + " of " + std::to_string(Options.Pieces);
-      isWritten = sendAll(File, Options.IsStream ? "id: " + number + "\ndata: " +
-                                                       text + "\n\n"
-                                                 : text + "\n");
+      isWritten = sendAll(
+          File, Options.IsStream ? "id: " + number + "\ndata: " + text + "\n\n"
+                                 : text + "\n");
       last = i;
     }
     logRun(Options, "ends " + id + " at piece " + std::to_string(last));
@@ -184,6 +244,8 @@
       options.Pieces = std::atoi(value.c_str());
     else if (name == "gap-ms")
       options.GapMs = std::atoi(value.c_str());
+    else if (name == "slots")
+      options.Slots = std::atoi(value.c_str());
     else if (name == "stream")
       options.IsStream = value == "1";
   }
--- a/review/stand_ins_3/main.cpp
+++ b/review/stand_ins_3/main.cpp
@@ -88,11 +88,15 @@
       controls += (controls.empty() ? "" : ",") + to;
     }
     std::vector<std::string> command{
-        SelfPath, "engine", "id=" + idOf(Index), "service=" + Service,
+        SelfPath,
+        "engine",
+        "id=" + idOf(Index),
+        "service=" + Service,
         std::string("zone=") + zones[Index % 3],
         "listen=" + numberedAddress(ipOf(Index), InnerPort),
         "announced=" + numberedAddress(ipOf(Index), OuterPort),
-        "controls=" + controls, "log=" + logFile()};
+        "controls=" + controls,
+        "log=" + logFile()};
     command.insert(command.end(), More.begin(), More.end());
     Processes[static_cast<size_t>(Index)] = startProcess(
         command, Folder + "/engine-" + std::to_string(Index) + ".log");
@@ -107,8 +111,8 @@
           ipOf(index), OuterPort, numberedAddress(ipOf(index), InnerPort));
       if (index == Cut)
         for (int k = 0; k < Fronts.count(); ++k)
-          Beats.push_back(std::make_unique<Link>(
-              ipOf(index), ControlPort + k, Fronts.controlAddress(k)));
+          Beats.push_back(std::make_unique<Link>(ipOf(index), ControlPort + k,
+                                                 Fronts.controlAddress(k)));
       start(index);
     }
   }
@@ -163,9 +167,8 @@
     it->Thread = std::thread([it, Front, Target, TimeMs] {
       HttpCallOptions options;
       options.Timeout = TimeMs / 1000.0;
-      options.Fields = {
-          {"Sassafrasseam-Attempt-Id", it->Attempt},
-          {"Sassafrasseam-Deadline-Ms", std::to_string(TimeMs)}};
+      options.Fields = {{"Sassafrasseam-Attempt-Id", it->Attempt},
+                        {"Sassafrasseam-Deadline-Ms", std::to_string(TimeMs)}};
       options.Body = "body of " + it->Attempt;
       it->Answer = callHttp(Front, "POST", Target, Host, options);
     });
@@ -191,8 +194,8 @@
   Fleet fleet(Folder, 4, 2);
   const int old = 2, successor = 3, unlucky = 1;
   auto makeVersion = [](uint64_t Version) {
-    return makeConfig(Version,
-                      {{"lookup", "/lookup/", "idempotent", "desk"}}, {"desk"});
+    return makeConfig(Version, {{"lookup", "/lookup/", "idempotent", "desk"}},
+                      {"desk"});
   };
   for (int i : {0, 1, 2, 4, 5})
     fleet.start(i, true);
@@ -261,9 +264,9 @@
   Fleet fleet(Folder, 3, 2);
   fleet.startAll();
   constexpr int Pieces = 60;
-  Engines engines(fleet, Folder, "notes", 6,
-                  {"stream=1", "pieces=" + std::to_string(Pieces),
-                   "gap-ms=100"});
+  Engines engines(
+      fleet, Folder, "notes", 6,
+      {"stream=1", "pieces=" + std::to_string(Pieces), "gap-ms=100"});
   engines.startAll(0);
   std::string config = makeConfig(
       1, {{"note", "/note/", "streaming", "notes", 20000, 2000}}, {"notes"});
@@ -341,7 +344,8 @@
   sleepFor(4);
   std::string all;
   for (int i = 1; i <= Pieces; ++i)
-    all += "piece " + std::to_string(i) + " of " + std::to_string(Pieces) + "\n";
+    all +=
+        "piece " + std::to_string(i) + " of " + std::to_string(Pieces) + "\n";
   Requests requests;
   int number = 0;
   int crashes = 0;
@@ -392,6 +396,168 @@
   return broken > 0 ? ExitBroken : ExitHeld;
 }
 
+// ---- 14 ----
+
+/// A front is stopped as planned while the slots of all servers are taken.
+int runStop(const std::string &Folder, Record &Out) {
+  Fleet fleet(Folder, 3, 2);
+  fleet.startAll();
+  constexpr int Pieces = 30;
+  Engines engines(
+      fleet, Folder, "notes", 3,
+      {"stream=1", "pieces=" + std::to_string(Pieces), "gap-ms=80", "slots=6"});
+  engines.startAll(-1);
+  std::string config = makeConfig(
+      1, {{"note", "/note/", "streaming", "notes", 20000, 3000}}, {"notes"});
+  if (!fleet.put(config, {0, 1, 2, 3, 4}, 10))
+    return ExitNotRun;
+  sleepFor(4);
+  const int stopped = 3;
+  struct Done {
+    std::string Attempt;
+    int Front;
+    double SentAt, EndedAt;
+    HttpAnswer Answer;
+  };
+  std::mutex lock;
+  std::vector<Done> all;
+  std::atomic<bool> isOver{false};
+  std::atomic<int> number{0};
+  std::vector<std::thread> clients;
+  // Each client has one request at a time, and more ask than there are slots.
+  for (int i = 0; i < 30; ++i)
+    clients.emplace_back([&, i] {
+      sleepFor(0.05 * i);
+      int front = i % 5;
+      while (!isOver) {
+        std::string attempt = makeAttempt("t", ++number);
+        HttpCallOptions options;
+        options.Timeout = 20;
+        options.Fields = {{"Sassafrasseam-Attempt-Id", attempt},
+                          {"Sassafrasseam-Deadline-Ms", "20000"}};
+        double sentAt = secondsSinceStart();
+        HttpAnswer answer = callHttp(fleet.frontAddress(front), "POST",
+                                     "/note/a", Host, options);
+        {
+          std::lock_guard guard(lock);
+          all.push_back({attempt, front, sentAt, secondsSinceStart(), answer});
+        }
+        if (answer.Status == 0)
+          front = (front + 1) % 5;
+        if (answer.Status != 200)
+          sleepFor(0.3);
+      }
+    });
+  sleepFor(10);
+  double stoppedAt = secondsSinceStart();
+  if (hasTrouble()) {
+    fleet.process(stopped).signal(SIGTERM);
+    Out.add("SIGTERM to front-4");
+    if (!fleet.process(stopped).waitForEnd(8))
+      fleet.process(stopped).kill();
+    Out.add("front-4 has ended");
+  } else {
+    sleepFor(8);
+  }
+  isOver = true;
+  for (std::thread &it : clients)
+    it.join();
+  int whole = 0, cut = 0, lost = 0, refused = 0;
+  for (const Done &it : all) {
+    size_t pieces = 0;
+    for (size_t at = it.Answer.Body.find("id: "); at != std::string::npos;
+         at = it.Answer.Body.find("id: ", at + 1))
+      ++pieces;
+    bool isWhole = it.Answer.Status == 200 && it.Answer.IsWhole;
+    whole += isWhole;
+    refused += it.Answer.Status != 200;
+    bool isCut = it.Answer.Status == 200 && !it.Answer.IsWhole;
+    cut += isCut;
+    // Taken by the front that stops, which passed it on; the server has run it
+    // to its end.
+    bool isPlanned = hasTrouble() && it.Front == stopped &&
+                     it.EndedAt > stoppedAt && it.EndedAt < stoppedAt + 9;
+    if (!isCut || !isPlanned || pieces < Pieces)
+      continue;
+    ++lost;
+    Out.add("stream " + it.Attempt + ", sent " +
+            std::to_string(it.SentAt - stoppedAt) +
+            " s after the SIGTERM, has all " + std::to_string(pieces) +
+            " pieces, but its channel ends " +
+            std::to_string(it.EndedAt - stoppedAt) +
+            " s after it without the end of the answer");
+  }
+  Out.add(std::to_string(all.size()) + " requests: " + std::to_string(whole) +
+          " complete, " + std::to_string(refused) + " refused, " +
+          std::to_string(cut) + " cut in the answer, " + std::to_string(lost) +
+          " of these around the planned stop");
+  return lost > 0 ? ExitBroken : ExitHeld;
+}
+
+// ---- 15 ----
+
+/// Another writer announces the machines of the servers, under names and a
+/// service of its own, as often as servers do.
+int runOtherWriter(const std::string &Folder, Record &Out) {
+  Fleet fleet(Folder, 3, 5);
+  fleet.startAll();
+  Engines engines(fleet, Folder, "desk", 3, {"pieces=2", "gap-ms=20"});
+  engines.startAll(-1);
+  std::string config =
+      makeConfig(1, {{"lookup", "/lookup/", "idempotent", "desk"}}, {"desk"});
+  if (!fleet.put(config, {0, 1, 2, 3, 4, 5, 6, 7}, 10))
+    return ExitNotRun;
+  sleepFor(5);
+  std::atomic<bool> isOver{false};
+  std::string born =
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count());
+  std::thread writer([&] {
+    for (int seq = 1; !isOver && hasTrouble(); ++seq) {
+      for (int i = 0; i < 3; ++i) {
+        HttpCallOptions options;
+        options.Timeout = 1;
+        options.Fields = {{"Content-Type", "application/json"}};
+        options.Body = "{\"service\":\"inventory\",\"address\":\"" +
+                       numberedAddress(engines.ipOf(i), engines.OuterPort) +
+                       "\",\"zone\":\"kingston\",\"version\":\"1\","
+                       "\"slots\":1,\"state\":\"ready\",\"cold-left-ms\":0,"
+                       "\"seq\":" +
+                       std::to_string(seq) + ",\"born\":" + born + "}";
+        std::string to = fleet.controlAddress((seq + i) % fleet.count());
+        int status = callHttp(to, "POST",
+                              "/Instances.Heartbeat/asset-" + std::to_string(i),
+                              to, options)
+                         .Status;
+        if (seq == 1)
+          Out.add("first ping of another writer: id asset-" +
+                  std::to_string(i) +
+                  ", service inventory, at the address of server " +
+                  Engines::idOf(i) + "; answered " + std::to_string(status));
+      }
+      sleepFor(1.2);
+    }
+  });
+  sleepFor(3);
+  Requests requests;
+  for (int i = 0; i < 400; ++i) {
+    requests.send(fleet.frontAddress(i % 8), "/lookup/a", makeAttempt("w", i),
+                  3000);
+    sleepFor(0.2);
+  }
+  requests.join();
+  isOver = true;
+  writer.join();
+  std::map<int, int> answers;
+  for (auto &it : requests.All)
+    ++answers[it->Answer.Status];
+  for (const auto &[status, n] : answers)
+    Out.add(std::to_string(n) + " requests in 80 s: status " +
+            std::to_string(status));
+  return answers[200] > 0 ? ExitHeld : ExitBroken;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -411,6 +577,10 @@
     code = runReborn(folder.Path, out);
   else if (arguments[0] == "crash")
     code = runCrash(folder.Path, out);
+  else if (arguments[0] == "stop")
+    code = runStop(folder.Path, out);
+  else if (arguments[0] == "writer")
+    code = runOtherWriter(folder.Path, out);
   out.add(code == ExitBroken ? "the rule was broken"
           : code == ExitHeld ? "the rule held"
                              : "the case could not run");
--- a/review/stand_ins_3/trial.cpp
+++ b/review/stand_ins_3/trial.cpp
@@ -28,8 +28,8 @@
 }
 
 Clock::time_point in(double Seconds) {
-  return Clock::now() + std::chrono::microseconds(
-                            static_cast<int64_t>(Seconds * 1'000'000));
+  return Clock::now() +
+         std::chrono::microseconds(static_cast<int64_t>(Seconds * 1'000'000));
 }
 
 sockaddr_in toSocketAddress(const std::string &Ip, int Port) {
@@ -134,8 +134,8 @@
   int pid = ::fork();
   if (pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int log =
-        ::open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    int log = ::open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                     0600);
     ::dup2(log, 1);
     ::dup2(log, 2);
     for (int i = 3; i < 256; ++i)
@@ -424,8 +424,8 @@
     seeds += (seeds.empty() ? "\"" : ",\"") + controlAddress(it) + "\"";
   std::string disk;
   if (Index < Members) {
-    disk = Folder + "/disk-" + std::to_string(Index) + "-" +
-           std::to_string(Disk);
+    disk =
+        Folder + "/disk-" + std::to_string(Index) + "-" + std::to_string(Disk);
     ::mkdir(disk.c_str(), 0700);
   }
   replaceSection(text, "seeds", seeds);
@@ -454,10 +454,10 @@
   std::string file = Folder + "/front-" + std::to_string(Index + 1) + ".toml";
   std::ofstream(file) << text;
   // The command of deploy/system.toml, with another place of the settings.
-  Processes[Index] = startProcess({"target/main/sassafrasd", "--settings", file,
-                                   std::string("--memory-mb=") + MemoryMb},
-                                  Folder + "/front-" +
-                                      std::to_string(Index + 1) + ".log");
+  Processes[Index] =
+      startProcess({"target/main/sassafrasd", "--settings", file,
+                    std::string("--memory-mb=") + MemoryMb},
+                   Folder + "/front-" + std::to_string(Index + 1) + ".log");
 }
 
 void Fleet::startAll() {
@@ -518,8 +518,8 @@
     out << (i ? "," : "") << "{\"name\":\"" << it.Name << "\",\"host\":\""
         << Host << "\",\"path-prefix\":\"" << it.Prefix << "\",\"kind\":\""
         << it.Kind << "\",\"timeout-ms\":" << it.TimeoutMs
-        << ",\"slo-ms\":" << it.ObjectiveMs
-        << ",\"priority\":1,\"service\":\"" << it.Service
+        << ",\"slo-ms\":" << it.ObjectiveMs << ",\"priority\":1,\"service\":\""
+        << it.Service
         << "\",\"max-attempts\":2,\"anonymous\":true,\"sticky\":false,"
            "\"resumable\":"
         << (it.IsResumable ? "true" : "false") << ",\"gap-target-ms\":300}";
