Review case 15: pings of another writer name servers of another service

Pings that lack version, slots and cold-left-ms are taken for a server's own. Charges run at servers of another service, and the servers' own pings are ignored from then on.

--- a/review/stand_ins_3/main.cpp
+++ b/review/stand_ins_3/main.cpp
@@ -44,9 +44,9 @@
 /// Servers of one service, each behind a link of its own.
 struct Engines {
   Engines(Fleet &Fronts, std::string Folder, std::string Service, int Count,
-          std::vector<std::string> More)
+          std::vector<std::string> More, int First = 0)
       : Fronts(Fronts), Folder(std::move(Folder)), Service(std::move(Service)),
-        More(std::move(More)), Links(static_cast<size_t>(Count)),
+        More(std::move(More)), First(First), Links(static_cast<size_t>(Count)),
         Processes(static_cast<size_t>(Count)) {
     choosePorts();
   }
@@ -73,9 +73,11 @@
   }
   std::string ipOf(int Index) const {
     return "127." + std::to_string(Fronts.Net) + ".1." +
-           std::to_string(Index + 1);
+           std::to_string(First + Index + 1);
+  }
+  std::string idOf(int Index) const {
+    return "i-" + std::to_string(First + Index);
   }
-  static std::string idOf(int Index) { return "i-" + std::to_string(Index); }
   std::string logFile() const { return Folder + "/runs.txt"; }
   /// Starts the process again, under the id that it had.
   void start(int Index) {
@@ -143,6 +145,7 @@
   std::string Folder;
   std::string Service;
   std::vector<std::string> More;
+  int First; ///< Number of the first server.
   std::vector<std::unique_ptr<Link>> Links;
   std::vector<std::unique_ptr<Link>> Beats;
   std::vector<Process> Processes;
@@ -362,7 +365,7 @@
         continue;
       engines.Processes[static_cast<size_t>(victim)].kill();
       ++crashes;
-      Out.add("server " + Engines::idOf(victim) + " crashes");
+      Out.add("server " + engines.idOf(victim) + " crashes");
     }
     sleepFor(4.5);
     if (hasTrouble())
@@ -496,66 +499,74 @@
 
 // ---- 15 ----
 
-/// Another writer announces the machines of the servers, under names and a
-/// service of its own, as often as servers do.
+/// Another writer announces servers of one service, once each, as servers of
+/// another one. Its pings lack fields.
 int runOtherWriter(const std::string &Folder, Record &Out) {
   Fleet fleet(Folder, 3, 5);
   fleet.startAll();
-  Engines engines(fleet, Folder, "desk", 3, {"pieces=2", "gap-ms=20"});
-  engines.startAll(-1);
+  Engines desk(fleet, Folder, "desk", 3, {"pieces=2", "gap-ms=20"});
+  Engines notes(fleet, Folder, "notes", 3, {"pieces=2", "gap-ms=20"}, 3);
+  desk.startAll(-1);
+  notes.startAll(-1);
   std::string config =
-      makeConfig(1, {{"lookup", "/lookup/", "idempotent", "desk"}}, {"desk"});
+      makeConfig(1,
+                 {{"charge", "/charge/", "non_idempotent", "desk"},
+                  {"note", "/note/", "idempotent", "notes"}},
+                 {"desk", "notes"});
   if (!fleet.put(config, {0, 1, 2, 3, 4, 5, 6, 7}, 10))
     return ExitNotRun;
   sleepFor(5);
-  std::atomic<bool> isOver{false};
-  std::string born =
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                         std::chrono::system_clock::now().time_since_epoch())
-                         .count());
-  std::thread writer([&] {
-    for (int seq = 1; !isOver && hasTrouble(); ++seq) {
-      for (int i = 0; i < 3; ++i) {
-        HttpCallOptions options;
-        options.Timeout = 1;
-        options.Fields = {{"Content-Type", "application/json"}};
-        options.Body = "{\"service\":\"inventory\",\"address\":\"" +
-                       numberedAddress(engines.ipOf(i), engines.OuterPort) +
-                       "\",\"zone\":\"kingston\",\"version\":\"1\","
-                       "\"slots\":1,\"state\":\"ready\",\"cold-left-ms\":0,"
-                       "\"seq\":" +
-                       std::to_string(seq) + ",\"born\":" + born + "}";
-        std::string to = fleet.controlAddress((seq + i) % fleet.count());
-        int status = callHttp(to, "POST",
-                              "/Instances.Heartbeat/asset-" + std::to_string(i),
-                              to, options)
-                         .Status;
-        if (seq == 1)
-          Out.add("first ping of another writer: id asset-" +
-                  std::to_string(i) +
-                  ", service inventory, at the address of server " +
-                  Engines::idOf(i) + "; answered " + std::to_string(status));
-      }
-      sleepFor(1.2);
-    }
-  });
+  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count();
+  for (int i = 0; i < 3 && hasTrouble(); ++i) {
+    HttpCallOptions options;
+    options.Timeout = 1;
+    options.Fields = {{"Content-Type", "application/json"}};
+    // No version, no slots and no cold-left-ms.
+    options.Body = "{\"service\":\"desk\",\"address\":\"" +
+                   numberedAddress(notes.ipOf(i), notes.OuterPort) +
+                   "\",\"zone\":\"kingston\",\"state\":\"ready\",\"seq\":1,"
+                   "\"born\":" +
+                   std::to_string(now) + "}";
+    std::string to = fleet.controlAddress(i);
+    HttpAnswer answer = callHttp(
+        to, "POST", "/Instances.Heartbeat/" + notes.idOf(i), to, options);
+    Out.add("ping of another writer for " + notes.idOf(i) +
+            ", a server of notes: " + options.Body + "; answered " +
+            std::to_string(answer.Status));
+  }
   sleepFor(3);
   Requests requests;
-  for (int i = 0; i < 400; ++i) {
-    requests.send(fleet.frontAddress(i % 8), "/lookup/a", makeAttempt("w", i),
-                  3000);
-    sleepFor(0.2);
+  for (int i = 0; i < 200; ++i) {
+    requests.send(fleet.frontAddress(i % 8), i % 2 ? "/note/a" : "/charge/a",
+                  makeAttempt(i % 2 ? "note" : "charge", i), 3000);
+    sleepFor(0.1);
   }
   requests.join();
-  isOver = true;
-  writer.join();
-  std::map<int, int> answers;
-  for (auto &it : requests.All)
-    ++answers[it->Answer.Status];
-  for (const auto &[status, n] : answers)
-    Out.add(std::to_string(n) + " requests in 80 s: status " +
-            std::to_string(status));
-  return answers[200] > 0 ? ExitHeld : ExitBroken;
+  int foreign = 0;
+  std::map<std::string, std::map<int, int>> answers;
+  for (auto &it : requests.All) {
+    bool isNote = it->Attempt.rfind("note", 0) == 0;
+    ++answers[isNote ? "note" : "charge"][it->Answer.Status];
+    int server = desk.findRun(it->Attempt);
+    if (server < 0 || isNote == (server >= 3))
+      continue;
+    if (++foreign <= 10)
+      Out.add("request " + it->Attempt + " of route " +
+              (isNote ? "note" : "charge") + " ran at i-" +
+              std::to_string(server) + ", a server of " +
+              (server >= 3 ? "notes" : "desk") + "; the client got " +
+              std::to_string(it->Answer.Status) + ", seal " +
+              it->Answer.Fields["sassafrasseam-response-seal"]);
+  }
+  for (const auto &[route, counts] : answers)
+    for (const auto &[status, n] : counts)
+      Out.add("route " + route + ": " + std::to_string(n) +
+              " requests with status " + std::to_string(status));
+  Out.add(std::to_string(foreign) + " requests ran at servers of a service "
+                                    "that no config lets them go to");
+  return foreign > 0 ? ExitBroken : ExitHeld;
 }
 
 } // namespace
