Group: the seeds decide on the first members, with a disk or without

Cause: the first group was made of the seeds that have a disk. With none nobody formed it, and with one or two it acknowledged tables that were on so few disks.

Change: single-decree Paxos among the seeds, which keep their promises in memory and take part in their first start only; the value is the list of hosts with a disk that the seeds have heard. The log lines group_forming and group_formed are new.

--- a/control/serving_group.cpp
+++ b/control/serving_group.cpp
@@ -6,10 +6,12 @@
 #include "core/metrics.h"
 #include "core/role_actor.h"
 #include "replication/disk_log.h"
+#include "replication/group_status.h"
 #include "wire/link.h"
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 
@@ -53,6 +55,7 @@
   bool openStore();
   bool applyEffect(StoreEffect &Effect);
   void reportMemberChange(const MemberChangeProposed &Change);
+  void reportForming();
   void handleDiskFailure();
   void closeStore();
   void reportUnavailable(const StoreEvent &Event);
@@ -70,6 +73,9 @@
   // Used by the actor only.
   std::unique_ptr<DiskLog> Disk;
   std::optional<ServingStore> Store;
+  /// Promises as a seed, which outlast the closing of the store.
+  FormationAcceptor Acceptor;
+  std::string LastForming; ///< What the last line on the first group said.
   std::vector<std::string> JoinAddresses;
   TimePoint NextOpenAttempt;
   StoreView LastView;
@@ -100,6 +106,10 @@
                         generateIdentity(), now);
   raft.MayForm = Options.MayForm;
   raft.MayJoin = true;
+  raft.Acceptor = std::move(Acceptor);
+  // Quorums of so many members are larger than the losses.
+  allowSeedMajority(
+      raft, std::max<size_t>(MinVoters, 2 * size_t{Options.LossesBorne} + 1));
   if (!JoinAddresses.empty())
     raft.ContactAddresses = JoinAddresses;
   logEvent(LogLevel::Info, "folder_read",
@@ -127,6 +137,8 @@
   if (Store)
     for (const PendingWrite &it : Store->Pending)
       postResult({it.Number, StoreOutcome::Unavailable, 0, {}});
+  if (Store)
+    Acceptor = std::move(Store->Raft.Acceptor);
   Store.reset();
   Disk.reset();
   NextOpenAttempt = Clock::now() + ReopenDelay;
@@ -143,6 +155,17 @@
             {"silent_ms", std::to_string(Change.Silence.count())}});
 }
 
+/// Logs what the first group of a fleet waits for, whenever that changes.
+void ServingGroup::Impl::reportForming() {
+  if (!Store)
+    return;
+  std::string waitsFor = describeFormation(Store->Raft, Clock::now());
+  if (waitsFor.empty() || waitsFor == LastForming)
+    return;
+  LastForming = waitsFor;
+  logEvent(LogLevel::Info, "group_forming", {{"waits_for", waitsFor}});
+}
+
 bool ServingGroup::Impl::applyEffect(StoreEffect &Effect) {
   if (auto *record = std::get_if<PersistRecord>(&Effect))
     return Disk->append(record->Record);
@@ -153,6 +176,13 @@
     reportMemberChange(*change);
     return true;
   }
+  if (auto *formed = std::get_if<GroupFormed>(&Effect)) {
+    std::string members;
+    for (const wire::Member &it : formed->Members)
+      members += (members.empty() ? "" : ",") + it.name();
+    logEvent(LogLevel::Info, "group_formed", {{"members", members}});
+    return true;
+  }
   if (!Disk->sync())
     return false;
   if (auto *message = std::get_if<RaftSend>(&Effect))
@@ -201,6 +231,7 @@
     }
   if (!Disk->sync())
     handleDiskFailure();
+  reportForming();
   publishView();
 }
 
--- a/control/serving_group.h
+++ b/control/serving_group.h
@@ -25,6 +25,8 @@
   std::string DataFolder;
   std::vector<std::string> Seeds; ///< Link addresses of the seed members.
   bool MayForm = false; ///< May form a new group; first start of a fleet only.
+  /// Losses of hosts with a disk at once that acknowledged tables survive.
+  uint32_t LossesBorne = 1;
 };
 
 /// Called on the io_context's thread, and not after the group is destroyed.
--- a/control/serving_store.cpp
+++ b/control/serving_store.cpp
@@ -99,6 +99,8 @@
       Out.push_back(std::move(*message));
     } else if (auto *change = std::get_if<MemberChangeProposed>(&it)) {
       Out.push_back(std::move(*change));
+    } else if (auto *formed = std::get_if<GroupFormed>(&it)) {
+      Out.push_back(std::move(*formed));
     } else if (auto *needed = std::get_if<SnapshotNeeded>(&it)) {
       sendSnapshot(Store, needed->Target, Out);
     } else if (auto *load = std::get_if<LoadSnapshot>(&it)) {
--- a/control/serving_store.h
+++ b/control/serving_store.h
@@ -114,9 +114,9 @@
 struct StorePublishEvacuations {
   wire::EvacuationState State;
 };
-using StoreEffect =
-    std::variant<PersistRecord, PersistSnapshot, RaftSend, MemberChangeProposed,
-                 StoreResult, StorePublish, StorePublishEvacuations>;
+using StoreEffect = std::variant<PersistRecord, PersistSnapshot, RaftSend,
+                                 MemberChangeProposed, GroupFormed, StoreResult,
+                                 StorePublish, StorePublishEvacuations>;
 using StoreEffects = std::vector<StoreEffect>;
 
 /// State of the group as other parts of the process need it.
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -102,6 +102,7 @@
   std::shared_ptr<Relay> findRelay(const HttpExchange *Exchange);
   void handleMessage(wire::Envelope Message);
   void handleHello(const wire::Envelope &Message);
+  void handleFormationRequest(const wire::FormationRequest &Request);
   void answerStatus(const wire::Envelope &Message);
   void applyTable(uint64_t Version, const std::string &Content);
   void takeEvacuations(const wire::EvacuationState &Newer, const char *Source);
@@ -141,6 +142,7 @@
   EarlyRequests HeldRequests;
   std::unique_ptr<Link> Peers;
   std::unique_ptr<ServingGroup> Group;
+  FormationAcceptor Formation; ///< Of a seed without a log.
   std::unique_ptr<FleetApi> Api;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> ReadyServer;
@@ -206,6 +208,8 @@
     return false;
   if (!Options.FrontRole.DataFolder.empty())
     startGroup();
+  else
+    Formation.IsActive = Options.FrontRole.MayForm;
   tick();
   return true;
 }
@@ -273,6 +277,7 @@
   options.DataFolder = Options.FrontRole.DataFolder;
   options.Seeds = Gossip.Seeds;
   options.MayForm = Options.FrontRole.MayForm;
+  options.LossesBorne = Options.FrontRole.LossesBorne;
   ServingGroupCallbacks callbacks;
   callbacks.OnPublish = [this](const StorePublish &Table) {
     applyTable(Table.Version, Table.Content);
@@ -514,6 +519,12 @@
   case wire::Envelope::kBlankHello:
     handleHello(Message);
     break;
+  case wire::Envelope::kFormationRequest:
+    if (Group)
+      Group->post(StoreReceived{std::move(Message)});
+    else
+      handleFormationRequest(Message.formation_request());
+    break;
   case wire::Envelope::kStatusRequest:
     answerStatus(Message);
     break;
@@ -530,26 +541,30 @@
     Group->post(StoreReceived{Message});
     return;
   }
-  // This front keeps no log and cannot be a member: it says so in its answer,
-  // and forwards a request to join to the leader.
+  // This front keeps no log and cannot be a member: it forwards a request to
+  // join to the leader.
   const wire::BootstrapHello &hello = Message.blank_hello();
   bool isAsking = hello.is_blank() || hello.is_joining();
   if (hello.is_diskless() || !isAsking || Message.from() != hello.name())
     return;
-  NodeMessages out;
+  if (Core.State.Leader.Address.empty())
+    return;
+  wire::Envelope forward;
+  *forward.mutable_blank_hello() = hello;
+  Peers->send(Core.State.Leader.Address, std::move(forward));
+}
+
+/// Answers as a seed without a log. Once a group is known, no other is to form.
+void FrontShell::handleFormationRequest(const wire::FormationRequest &Request) {
+  if (Core.State.Table || !Core.State.Leader.Address.empty())
+    return;
+  auto reply =
+      answerFormation(Formation, Request, Peers->address(), Clock::now());
+  if (!reply)
+    return;
   wire::Envelope answer;
-  wire::BootstrapHello &own = *answer.mutable_blank_hello();
-  own.set_name(Options.Node);
-  own.set_address(Peers->address());
-  own.set_is_blank(true);
-  own.set_is_diskless(true);
-  out.push_back({hello.address(), std::move(answer)});
-  if (!Core.State.Leader.Address.empty()) {
-    wire::Envelope forward;
-    *forward.mutable_blank_hello() = hello;
-    out.push_back({Core.State.Leader.Address, std::move(forward)});
-  }
-  send(std::move(out));
+  *answer.mutable_formation_reply() = std::move(*reply);
+  Peers->send(Request.candidate().address(), std::move(answer));
 }
 
 void FrontShell::answerStatus(const wire::Envelope &Message) {
--- a/replication/group_status.cpp
+++ b/replication/group_status.cpp
@@ -64,6 +64,17 @@
   return inSync > quorum ? inSync - quorum : 0;
 }
 
+std::string describeFormation(const RaftState &State, TimePoint Now) {
+  if (State.Role != RaftRole::Blank || !State.MayForm)
+    return {};
+  const FormationProposer &proposer = State.Proposer;
+  return "the first group: " + std::to_string(countHeardSeeds(proposer, Now)) +
+         " seeds are heard and " + std::to_string(proposer.Quorum) + " of " +
+         std::to_string(State.SeedAddresses.size()) + " decide; " +
+         std::to_string(proposer.KnownIdentities.size()) +
+         " hosts with an empty data folder are known";
+}
+
 std::string describeLeaderWait(const RaftState &State) {
   // A blank member learns of leaders, but follows none until one has added it
   // to the group.
@@ -89,7 +100,8 @@
   Out.set_is_leader(canPropose(State, Now));
   Out.set_leader_address(leaderAddress(State));
   Out.set_term(State.Term);
-  Out.set_waits_for(describeLeaderWait(State));
+  std::string formation = describeFormation(State, Now);
+  Out.set_waits_for(formation.empty() ? describeLeaderWait(State) : formation);
   for (const wire::Member &it : State.Members)
     *Out.add_members() = it;
   if (!Out.is_leader())
--- a/replication/group_status.h
+++ b/replication/group_status.h
@@ -19,6 +19,9 @@
 /// Returns what a member without a leader waits for, or an empty string if it
 /// has a leader.
 std::string describeLeaderWait(const RaftState &State);
+/// Returns what the first group of a new fleet waits for; empty for a member
+/// that may not form it. Pure and thread safe.
+std::string describeFormation(const RaftState &State, TimePoint Now);
 
 } // namespace sassafras
 
--- a/replication/raft.cpp
+++ b/replication/raft.cpp
@@ -3,7 +3,6 @@
 #include "core/timing.h"
 
 #include <algorithm>
-#include <set>
 
 namespace sassafras {
 
@@ -516,13 +515,13 @@
   State.SnapshotTerm = 1;
   State.SnapshotMembers = Members;
   State.Commit = 1;
-  State.BlankPeers.clear();
   updateMembers(State);
   State.ElectionDeadline = randomElectionDeadline(State, Now);
   wire::Snapshot snapshot;
   fillSnapshotHeader(State, 1, snapshot);
   persistSnapshot(State, snapshot, Out);
   Out.push_back(LoadSnapshot{snapshot});
+  Out.push_back(GroupFormed{Members});
 }
 
 wire::BootstrapHello makeHello(const RaftState &State) {
@@ -605,34 +604,77 @@
                  Now, Out);
 }
 
+wire::Member selfMember(const RaftState &State) {
+  wire::Member member;
+  member.set_name(State.Self.Name);
+  member.set_identity(State.Self.Identity);
+  member.set_address(State.Self.Address);
+  member.set_voter(true);
+  return member;
+}
+
+/// Sends the decided configuration to its members, and adopts it if this member
+/// is one of them.
+void adoptDecision(RaftState &State, const std::vector<wire::Member> &Members,
+                   TimePoint Now, RaftEffects &Out) {
+  bool isMember =
+      std::any_of(Members.begin(), Members.end(), [&](const wire::Member &it) {
+        return it.identity() == State.Self.Identity;
+      });
+  if (isMember)
+    formInitialConfiguration(State, Members, Now, Out);
+  // Another process is to propose no more; it joins the group.
+  State.Proposer.Ballot = {};
+  wire::Envelope message;
+  wire::BootstrapHello &hello = *message.mutable_blank_hello();
+  hello.set_name(State.Self.Name);
+  hello.set_identity(State.Self.Identity);
+  hello.set_address(State.Self.Address);
+  for (const wire::Member &it : Members)
+    *hello.add_members() = it;
+  for (const wire::Member &it : Members)
+    if (it.identity() != State.Self.Identity)
+      send(Out, it.address(), message);
+}
+
 bool isSeed(const RaftState &State, const std::string &Address) {
   return std::find(State.SeedAddresses.begin(), State.SeedAddresses.end(),
                    Address) != State.SeedAddresses.end();
 }
 
-/// Forms the initial configuration from the seeds that have a disk, once every
-/// seed has sent its hello.
-void formIfAllSeedsHeard(RaftState &State, TimePoint Now, RaftEffects &Out) {
-  std::set<std::string> addresses;
-  std::vector<wire::Member> members;
-  bool isMember = false;
-  for (const auto &[name, hello] : State.BlankPeers) {
-    addresses.insert(hello.address());
-    if (hello.is_diskless() || !isSeed(State, hello.address()))
+void receive(RaftState &State, const wire::FormationReply &Reply, TimePoint Now,
+             RaftEffects &Out);
+
+/// Sends the request of the current phase to each seed, which may be this
+/// member.
+void sendFormationRequest(RaftState &State, TimePoint Now, RaftEffects &Out) {
+  wire::FormationRequest request =
+      makeFormationRequest(State.Proposer, selfMember(State));
+  for (const std::string &it : State.SeedAddresses) {
+    if (it == State.Self.Address)
       continue;
-    isMember = isMember || hello.identity() == State.Self.Identity;
-    wire::Member member;
-    member.set_name(name);
-    member.set_identity(hello.identity());
-    member.set_address(hello.address());
-    member.set_voter(true);
-    members.push_back(member);
-  }
-  for (const std::string &it : State.SeedAddresses)
-    if (!addresses.contains(it))
-      return;
-  if (isMember)
-    formInitialConfiguration(State, members, Now, Out);
+    wire::Envelope message;
+    *message.mutable_formation_request() = request;
+    send(Out, it, std::move(message));
+  }
+  if (!isSeed(State, State.Self.Address))
+    return;
+  if (auto reply =
+          answerFormation(State.Acceptor, request, State.Self.Address, Now))
+    receive(State, *reply, Now, Out);
+}
+
+void receive(RaftState &State, const wire::FormationReply &Reply, TimePoint Now,
+             RaftEffects &Out) {
+  if (State.Role != RaftRole::Blank || !State.MayForm ||
+      !isSeed(State, Reply.seed()))
+    return;
+  bool isNextPhase = false;
+  if (auto members =
+          receiveFormationReply(State.Proposer, Reply, isNextPhase, Now))
+    adoptDecision(State, *members, Now, Out);
+  else if (isNextPhase)
+    sendFormationRequest(State, Now, Out);
 }
 
 void receive(RaftState &State, const wire::BootstrapHello &Hello,
@@ -659,22 +701,16 @@
     proposeLearner(State, Hello, Now, Out);
     return;
   }
-  if (!Hello.is_blank()) {
-    // This peer belongs to a group already and does not count for forming one.
-    // The initial configuration that it sends may include this member.
-    State.BlankPeers.erase(Hello.name());
-    for (const wire::Member &it : Hello.members()) {
-      if (it.identity() != State.Self.Identity)
-        continue;
-      formInitialConfiguration(
-          State, {Hello.members().begin(), Hello.members().end()}, Now, Out);
-      return;
-    }
+  // The peer knows the initial configuration, which may include this member.
+  if (Hello.is_blank())
+    return;
+  for (const wire::Member &it : Hello.members()) {
+    if (it.identity() != State.Self.Identity)
+      continue;
+    formInitialConfiguration(
+        State, {Hello.members().begin(), Hello.members().end()}, Now, Out);
     return;
   }
-  State.BlankPeers[Hello.name()] = Hello;
-  if (State.MayForm)
-    formIfAllSeedsHeard(State, Now, Out);
 }
 
 void sendBootstrapHello(RaftState &State, TimePoint Now, RaftEffects &Out) {
@@ -686,7 +722,14 @@
   for (const std::string &it : State.ContactAddresses)
     if (it != State.Self.Address)
       send(Out, it, message);
-  receive(State, message.blank_hello(), State.Self.Name, Now, Out);
+  if (!State.MayForm)
+    return;
+  State.Acceptor.IsActive = true;
+  // Where no hosts may join, the seeds are all members that there will be.
+  if (!State.MayJoin && !isSeed(State, State.Self.Address))
+    return;
+  advanceFormation(State.Proposer, selfMember(State), State.Random, Now);
+  sendFormationRequest(State, Now, Out);
 }
 
 /// Asks to join the group again. A member that hears no leader may have been
@@ -733,9 +776,15 @@
                         uint64_t Seed, TimePoint Now) {
   RaftState state;
   state.Self = std::move(Self);
+  std::sort(SeedAddresses.begin(), SeedAddresses.end());
+  SeedAddresses.erase(std::unique(SeedAddresses.begin(), SeedAddresses.end()),
+                      SeedAddresses.end());
   state.SeedAddresses = std::move(SeedAddresses);
   state.ContactAddresses = state.SeedAddresses;
   state.Random.seed(Seed);
+  state.Proposer.Quorum = state.SeedAddresses.size();
+  state.Proposer.Wanted = state.SeedAddresses.size();
+  state.Proposer.Nonce = state.Random();
   state.NextAppend = Now;
   return state;
 }
@@ -765,6 +814,11 @@
   return state;
 }
 
+void allowSeedMajority(RaftState &State, size_t WantedMembers) {
+  State.Proposer.Quorum = State.SeedAddresses.size() / 2 + 1;
+  State.Proposer.Wanted = WantedMembers;
+}
+
 void tickRaft(RaftState &State, TimePoint Now, RaftEffects &Out) {
   if (State.Role == RaftRole::Blank) {
     sendBootstrapHello(State, Now, Out);
@@ -825,6 +879,19 @@
   case wire::Envelope::kTimeoutNow:
     receive(State, Message.timeout_now(), Now, Out);
     return;
+  case wire::Envelope::kFormationRequest:
+    if (auto reply =
+            answerFormation(State.Acceptor, Message.formation_request(),
+                            State.Self.Address, Now)) {
+      wire::Envelope answer;
+      *answer.mutable_formation_reply() = std::move(*reply);
+      send(Out, Message.formation_request().candidate().address(),
+           std::move(answer));
+    }
+    return;
+  case wire::Envelope::kFormationReply:
+    receive(State, Message.formation_reply(), Now, Out);
+    return;
   case wire::Envelope::kBlankHello:
     receive(State, Message.blank_hello(), Message.from(), Now, Out);
     return;
--- a/replication/raft.h
+++ b/replication/raft.h
@@ -11,6 +11,7 @@
 
 #include "core/time.h"
 #include "core/timing.h"
+#include "replication/formation.h"
 #include "wire/inner.pb.h"
 
 #include <deque>
@@ -73,13 +74,14 @@
   TimePoint VoteBlockedUntil;
   TimePoint PreVoteDeadline; ///< End of this member's own round of pre-votes.
   TimePoint NextAppend;
-  std::map<std::string, wire::BootstrapHello> BlankPeers;
   /// Addresses of the seeds, from the settings.
   std::vector<std::string> SeedAddresses;
   /// Addresses to which a member without a leader sends its requests to join;
   /// initially the seeds.
   std::vector<std::string> ContactAddresses;
-  bool MayForm = true;  ///< A blank member may form the initial configuration.
+  bool MayForm = true; ///< A blank member may form the initial configuration.
+  FormationAcceptor Acceptor; ///< Of a member that started blank.
+  FormationProposer Proposer; ///< Of a blank member.
   bool MayJoin = false; ///< May join under a name that is new to the group.
   /// The process is about to stop. Replies tell the leader, so that the member
   /// gets no vote and may lose the one that it has.
@@ -129,13 +131,19 @@
   Millis Silence{0};       ///< Since the member's last reply.
 };
 
+/// This member has adopted the initial configuration. For the log only.
+struct GroupFormed {
+  std::vector<wire::Member> Members;
+};
+
 using RaftEffect =
     std::variant<PersistRecord, PersistSnapshot, RaftSend, SnapshotNeeded,
-                 LoadSnapshot, MemberChangeProposed>;
+                 LoadSnapshot, MemberChangeProposed, GroupFormed>;
 using RaftEffects = std::vector<RaftEffect>;
 
 /// Creates the state of a member whose data folder is empty. \p Seed seeds the
-/// random election timeouts.
+/// random election timeouts. The initial configuration is decided by all seeds;
+/// see allowSeedMajority.
 RaftState makeBlankRaft(RaftSelf Self, std::vector<std::string> SeedAddresses,
                         uint64_t Seed, TimePoint Now);
 /// Creates the state of a restarted member from the content of its data folder.
@@ -145,6 +153,12 @@
                       std::vector<wire::LogEntry> Entries, uint64_t Seed,
                       TimePoint Now);
 
+/// Lets a majority of the seeds decide on the initial configuration, of
+/// \p WantedMembers hosts if there are so many. Precondition: MayForm is set in
+/// the first start of the fleet only, so that no seed that restarts takes part.
+/// Call before the first tick.
+void allowSeedMajority(RaftState &State, size_t WantedMembers);
+
 /// Advances the state to \p Now: starts elections, sends appends and steps down
 /// when a deadline has passed.
 void tickRaft(RaftState &State, TimePoint Now, RaftEffects &Out);
--- a/tests/control/test_serving_store.cpp
+++ b/tests/control/test_serving_store.cpp
@@ -33,7 +33,6 @@
   ServingStore Store;
   MemberDisk Disk;
   bool IsUp = false;
-  bool IsDiskless = false;
 };
 
 struct Group {
@@ -53,6 +52,7 @@
                                        it.Disk.State, entries, Random(), Now);
     raft.MayForm = MayForm;
     raft.MayJoin = true;
+    allowSeedMajority(raft, Wanted);
     it.Store = makeServingStore(std::move(raft),
                                 it.Disk.IsBlank ? nullptr : &it.Disk.Snapshot);
     it.IsUp = true;
@@ -61,6 +61,12 @@
     PublishedEvacuations.erase(Name);
   }
 
+  /// Starts a seed that keeps no log.
+  void startDiskless(const std::string &Name, bool MayForm) {
+    Diskless[Name] = FormationAcceptor();
+    Diskless[Name].IsActive = MayForm;
+  }
+
   void wipe(const std::string &Name) {
     Members[Name].IsUp = false;
     Members[Name].Disk = {};
@@ -101,8 +107,9 @@
         return;
       if (Partitioned.contains(Name) != Partitioned.contains(message->Address))
         return;
-      Queue.emplace(Now + Millis(1 + Random() % 12),
-                    std::pair{message->Address, message->Message});
+      for (unsigned i = 0; i <= (Random() % 100 < RepeatPercent); ++i)
+        Queue.emplace(Now + Millis(1 + Random() % Delay.count()),
+                      std::pair{message->Address, message->Message});
     } else if (auto *result = std::get_if<StoreResult>(&Effect)) {
       Results[result->Number] = *result;
     } else if (auto *table = std::get_if<StorePublish>(&Effect)) {
@@ -123,12 +130,34 @@
         Queue.erase(Queue.begin());
         if (Members.contains(address))
           handleEvent(address, StoreReceived{message});
+        else if (Diskless.contains(address))
+          answer(address, message);
       }
       for (auto &[name, it] : Members)
         handleEvent(name, StoreTick{});
     }
   }
 
+  /// Does what a front without a log does with the group's messages.
+  void answer(const std::string &Name, const wire::Envelope &Message) {
+    if (Random() % 100 < LossPercent)
+      return;
+    std::string leaderName = leader();
+    if (Message.has_blank_hello() && !leaderName.empty())
+      Queue.emplace(Now + Millis(1), std::pair{leaderName, Message});
+    if (!Message.has_formation_request())
+      return;
+    const wire::FormationRequest &request = Message.formation_request();
+    auto reply = answerFormation(Diskless[Name], request, Name, Now);
+    if (!reply)
+      return;
+    wire::Envelope envelope;
+    *envelope.mutable_formation_reply() = std::move(*reply);
+    envelope.set_from(Name);
+    Queue.emplace(Now + Millis(1 + Random() % Delay.count()),
+                  std::pair{request.candidate().address(), envelope});
+  }
+
   std::string leader() {
     for (auto &[name, it] : Members)
       if (it.IsUp && makeStoreView(it.Store, Now).IsLeader)
@@ -171,7 +200,11 @@
   std::map<std::string, uint64_t> PublishedEvacuations;
   std::set<std::string> Partitioned;
   std::set<std::string> OldVersions; ///< Members that say nothing of a stop.
+  std::map<std::string, FormationAcceptor> Diskless; ///< Seeds without a log.
+  size_t Wanted = MinVoters;
+  Millis Delay{12};
   unsigned LossPercent = 0;
+  unsigned RepeatPercent = 0;
   uint64_t LastNumber = 0;
   uint64_t SentMessages = 0;
 };
@@ -565,10 +598,11 @@
     startFourMembers(group);
     REQUIRE(group.write(5, Millis(4'000)));
     const std::vector<std::string> names{"a", "b", "c", "d"};
-    std::string killed = seed % 3 == 0 ? group.leader() : names[seed % 4];
+    std::string leader = group.leader();
+    std::string killed = seed % 3 == 0 ? leader : names[seed % 4];
     group.Members[killed].IsUp = false;
     // A leader that is killed has to be replaced first.
-    group.run(Millis(seed % 3 == 0 ? 2'300 : 1'300));
+    group.run(Millis(killed == leader ? 2'300 : 1'300));
     std::string lost = names[(seed + 1) % 4];
     if (lost == killed)
       lost = names[(seed + 2) % 4];
@@ -704,3 +738,215 @@
   CHECK(countVotersSeenBy(group, group.leader()) == 4);
   CHECK(isServing(group, 7));
 }
+
+namespace {
+
+/// Number of different initial configurations that members have adopted.
+size_t countGroups(Group &It) {
+  std::set<std::string> groups;
+  for (auto &[name, it] : It.Members) {
+    if (it.Disk.IsBlank || it.Disk.Snapshot.index() != 1)
+      continue;
+    std::string list;
+    for (const wire::Member &member : it.Disk.Snapshot.members())
+      list += std::to_string(member.identity()) + ' ';
+    groups.insert(list);
+  }
+  return groups.size();
+}
+
+size_t countInitialMembers(Group &It) {
+  for (auto &[name, it] : It.Members)
+    if (!it.Disk.IsBlank && it.Disk.Snapshot.index() == 1)
+      return static_cast<size_t>(it.Disk.Snapshot.members_size());
+  return 0;
+}
+
+/// Starts the fleet in any order within 0.3 s: hosts with a disk d1, d2 and so
+/// on, and the seeds that have none.
+void startFleet(Group &It, int Disks) {
+  std::vector<std::string> names;
+  for (int i = 1; i <= Disks; ++i)
+    names.push_back("d" + std::to_string(i));
+  for (const std::string &it : It.Seeds)
+    if (std::find(names.begin(), names.end(), it) == names.end())
+      names.push_back(it);
+  std::shuffle(names.begin(), names.end(), It.Random);
+  for (const std::string &it : names) {
+    if (it[0] == 'd')
+      It.start(it, true);
+    else
+      It.startDiskless(it, true);
+    It.run(Millis(It.Random() % 300) / names.size());
+  }
+}
+
+} // namespace
+
+// review/15: the first group was formed from the seeds that have a disk, so
+// that a fleet whose seeds have none never began to serve.
+TEST_CASE("first group forms whichever hosts are its seeds") {
+  for (unsigned seed = 1; seed <= 40; ++seed)
+    for (int diskSeeds = 0; diskSeeds <= 3; ++diskSeeds) {
+      Group group(seed);
+      int disks = 3 + static_cast<int>(seed % 4);
+      group.Seeds = {"s1", "s2", "s3"};
+      for (int i = 0; i < diskSeeds; ++i)
+        group.Seeds[static_cast<size_t>(i)] = "d" + std::to_string(disks - i);
+      group.LossPercent = seed % 3 * 10;
+      group.RepeatPercent = seed % 2 * 30;
+      group.Delay = Millis(seed % 4 == 0 ? 120 : 12);
+      INFO("seed " << seed << ", " << disks << " hosts with a disk, "
+                   << diskSeeds << " of them seeds");
+      startFleet(group, disks);
+      CHECK(group.write(1, Millis(4'000)));
+      CHECK(countInitialMembers(group) >= 3);
+      CHECK(countGroups(group) == 1);
+      group.LossPercent = 0;
+      group.run(Millis(4'000));
+      REQUIRE_FALSE(group.leader().empty());
+      CHECK(countVotersSeenBy(group, group.leader()) ==
+            static_cast<size_t>(disks));
+      CHECK(countGroups(group) <= 1);
+    }
+}
+
+TEST_CASE("first group forms from fewer hosts and seeds than three") {
+  for (unsigned seed = 1; seed <= 20; ++seed)
+    for (int disks = 1; disks <= 2; ++disks)
+      for (size_t seeds = 1; seeds <= 3; ++seeds) {
+        Group group(seed);
+        group.Seeds.resize(seeds);
+        for (size_t i = 0; i < seeds; ++i)
+          group.Seeds[i] = seed % 2 == 0 && i == 0
+                               ? std::string("d1")
+                               : "s" + std::to_string(i + 1);
+        INFO("seed " << seed << ", " << disks << " hosts with a disk, " << seeds
+                     << " seeds");
+        startFleet(group, disks);
+        CHECK(group.write(1, Millis(4'000)));
+        CHECK(countInitialMembers(group) == static_cast<size_t>(disks));
+        CHECK(countGroups(group) == 1);
+      }
+}
+
+// With one or two seeds that have a disk the group began with so many members,
+// and acknowledged tables that were on one disk only.
+TEST_CASE("table that is acknowledged first survives the loss of any disk") {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    Group group(seed);
+    int diskSeeds = static_cast<int>(seed % 4);
+    group.Seeds = {"s1", "s2", "s3"};
+    for (int i = 0; i < diskSeeds; ++i)
+      group.Seeds[static_cast<size_t>(i)] = "d" + std::to_string(i + 1);
+    startFleet(group, 3);
+    std::string lost = "d" + std::to_string(1 + seed / 4 % 3);
+    INFO("seed " << seed << ", " << diskSeeds << " seeds with a disk, " << lost
+                 << " loses its disk");
+    // Written as soon as there is a leader, and the disk is lost at once.
+    uint64_t number = 0;
+    for (int i = 0; i < 400 && group.Results[number].Version == 0; ++i) {
+      std::string leader = group.leader();
+      if (!leader.empty())
+        group.handleEvent(leader,
+                          StoreWrite{number = ++group.LastNumber, 1, "t"});
+      for (int n = 0; n < 10 && group.Results[number].Version == 0; ++n)
+        group.run(Millis(10));
+    }
+    REQUIRE(group.Results[number].Outcome == StoreOutcome::Done);
+    group.wipe(lost);
+    group.run(Millis(3'000));
+    group.start(lost, false);
+    group.run(Millis(4'000));
+    REQUIRE_FALSE(group.leader().empty());
+    CHECK(group.read(group.leader()).Version == 1);
+    CHECK(isServing(group, 2));
+  }
+}
+
+TEST_CASE(
+    "losses in the first second of a fleet leave one group, and it forms") {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    Group group(seed);
+    group.Seeds = {"s1", "s2", "s3"};
+    int diskSeeds = static_cast<int>(seed % 4);
+    for (int i = 0; i < diskSeeds; ++i)
+      group.Seeds[static_cast<size_t>(i)] = "d" + std::to_string(i + 1);
+    group.LossPercent = seed % 5 * 4;
+    group.RepeatPercent = seed % 3 * 20;
+    group.Delay = Millis(seed % 4 == 0 ? 90 : 12);
+    startFleet(group, 4);
+    // One host is killed at any step of the formation.
+    group.run(Millis(group.Random() % 1'200));
+    std::string lost = seed % 2 == 0
+                           ? "d" + std::to_string(1 + group.Random() % 4)
+                           : group.Seeds[group.Random() % 3];
+    bool isWiped = seed % 3 == 0;
+    INFO("seed " << seed << ", " << lost
+                 << (isWiped ? " loses its disk" : " is killed"));
+    if (lost[0] == 's') {
+      group.startDiskless(lost, false);
+    } else {
+      group.Members[lost].IsUp = false;
+      if (isWiped)
+        group.wipe(lost);
+      group.run(Millis(group.Random() % 800));
+      group.start(lost, false);
+    }
+    CHECK(group.write(1, Millis(8'000)));
+    CHECK(countGroups(group) <= 1);
+    group.LossPercent = 0;
+    group.run(Millis(5'000));
+    CHECK(countVotersSeenBy(group, group.leader()) == 4);
+    CHECK(countGroups(group) <= 1);
+  }
+}
+
+TEST_CASE("hosts that start late or see each other late form no second group") {
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    Group group(seed);
+    group.Seeds = {"s1", "s2", "s3"};
+    if (seed % 2 == 0)
+      group.Seeds[0] = "d5";
+    for (const char *it : {"s1", "s2", "s3"})
+      group.startDiskless(it, true);
+    for (const char *it : {"d1", "d2"})
+      group.start(it, true);
+    if (seed % 3 == 0)
+      group.Partitioned = {"d1", "s1"};
+    group.run(Millis(group.Random() % 2'500));
+    for (const char *it : {"d3", "d4", "d5"})
+      group.start(it, true);
+    group.run(Millis(group.Random() % 1'500));
+    group.Partitioned.clear();
+    CHECK(group.write(1, Millis(8'000)));
+    group.run(Millis(5'000));
+    CHECK(countGroups(group) <= 1);
+    CHECK(countVotersSeenBy(group, group.leader()) == 5);
+  }
+}
+
+TEST_CASE("group that has to bear two losses waits for five hosts") {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    Group group(seed);
+    group.Seeds = {"d1", "d2", "s3"};
+    group.Wanted = 5;
+    startFleet(group, 6);
+    CHECK(group.write(1, Millis(4'000)));
+    CHECK(countInitialMembers(group) >= 5);
+  }
+}
+
+TEST_CASE("seed that has started again does not decide on the first group") {
+  Group group(3);
+  group.Seeds = {"s1", "s2", "s3"};
+  group.startDiskless("s1", true);
+  group.startDiskless("s2", false);
+  group.startDiskless("s3", false);
+  for (const char *it : {"d1", "d2", "d3"})
+    group.start(it, true);
+  group.run(Millis(5'000));
+  CHECK(countGroups(group) == 0);
+}
--- a/tests/harness/front_fleet.cpp
+++ b/tests/harness/front_fleet.cpp
@@ -3,6 +3,7 @@
 #include "tests/harness/free_ports.h"
 #include "tests/harness/slow_disk.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
@@ -51,13 +52,15 @@
 
 } // namespace
 
-FrontFleet::FrontFleet(FrontFleetSize Size) : Size(Size) {
+FrontFleet::FrontFleet(FrontFleetSize Options) : Size(std::move(Options)) {
   std::string pattern =
       (files::temp_directory_path() / "sassafras-front-XXXXXX").string();
   Folder = mkdtemp(pattern.data());
   BasePort = reservePorts(PortsPerHost);
   for (int i = 1; i <= Size.Fronts; ++i)
-    start(i, true);
+    if (std::find(Size.NotStarted.begin(), Size.NotStarted.end(), i) ==
+        Size.NotStarted.end())
+      start(i, true);
 }
 
 FrontFleet::~FrontFleet() {
@@ -86,10 +89,10 @@
        << "\"\nzone = \"a\"\nlisten = \"" << addressOf(Host, 0)
        << "\"\nhttp = \"" << callerAddress(Host)
        << "\"\n[front_role]\nready = \"" << addressOf(Host, 2)
-       << "\"\ncontrol = \"" << controlAddress(Host) << "\"\nseeds = [\""
-       << controlAddress(1) << "\", \"" << controlAddress(2) << "\", \""
-       << controlAddress(3) << "\"]\nmay_form = " << (IsNew ? "true" : "false")
-       << "\ndata_folder = \""
+       << "\"\ncontrol = \"" << controlAddress(Host) << "\"\nseeds = [";
+  for (size_t i = 0; i < Size.Seeds.size(); ++i)
+    toml << (i > 0 ? ", " : "") << '"' << controlAddress(Size.Seeds[i]) << '"';
+  toml << "]\nmay_form = " << (IsNew ? "true" : "false") << "\ndata_folder = \""
        << (Host <= Size.Disks ? Folder + "/" + name + "-data" : "") << "\"\n";
   return toml.str();
 }
--- a/tests/harness/front_fleet.h
+++ b/tests/harness/front_fleet.h
@@ -20,12 +20,14 @@
 struct FrontFleetSize {
   int Fronts = 4;
   int Disks = 3;
-  bool HasSlowDisks = false; ///< delayDisks applies to the processes.
+  bool HasSlowDisks = false;          ///< delayDisks applies to the processes.
+  std::vector<int> Seeds = {1, 2, 3}; ///< Hosts that all fronts are told.
+  std::vector<int> NotStarted = {};   ///< Hosts that are started later.
 };
 
 class FrontFleet {
 public:
-  explicit FrontFleet(FrontFleetSize Size = {});
+  explicit FrontFleet(FrontFleetSize Options = {});
   /// Kills the remaining processes and removes the folder, unless
   /// KEEP_FLEET_FOLDER is set.
   ~FrontFleet();
