--- a/core/settings.h
+++ b/core/settings.h
@@ -48,7 +48,7 @@
   std::string Ready;   ///< Address of the balancer's readiness check.
   std::string Control; ///< Address for operators and endpoints.
   std::vector<std::string> Seeds; ///< Control addresses of some fronts.
-  bool MayForm = false;    ///< Set when the fleet starts for the first time.
+  bool MayForm = false; ///< Set when the fleet starts for the first time.
   /// Losses at once of fronts with a disk that accepted tables survive.
   uint32_t LossesBorne = 1;
   std::string DataFolder;  ///< Empty: stores no log.
