--- a/core/settings.h
+++ b/core/settings.h
@@ -49,7 +49,8 @@
   std::string Control; ///< Address for operators and endpoints.
   std::vector<std::string> Seeds; ///< Control addresses of some fronts.
   bool MayForm = false; ///< Set when the fleet starts for the first time.
-  /// Losses at once of fronts with a disk that accepted tables survive.
+  /// Losses at once of fronts with a disk that accepted tables survive; option
+  /// losses-borne.
   uint32_t LossesBorne = 1;
   std::string DataFolder;  ///< Empty: stores no log.
   double RetryRatio = 0.2; ///< Retries per request of a service.
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -37,6 +37,7 @@
     "  -s, --settings FILE  settings file of this process\n"
     "  -c, --check          validate the settings and exit\n"
     "  -m, --memory-mb=N    memory that the process may use, in MB (256)\n"
+    "  -l, --losses-borne=N hosts with a disk that may be lost at once (1)\n"
     "  -h, --help           print this help and exit\n"
     "  -v, --version        print the version and exit\n";
 
@@ -44,12 +45,14 @@
   std::string SettingsFile;
   bool IsCheck = false;
   uint64_t MemoryMb = 256;
+  uint64_t LossesBorne = 1;
 };
 
 const option LongOptions[] = {
     {"settings", required_argument, nullptr, 's'},
     {"check", no_argument, nullptr, 'c'},
     {"memory-mb", required_argument, nullptr, 'm'},
+    {"losses-borne", required_argument, nullptr, 'l'},
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'v'},
     {nullptr, 0, nullptr, 0},
@@ -58,22 +61,32 @@
 /// Bounds of the option memory-mb.
 constexpr uint64_t MinMemoryMb = 16;
 constexpr uint64_t MaxMemoryMb = 1'000'000;
+/// Largest value of the option losses-borne.
+constexpr uint64_t MaxLossesBorne = 100;
 
-/// Reads a value of the option memory-mb. An empty one leaves the default.
-bool readMemoryMb(std::string_view Text, uint64_t &Out) {
+/// Reads the value of the option \p Name. An empty one leaves the default.
+/// False after a message when it is not a number from \p Min to \p Max.
+bool readNumber(const char *Name, std::string_view Text, uint64_t Min,
+                uint64_t Max, uint64_t &Out) {
   if (Text.empty())
     return true;
   auto [end, error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Out);
-  return error == std::errc() && end == Text.data() + Text.size() &&
-         Out >= MinMemoryMb && Out <= MaxMemoryMb;
+  if (error == std::errc() && end == Text.data() + Text.size() && Out >= Min &&
+      Out <= Max)
+    return true;
+  std::fprintf(stderr,
+               "sassafrasd: --%s must be from %" PRIu64 " to %" PRIu64
+               ", not '%s'\n",
+               Name, Min, Max, std::string(Text).c_str());
+  return false;
 }
 
 /// Parses the command line into \p Out. Returns an exit code when the process
 /// has to exit at once.
 std::optional<int> readOptions(int Argc, char **Argv, Options &Out) {
   int code = 0;
-  while ((code = getopt_long(Argc, Argv, "s:cm:hv", LongOptions, nullptr)) !=
+  while ((code = getopt_long(Argc, Argv, "s:cm:l:hv", LongOptions, nullptr)) !=
          -1) {
     switch (code) {
     case 's':
@@ -83,12 +96,14 @@
       Out.IsCheck = true;
       break;
     case 'm':
-      if (readMemoryMb(optarg, Out.MemoryMb))
+      if (readNumber("memory-mb", optarg, MinMemoryMb, MaxMemoryMb,
+                     Out.MemoryMb))
+        break;
+      return ExitUsage;
+    case 'l':
+      if (readNumber("losses-borne", optarg, 0, MaxLossesBorne,
+                     Out.LossesBorne))
         break;
-      std::fprintf(stderr,
-                   "sassafrasd: --memory-mb must be from %" PRIu64
-                   " to %" PRIu64 ", not '%s'\n",
-                   MinMemoryMb, MaxMemoryMb, optarg);
       return ExitUsage;
     case 'h':
       std::fputs(Usage, stdout);
@@ -318,6 +333,8 @@
   }
   startLogging(settings->Values.Level, settings->Values.Node);
   configureAllocator();
+  settings->Values.FrontRole.LossesBorne =
+      static_cast<uint32_t>(options.LossesBorne);
   return runRole(settings->Values, settings->Text, options);
 }
 
--- a/main/settings_file.cpp
+++ b/main/settings_file.cpp
@@ -16,7 +16,6 @@
 constexpr size_t MinSaltLength = 16;
 constexpr int64_t MaxCount = 1'000'000;
 constexpr int64_t MaxBytes = 1'000'000'000;
-constexpr int64_t MaxLossesBorne = 100;
 constexpr int64_t MsPerSecond = 1000;
 
 /// Reads the keys of one TOML table and records which keys were requested, so
@@ -268,7 +267,6 @@
   reader.readAddress("control", Out.Control);
   reader.readAddresses("seeds", Out.Seeds);
   reader.readBool("may_form", Out.MayForm);
-  reader.readInteger("losses_borne", Out.LossesBorne, 0, MaxLossesBorne);
   reader.readString("data_folder", Out.DataFolder, false);
   reader.readNonNegative("retry_ratio", Out.RetryRatio);
   reader.readNonNegative("retry_slack", Out.RetrySlack);
