Status: what the first group waits for beside what the member waits for

A control member with an empty folder said only what a first group waits for, which test_processes checks ("group without a quorum says what it waits for"); it passes again, with the other 13 cases.

--- a/replication/group_status.cpp
+++ b/replication/group_status.cpp
@@ -100,8 +100,10 @@
   Out.set_is_leader(canPropose(State, Now));
   Out.set_leader_address(leaderAddress(State));
   Out.set_term(State.Term);
-  std::string formation = describeFormation(State, Now);
-  Out.set_waits_for(formation.empty() ? describeLeaderWait(State) : formation);
+  std::string waitsFor = describeLeaderWait(State);
+  if (std::string formation = describeFormation(State, Now); !formation.empty())
+    waitsFor += ", or for " + formation;
+  Out.set_waits_for(waitsFor);
   for (const wire::Member &it : State.Members)
     *Out.add_members() = it;
   if (!Out.is_leader())
