Stream end checks: log how the endpoint's address replied

A stream with neither a length nor chunks counts as broken off unless its endpoint's health check succeeds. The log had only running=true or false, so that an endpoint that refuses connections, one that resets them and one that doesn't answer looked the same. stream_end_checked and stream_ends_checked_total now have the reply; failures of the client say whether the connection was reset.

--- a/front/instance_check.h
+++ b/front/instance_check.h
@@ -4,6 +4,7 @@
 #ifndef SASSAFRAS_FRONT_INSTANCE_CHECK_H
 #define SASSAFRAS_FRONT_INSTANCE_CHECK_H
 
+#include "front/instance_reply.h"
 #include "http/client.h"
 
 #include <functional>
@@ -24,6 +25,7 @@
 struct InstanceAnswer {
   /// The instance has answered, also if it is leaving or refuses the check.
   bool IsRunning = false;
+  InstanceReply Reply = InstanceReply::Silent;
   std::optional<Millis> ColdLeft; ///< It states that it is cold for this long.
 };
 
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -716,6 +716,7 @@
 
 /// Finds out whether the endpoint has ended its stream, or was ended itself.
 void Relay::checkInstance() {
+  EndedAt = Clock::now();
   auto service = Request.Table->Services.find(Request.Service);
   InstanceCheck check{
       Target.Address, Endpoint,
@@ -728,23 +729,29 @@
         if (Answer.ColdLeft && *Answer.ColdLeft > Millis(0))
           recordStatedCold(self->Core.State, self->Endpoint, *Answer.ColdLeft,
                            Clock::now());
-        self->guard([&] { self->handleInstanceCheck(Answer.IsRunning); });
+        self->guard([&] { self->handleInstanceCheck(Answer); });
       });
 }
 
-void Relay::handleInstanceCheck(bool IsRunning) {
+void Relay::handleInstanceCheck(const InstanceAnswer &Answer) {
   if (IsOver)
     return;
   EndCheck.reset();
+  std::string reply(nameOf(Answer.Reply));
   Core.Counts.count("stream_ends_checked_total",
-                    IsRunning ? "endpoint=\"running\"" : "endpoint=\"gone\"");
-  logEvent(IsRunning ? LogLevel::Info : LogLevel::Warning, "stream_end_checked",
+                    std::string("endpoint=\"") +
+                        (Answer.IsRunning ? "running" : "gone") +
+                        "\",reply=\"" + reply + '"');
+  logEvent(Answer.IsRunning ? LogLevel::Info : LogLevel::Warning,
+           "stream_end_checked",
            {{"id", Request.Attributes.Id},
             {"endpoint", Endpoint},
             {"address", Target.Address},
-            {"running", IsRunning ? "true" : "false"},
+            {"running", Answer.IsRunning ? "true" : "false"},
+            {"reply", reply},
+            {"waited_ms", std::to_string(toMillis(Clock::now() - EndedAt))},
             {"last_event", textOf(Request.LastEvent)}});
-  if (IsRunning) {
+  if (Answer.IsRunning) {
     finishStream();
     return;
   }
--- a/front/relay.h
+++ b/front/relay.h
@@ -24,6 +24,8 @@
 struct ResponseFields;
 } // namespace platform
 
+struct InstanceAnswer;
+
 /// Retry-After while this front stops: another front can serve the caller
 /// immediately.
 inline constexpr Millis StoppingRetryAfter{100};
@@ -81,7 +83,7 @@
   void endProof(ProcessVerdict Verdict);
   void dropProof();
   void checkInstance();
-  void handleInstanceCheck(bool IsRunning);
+  void handleInstanceCheck(const InstanceAnswer &Answer);
   void finishStream();
   void writeToCaller(std::string Bytes);
   /// Records the duration of a stage in the histogram of the request's kind.
@@ -121,8 +123,9 @@
   SseBuffer EventBuffer;
   EventOrder Order;
   std::shared_ptr<HttpCall> EndCheck; ///< Whether the endpoint still runs.
-  MemoryCharge BufferCharge;          ///< For the two above.
-  size_t DiscardedBytes = 0;          ///< Of this exchange's response.
+  TimePoint EndedAt; ///< The end of the stream that is checked was read.
+  MemoryCharge BufferCharge; ///< For the two above.
+  size_t DiscardedBytes = 0; ///< Of this exchange's response.
   /// Process that a resumed stream is sent to.
   ProcessClaim Claim;
   std::shared_ptr<HttpCall> ProofCall;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -269,7 +269,8 @@
         endpoint, [self = shared_from_this()](beast::error_code ec) {
           if (ec)
             self->fail({false, ec == asio::error::connection_refused,
-                        ec == beast::error::timeout});
+                        ec == beast::error::timeout, TimePoint(),
+                        ec == asio::error::connection_reset});
           else
             self->setSocketOptions();
         });
@@ -346,7 +347,8 @@
     if (Error == asio::error::eof)
       handleEndOfInput();
     else if (Error)
-      fail({true, false, Error == beast::error::timeout});
+      fail({true, false, Error == beast::error::timeout, TimePoint(),
+            Error == asio::error::connection_reset});
     else
       parse();
   }
@@ -367,7 +369,8 @@
     if (isInOrder && Parser->got_some())
       Parser->put_eof(ec);
     if (ec)
-      fail({true, false, false});
+      fail({true, false, false, TimePoint(),
+            WriteResult && *WriteResult == asio::error::connection_reset});
     else
       parse();
   }
--- a/http/client.h
+++ b/http/client.h
@@ -28,6 +28,7 @@
   /// The server ran then or later: the connection was begun, or a request was
   /// sent on it that the server has answered. Zero when nothing shows that.
   TimePoint AliveAfter = {};
+  bool IsReset = false; ///< The peer reset the connection.
 };
 
 /// Status and header fields of a response.
