Streams without framing: a full endpoint isn't taken for one that has ended

Callers lost the end of a third of the whole streams of endpoints whose slots are all taken, at any time: they got all events, but no last chunk, and had to take the stream for broken.

Cause: a stream with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process in order, too. So the front sent a health check, and took silence for a second and every failure of it for the end of the process. At a full endpoint the check waits for a slot like any other request, or is reset.

Change: front/stream_end decides by signs of the process. The check's connection, if it was accepted within 25 ms after the end arrived (the kernel tells when: TCP_INFO) and is kept open for 100 ms: a killed process refuses it or loses it. A connection from before the end that is open 100 ms later. An announcement of the same start, a second later. Refusal, another instance and another start mean that it has ended; silence and resets decide nothing. Without a sign until the request's deadline the stream ends as incomplete. While a resumed stream's process is proved, its bytes are read and held, not left in the kernel, so that its end is seen when it comes.

--- a/front/instance_check.cpp
+++ b/front/instance_check.cpp
@@ -26,7 +26,8 @@
 
 std::shared_ptr<HttpCall>
 startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
-                   std::function<void(const InstanceAnswer &)> Done) {
+                   std::function<void(const InstanceAnswer &)> Done,
+                   std::function<void()> Accepted) {
   Millis left = std::max(
       std::chrono::duration_cast<Millis>(Check.Deadline - Clock::now()),
       Millis(1));
@@ -58,6 +59,11 @@
       answer->Reply = replyOf(Failure);
     (*done)(*answer);
   };
+  callbacks.MaySend = [it = std::move(Accepted)] {
+    if (it)
+      it();
+    return true;
+  };
   return Client.start(
       Check.Address,
       platform::makeHealthRequest(Check.HealthPath, Check.Instance), options,
--- a/front/instance_check.h
+++ b/front/instance_check.h
@@ -18,7 +18,7 @@
   std::string Address;
   std::string Instance;
   std::string HealthPath;
-  TimePoint Deadline; ///< Without an answer by then, it counts as gone.
+  TimePoint Deadline; ///< An answer is waited for until then.
 };
 
 /// What came of a check.
@@ -29,11 +29,13 @@
   std::optional<Millis> ColdLeft; ///< It states that it is cold for this long.
 };
 
-/// Calls \p Done once with the outcome. The call may be cancelled; then \p Done
+/// Calls \p Done once with the outcome, and \p Accepted, which may be empty,
+/// when the connection is established. The call may be cancelled; then \p Done
 /// is not called. Call on the thread that runs the client.
 std::shared_ptr<HttpCall>
 startInstanceCheck(HttpClient &Client, const InstanceCheck &Check,
-                   std::function<void(const InstanceAnswer &)> Done);
+                   std::function<void(const InstanceAnswer &)> Done,
+                   std::function<void()> Accepted = {});
 
 } // namespace sassafras
 
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -5,8 +5,8 @@
 #include "core/metrics.h"
 #include "front/crash_notices.h"
 #include "front/endpoint_statements.h"
-#include "front/instance_check.h"
 #include "front/process_query.h"
+#include "front/stream_end_check.h"
 #include "front/stream_origins.h"
 #include "front/zone_departure.h"
 #include "platform/caller_codec.h"
@@ -33,8 +33,8 @@
 /// Largest event of a stream, in bytes. An endpoint in trouble may send bytes
 /// without an end of an event.
 constexpr size_t MaxEventBytes = 256ULL * 1024;
-/// A health check is answered within a round trip, or after a wait for a slot.
-constexpr Millis InstanceCheckTimeout{1'000};
+/// Bytes of a stream that are read before its process is proved.
+constexpr size_t MaxHeldBytes = 256ULL * 1024;
 /// Between looks at what is known of a process.
 constexpr Millis ProofPollInterval{10};
 constexpr unsigned StatusMisdirected = 421;
@@ -66,6 +66,11 @@
   return Id ? std::to_string(*Id) : "";
 }
 
+/// Time since \p At in milliseconds; empty if it is zero.
+std::string textOfAge(TimePoint At) {
+  return At == TimePoint() ? "" : std::to_string(toMillis(Clock::now() - At));
+}
+
 std::string refusalBody(const FrontRequest &Request,
                         const FrontRefusal &Refusal) {
   return R"({"error":{"reason":")" + std::string(nameOf(Refusal.Reason)) +
@@ -352,7 +357,6 @@
   beginProof(Core.State, Claim, ConnectedAt, Unproven.contains(Endpoint),
              AnsweredAt);
   IsProofPending = true;
-  Call->pause();
   if (Claim.IsQueried && Claim.BornMs != 0)
     ProofCall = startProcessQuery(
         Core.Client, Target.Address, Endpoint,
@@ -477,6 +481,8 @@
     HeldBytes += Bytes;
     if (!BufferCharge.tryResize(HeldBytes.size()))
       cancelOversized(ExchangeFailure::Broken, HeldBytes.size());
+    else if (HeldBytes.size() > MaxHeldBytes)
+      Call->pause();
     return;
   }
   if (IsStream) {
@@ -641,8 +647,12 @@
 void Relay::handleEnd() {
   if (IsOver)
     return;
+  TimePoint endedAt = Call->endedAt();
   if (IsProofPending) {
     IsEndHeld = true;
+    // The longer ago the end is, the less shows that its process still runs.
+    if (IsUnframed)
+      startEndCheck(endedAt);
     return;
   }
   Call.reset();
@@ -668,7 +678,10 @@
     return;
   }
   if (IsStream && IsUnframed) {
-    checkInstance();
+    if (!EndCheck)
+      startEndCheck(endedAt);
+    else if (EndSign)
+      applyEndSign(*EndSign);
     return;
   }
   if (IsStream) {
@@ -714,49 +727,64 @@
   return true;
 }
 
-/// Finds out whether the endpoint has ended its stream, or was ended itself.
-void Relay::checkInstance() {
-  EndedAt = Clock::now();
+/// Begins to find out whether the endpoint has ended its stream, or was ended
+/// itself.
+void Relay::startEndCheck(TimePoint EndedAt) {
   auto service = Request.Table->Services.find(Request.Service);
-  InstanceCheck check{
-      Target.Address, Endpoint,
-      service == Request.Table->Services.end() ? "/"
-                                               : service->second.HealthPath,
-      std::min(Request.Deadline, Clock::now() + InstanceCheckTimeout)};
-  EndCheck = startInstanceCheck(
-      Core.Client, check,
-      [self = shared_from_this()](const InstanceAnswer &Answer) {
-        if (Answer.ColdLeft && *Answer.ColdLeft > Millis(0))
-          recordStatedCold(self->Core.State, self->Endpoint, *Answer.ColdLeft,
-                           Clock::now());
-        self->guard([&] { self->handleInstanceCheck(Answer); });
+  InstanceCheck check{Target.Address, Endpoint,
+                      service == Request.Table->Services.end()
+                          ? "/"
+                          : service->second.HealthPath,
+                      Request.Deadline};
+  EndCheck = std::make_shared<StreamEndCheck>(
+      Core,
+      makeStreamEnd(Core.State, Endpoint, Claim.BornMs, EndedAt, Clock::now()),
+      std::move(check), [self = shared_from_this()](StreamEndSign Sign) {
+        if (self->IsOver)
+          return;
+        self->EndSign = Sign;
+        if (!self->Call)
+          self->guard([&] { self->applyEndSign(Sign); });
       });
+  EndCheck->start();
 }
 
-void Relay::handleInstanceCheck(const InstanceAnswer &Answer) {
-  if (IsOver)
+void Relay::applyEndSign(StreamEndSign Sign) {
+  recordEndCheck(Sign);
+  dropEndCheck();
+  if (isLifeSign(Sign)) {
+    finishStream();
     return;
+  }
+  recordBreak();
+  failExchange(ExchangeFailure::Broken);
+}
+
+void Relay::dropEndCheck() {
+  if (EndCheck)
+    EndCheck->cancel();
   EndCheck.reset();
-  std::string reply(nameOf(Answer.Reply));
-  Core.Counts.count("stream_ends_checked_total",
-                    std::string("endpoint=\"") +
-                        (Answer.IsRunning ? "running" : "gone") +
-                        "\",reply=\"" + reply + '"');
-  logEvent(Answer.IsRunning ? LogLevel::Info : LogLevel::Warning,
+  EndSign.reset();
+}
+
+/// Counts and logs how the check of a stream's end came out.
+void Relay::recordEndCheck(StreamEndSign Sign) {
+  std::string sign(nameOf(Sign));
+  Core.Counts.count("stream_ends_checked_total", "sign=\"" + sign + '"');
+  const StreamEnd &end = EndCheck->end();
+  TimePoint acceptedAt = EndCheck->evidence().AcceptedAt;
+  auto reply = EndCheck->lastReply();
+  logEvent(isLifeSign(Sign) ? LogLevel::Info : LogLevel::Warning,
            "stream_end_checked",
            {{"id", Request.Attributes.Id},
             {"endpoint", Endpoint},
             {"address", Target.Address},
-            {"running", Answer.IsRunning ? "true" : "false"},
-            {"reply", reply},
-            {"waited_ms", std::to_string(toMillis(Clock::now() - EndedAt))},
+            {"sign", sign},
+            {"reply", reply ? std::string(nameOf(*reply)) : ""},
+            {"ended_ms", textOfAge(end.EndedAt)},
+            {"read_ms", textOfAge(end.ReadAt)},
+            {"accepted_ms", textOfAge(acceptedAt)},
             {"last_event", textOf(Request.LastEvent)}});
-  if (Answer.IsRunning) {
-    finishStream();
-    return;
-  }
-  recordBreak();
-  failExchange(ExchangeFailure::Broken);
 }
 
 /// Ends the response with a stream that is whole.
@@ -833,6 +861,7 @@
 }
 
 void Relay::failExchange(ExchangeFailure Failure) {
+  dropEndCheck();
   // The resumed stream repeats an event that was interrupted.
   EventBuffer = {};
   bool hasResponse = Failure == ExchangeFailure::Error && !IsResponseStarted;
@@ -961,8 +990,8 @@
   Timer.cancel();
   dropProof();
   if (EndCheck)
-    EndCheck->cancel();
-  EndCheck.reset();
+    recordEndCheck(StreamEndSign::Pending);
+  dropEndCheck();
   setWaiting(false);
   removeWaitingRequest(Core.State, Request);
   TimePoint now = Clock::now();
--- a/front/relay.h
+++ b/front/relay.h
@@ -11,6 +11,7 @@
 #include "front/front_core.h"
 #include "front/process_proof.h"
 #include "front/sse_buffer.h"
+#include "front/stream_end.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,7 +25,7 @@
 struct ResponseFields;
 } // namespace platform
 
-struct InstanceAnswer;
+class StreamEndCheck;
 
 /// Retry-After while this front stops: another front can serve the caller
 /// immediately.
@@ -82,8 +83,10 @@
   void continueProof();
   void endProof(ProcessVerdict Verdict);
   void dropProof();
-  void checkInstance();
-  void handleInstanceCheck(const InstanceAnswer &Answer);
+  void startEndCheck(TimePoint EndedAt);
+  void applyEndSign(StreamEndSign Sign);
+  void dropEndCheck();
+  void recordEndCheck(StreamEndSign Sign);
   void finishStream();
   void writeToCaller(std::string Bytes);
   /// Records the duration of a stage in the histogram of the request's kind.
@@ -122,10 +125,10 @@
   std::string Body; ///< Buffered until the response is complete.
   SseBuffer EventBuffer;
   EventOrder Order;
-  std::shared_ptr<HttpCall> EndCheck; ///< Whether the endpoint still runs.
-  TimePoint EndedAt; ///< The end of the stream that is checked was read.
-  MemoryCharge BufferCharge; ///< For the two above.
-  size_t DiscardedBytes = 0; ///< Of this exchange's response.
+  std::shared_ptr<StreamEndCheck> EndCheck; ///< Of a stream without framing.
+  std::optional<StreamEndSign> EndSign;     ///< What it has found.
+  MemoryCharge BufferCharge;                ///< For the two above.
+  size_t DiscardedBytes = 0;                ///< Of this exchange's response.
   /// Process that a resumed stream is sent to.
   ProcessClaim Claim;
   std::shared_ptr<HttpCall> ProofCall;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -23,6 +23,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -56,9 +57,27 @@
 /// are kept until they are complete.
 constexpr size_t MaxFramingBytes = 16ULL * 1024;
 
+struct Connection;
+/// All connections of a client by address.
+using ConnectionRegistry = std::map<std::string, std::set<Connection *>>;
+
+/// Is in the registry for as long as it lives.
 struct Connection {
-  explicit Connection(asio::io_context &Io) : Stream(Io) {}
+  Connection(asio::io_context &Io, ConnectionRegistry &Registry,
+             std::string Address)
+      : Registry(Registry), Stream(Io), Address(std::move(Address)) {
+    Registry[this->Address].insert(this);
+  }
+  ~Connection() {
+    auto it = Registry.find(Address);
+    it->second.erase(this);
+    if (it->second.empty())
+      Registry.erase(it);
+  }
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
 
+  ConnectionRegistry &Registry;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   std::string Address;
@@ -101,6 +120,16 @@
   return ::poll(&it, 1, 0) > 0 && (it.revents & POLLHUP) != 0;
 }
 
+/// When the latest segment arrived at this host; zero if that is not known.
+TimePoint lastArrivalAt(Connection &Conn) {
+  tcp_info info{};
+  socklen_t n = sizeof info;
+  if (::getsockopt(Conn.Stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO,
+                   &info, &n) != 0)
+    return TimePoint();
+  return Clock::now() - Millis(info.tcpi_last_ack_recv);
+}
+
 /// True if a field of the header that \p Bytes begin with continues on a second
 /// line. RFC 9112, 5.2, has deprecated that. The parser joins the lines, which
 /// changes the field's value.
@@ -152,6 +181,7 @@
   Metrics *Counts; ///< Null for single exchanges.
   MemoryBudgetPtr Memory;
   bool PoolsConnections = true;
+  ConnectionRegistry Connections; ///< Outlives those in Idle.
   std::map<std::string, std::vector<ConnectionPtr>> Idle;
 };
 
@@ -205,8 +235,8 @@
       return;
     }
     Client->count("client_connects_total");
-    Conn = std::make_unique<Connection>(Client->Io);
-    Conn->Address = Address;
+    Conn =
+        std::make_unique<Connection>(Client->Io, Client->Connections, Address);
     connect(Address);
   }
 
@@ -217,6 +247,8 @@
 
   void pause() override { IsPaused = true; }
 
+  TimePoint endedAt() const override { return EndedAt; }
+
   void resume() override {
     IsPaused = false;
     if (!std::exchange(IsReadDue, false))
@@ -366,8 +398,10 @@
     bool isInOrder = !WriteResult || !*WriteResult ||
                      *WriteResult == asio::error::broken_pipe;
     beast::error_code ec = asio::error::eof;
-    if (isInOrder && Parser->got_some())
+    if (isInOrder && Parser->got_some()) {
+      EndedAt = lastArrivalAt(*Conn);
       Parser->put_eof(ec);
+    }
     if (ec)
       fail({true, false, false, TimePoint(),
             WriteResult && *WriteResult == asio::error::connection_reset});
@@ -511,6 +545,7 @@
   HttpCallbacks Callbacks;
   ConnectionPtr Conn;
   TimePoint BegunAt; ///< Of the connection, then of the request's sending.
+  TimePoint EndedAt; ///< The end of the connection arrived; zero until then.
   std::string Head;  ///< Of the request.
   std::shared_ptr<const std::string> Body; ///< Of the request.
   MemoryCharge Charge; ///< For bytes that are not parsed yet.
@@ -547,6 +582,19 @@
   return call;
 }
 
+bool HttpClient::hasOpenConnection(const std::string &Address,
+                                   TimePoint EstablishedBefore) const {
+  auto found = Data->Connections.find(Address);
+  if (found == Data->Connections.end())
+    return false;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [&](Connection *It) {
+                       return It->ConnectedAt != TimePoint() &&
+                              It->ConnectedAt < EstablishedBefore &&
+                              It->Stream.socket().is_open() && isUsable(*It);
+                     });
+}
+
 void HttpClient::closeExpired() {
   TimePoint now = Clock::now();
   for (auto it = Data->Idle.begin(); it != Data->Idle.end();) {
--- a/http/client.h
+++ b/http/client.h
@@ -62,6 +62,10 @@
   /// resume is called. Call both on the I/O context's thread.
   virtual void pause() = 0;
   virtual void resume() = 0;
+  /// When the end of the connection arrived at this host that ended the
+  /// response; zero if it ended otherwise, or if that is not known. Call on the
+  /// I/O context's thread.
+  virtual TimePoint endedAt() const = 0;
 };
 
 /// Time-outs of one exchange.
@@ -97,6 +101,12 @@
   start(const std::string &Address, const HttpRequest &Request,
         HttpCallOptions Options, HttpCallbacks Callbacks,
         std::shared_ptr<const std::string> SharedBody = nullptr);
+  /// True if a connection to \p Address that was established before
+  /// \p EstablishedBefore, in use or pooled, is open: its peer has neither
+  /// ended nor reset it. False if that cannot be told because bytes are waiting
+  /// to be read.
+  bool hasOpenConnection(const std::string &Address,
+                         TimePoint EstablishedBefore) const;
   /// Closes pooled connections that have expired or on which the peer has sent
   /// data or closed its side.
   void closeExpired();
--- a/tests/harness/scripted_endpoint.cpp
+++ b/tests/harness/scripted_endpoint.cpp
@@ -73,6 +73,19 @@
 void ScriptedEndpoint::answerHealthCheck(Tcp::socket &Socket,
                                          const std::string &Instance) {
   ++HealthChecks;
+  if (Behaviour == HealthBehaviour::Wait) {
+    // Until the front gives up.
+    boost::system::error_code ec;
+    char buf = 0;
+    Socket.read_some(asio::buffer(&buf, 1), ec);
+    Socket.close(ec);
+    return;
+  }
+  if (Behaviour == HealthBehaviour::Reset) {
+    Socket.set_option(asio::socket_base::linger(true, 0));
+    Socket.close();
+    return;
+  }
   unsigned status = HealthStatus;
   if (status == 0) {
     Socket.close();
--- a/tests/harness/scripted_endpoint.h
+++ b/tests/harness/scripted_endpoint.h
@@ -26,6 +26,13 @@
 /// Path of the health check.
 inline constexpr const char *ScriptedHealthPath = "/health";
 
+/// What an endpoint does with a health check.
+enum class HealthBehaviour {
+  Answer,
+  Wait,  ///< Does not answer, as without a free slot.
+  Reset, ///< Resets the connection, as without a free connection.
+};
+
 /// Accepts connections and runs its script for every request but health checks,
 /// with one thread for each connection.
 class ScriptedEndpoint {
@@ -52,6 +59,8 @@
     HealthStatus = Status;
     HasHealthId = HasId;
   }
+  /// Thread safe.
+  void setHealthBehaviour(HealthBehaviour How) { Behaviour = How; }
   /// Number of health checks received. Thread safe.
   size_t countHealthChecks() const { return HealthChecks; }
   /// Refuses new connections from now on, as when the process is gone. Thread
@@ -70,6 +79,7 @@
   std::atomic<size_t> HealthChecks{0};
   std::atomic<unsigned> HealthStatus{200};
   std::atomic<bool> HasHealthId{true};
+  std::atomic<HealthBehaviour> Behaviour{HealthBehaviour::Answer};
   mutable std::mutex HeadsLock;
   std::vector<std::string> Heads; ///< Guarded by HeadsLock.
   std::atomic<bool> IsStopping{false};
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -134,17 +134,33 @@
 }
 
 void TestedFront::addEndpoint(const std::string &Endpoint) {
+  applyAnnouncement(
+      "i-" + std::to_string(Core.State.Directory.Endpoints.size() + 1),
+      Endpoint, 1, 1);
+  dispatchWaiting();
+}
+
+void TestedFront::announce(const std::string &Endpoint, uint64_t Sequence,
+                           uint64_t BornMs) {
+  std::string id;
+  for (const auto &[key, it] : Core.State.Directory.Endpoints)
+    if (it.Address == Endpoint)
+      id = key;
+  applyAnnouncement(id, Endpoint, Sequence, BornMs);
+}
+
+void TestedFront::applyAnnouncement(const std::string &Id,
+                                    const std::string &Endpoint,
+                                    uint64_t Sequence, uint64_t BornMs) {
   wire::EndpointObservation endpoint;
-  endpoint.set_id("i-" +
-                  std::to_string(Core.State.Directory.Endpoints.size() + 1));
+  endpoint.set_id(Id);
   endpoint.set_service("desk");
   endpoint.set_address(Endpoint);
   endpoint.set_zone("a");
-  endpoint.set_born_ms(1);
-  endpoint.set_sequence(1);
+  endpoint.set_born_ms(BornMs);
+  endpoint.set_sequence(Sequence);
   endpoint.set_slots(8);
   applyObservation(Core.State.Directory, endpoint, Clock::now());
-  dispatchWaiting();
 }
 
 void TestedFront::removeEndpoints() { Core.State.Directory = {}; }
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -49,6 +49,10 @@
   /// Adds an endpoint and dispatches the waiting requests. Call from the
   /// function given to occupy.
   void addEndpoint(const std::string &Endpoint);
+  /// Announces the endpoint at address \p Endpoint. Call from the function
+  /// given to occupy.
+  void announce(const std::string &Endpoint, uint64_t Sequence,
+                uint64_t BornMs);
   /// Makes the front forget all endpoints. Call from the function given to
   /// occupy.
   void removeEndpoints();
@@ -62,6 +66,8 @@
 private:
   void handleRequest(HttpRequest Request,
                      const std::shared_ptr<HttpExchange> &Exchange);
+  void applyAnnouncement(const std::string &Id, const std::string &Endpoint,
+                         uint64_t Sequence, uint64_t BornMs);
   void dispatchWaiting();
   void scheduleDispatch();
 
--- /dev/null
+++ b/tests/process/test_stream_ends.cpp
@@ -0,0 +1,132 @@
+/// \file
+/// Streams that end with their connections: whole where their endpoint still
+/// runs, though it has no slot or connection left for a health check, and
+/// incomplete where it was killed, though another process is back at once.
+#include "tests/harness/scripted_endpoint.h"
+#include "tests/harness/tested_front.h"
+
+#include <boost/asio/read.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+
+using namespace sassafras;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Two whole events.
+constexpr const char *TwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// Begins a stream that ends with its connection.
+constexpr const char *Unframed =
+    "Content-Type: text/event-stream\r\nConnection: close";
+/// An announcement that is heard as late as this was sent after the end.
+constexpr Millis AnnouncementDelay{1'100};
+
+void sendWholeStream(Tcp::socket &Socket, const std::string &Id) {
+  sendText(Socket, headOf(Id, Unframed) + TwoEvents);
+  Socket.close();
+}
+
+} // namespace
+
+// Callers lost the end of a third of the streams of full endpoints: a health
+// check that waits for a slot was taken for the end of the process.
+TEST_CASE("whole stream of an endpoint without a free slot reaches its caller "
+          "as whole") {
+  ScriptedEndpoint endpoint(sendWholeStream);
+  endpoint.setHealthBehaviour(HealthBehaviour::Wait);
+  TestedFront front(endpoint.address());
+  for (const char *route : {"stream", "resume"}) {
+    INFO(route);
+    TimePoint start = Clock::now();
+    std::string response = front.call(route, route);
+    INFO(response);
+    CHECK(isCompleteSuccess(response));
+    CHECK(Clock::now() - start < CallerDeadline / 2);
+  }
+}
+
+// The same where the endpoint resets connections above its limit.
+TEST_CASE("whole stream of an endpoint without a free connection reaches its "
+          "caller as whole") {
+  std::promise<void> finish;
+  auto isFinished = finish.get_future().share();
+  ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, Unframed) + TwoEvents);
+    if (Id == "other")
+      isFinished.wait();
+    Socket.close();
+  });
+  endpoint.setHealthBehaviour(HealthBehaviour::Reset);
+  TestedFront front(endpoint.address());
+  SECTION("another stream of it goes on") {
+    std::thread other([&] { front.call("stream", "other"); });
+    while (endpoint.countRequests() < 1)
+      std::this_thread::sleep_for(Millis(1));
+    std::string response = front.call("stream", "1");
+    finish.set_value();
+    other.join();
+    INFO(response);
+    CHECK(isCompleteSuccess(response));
+  }
+  SECTION("it announces itself") {
+    finish.set_value();
+    std::thread announcer([&] {
+      std::this_thread::sleep_for(AnnouncementDelay);
+      front.occupy([&] { front.announce(endpoint.address(), 2, 1); });
+    });
+    std::string response = front.call("stream", "1");
+    announcer.join();
+    INFO(response);
+    CHECK(isCompleteSuccess(response));
+  }
+  SECTION("nothing else shows that it runs") {
+    finish.set_value();
+    std::string response = front.call("stream", "1");
+    INFO(response);
+    CHECK(has(response, TwoEvents));
+    CHECK_FALSE(isCompleteSuccess(response));
+  }
+}
+
+// A front that was paused took the answer of the next process for one of the
+// process that was killed.
+TEST_CASE("stream that a killed endpoint cut is not whole, although it is back "
+          "under its id") {
+  for (auto behaviour :
+       {HealthBehaviour::Answer, HealthBehaviour::Wait, HealthBehaviour::Reset})
+    for (bool isAnnounced : {false, true}) {
+      INFO("health check: " << static_cast<int>(behaviour)
+                            << ", announced: " << isAnnounced);
+      std::promise<void> cut;
+      auto isCut = cut.get_future().share();
+      ScriptedEndpoint endpoint(
+          [&](Tcp::socket &Socket, const std::string &Id) {
+            sendText(Socket, headOf(Id, Unframed) + TwoEvents);
+            isCut.wait();
+            Socket.close();
+          });
+      endpoint.setHealthBehaviour(behaviour);
+      TestedFront front(endpoint.address());
+      auto response = std::async(std::launch::async,
+                                 [&] { return front.call("stream", "1"); });
+      while (endpoint.countRequests() < 1)
+        std::this_thread::sleep_for(Millis(1));
+      front.occupy([&] {
+        cut.set_value();
+        std::this_thread::sleep_for(Millis(100));
+      });
+      if (isAnnounced)
+        front.occupy([&] { front.announce(endpoint.address(), 1, 2); });
+      std::string text = response.get();
+      INFO(text);
+      CHECK(has(text, TwoEvents));
+      CHECK_FALSE(isCompleteSuccess(text));
+    }
+}
