Resumed streams: an engine that resets the question about its start hasn't ended

Callers lost streams that were to go on at an engine with as many connections as it accepts: before events of another engine are joined, the front asks the process for its start on a new connection, and took a reset for the end of the process.

Change: a reset decides nothing. The question is sent again every 100 ms until a second after the head; without an answer by then the process counts as ended, as before. A refused connection, another instance and another start count at once. stream_process_checked says whether the connection was reset.

Tests: 'stream goes on at an engine that resets the first questions about its start' (real processes) fails before: 9 of 60 events, End is Broken in place of Whole; passes now. 'reset of the question about its start does not end a process' has the rule. The ten cases of test_resumed_streams pass (229 assertions, one run).

--- a/front/process_proof.cpp
+++ b/front/process_proof.cpp
@@ -83,7 +83,8 @@
     return ProcessVerdict::Ended;
   if (Claim.BornMs == 0)
     return ProcessVerdict::Unproven;
-  if (Claim.IsQueried && !Answer)
+  // A full endpoint resets connections above its limit.
+  if (Claim.IsQueried && (!Answer || Answer->IsReset))
     return isPast(Claim.QueryDeadline, Now) ? ProcessVerdict::Ended
                                             : ProcessVerdict::Pending;
   if (Answer && (!Answer->IsAnswered || !Answer->IsInstance))
--- a/front/process_proof.h
+++ b/front/process_proof.h
@@ -33,6 +33,7 @@
   bool IsAnswered = false;   ///< Else it has not answered, or not in time.
   bool IsInstance = true;    ///< It has the endpoint's id.
   uint64_t StatedBornMs = 0; ///< 0 if it does not state its start.
+  bool IsReset = false;      ///< Not answered: the connection was reset.
 };
 
 enum class ProcessVerdict {
--- a/front/process_query.cpp
+++ b/front/process_query.cpp
@@ -52,8 +52,9 @@
       reply->Answer.StatedBornMs = platform::readBornMs(reply->Body);
     (*done)(reply->Answer);
   };
-  callbacks.OnFailure = [reply, done](HttpFailure) {
+  callbacks.OnFailure = [reply, done](HttpFailure Failure) {
     reply->Answer.IsAnswered = false;
+    reply->Answer.IsReset = Failure.IsReset;
     (*done)(reply->Answer);
   };
   return Client.start(Address, platform::makeStateRequest(Instance), options,
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -33,6 +33,8 @@
 /// Largest event of a stream, in bytes. An endpoint in trouble may send bytes
 /// without an end of an event.
 constexpr size_t MaxEventBytes = 256ULL * 1024;
+/// Between a question about a process that was reset and the next one.
+constexpr Millis QueryPause{100};
 /// Bytes of a stream that are read before its process is proved.
 constexpr size_t MaxHeldBytes = 256ULL * 1024;
 /// Between looks at what is known of a process.
@@ -358,18 +360,23 @@
              AnsweredAt);
   IsProofPending = true;
   if (Claim.IsQueried && Claim.BornMs != 0)
-    ProofCall = startProcessQuery(
-        Core.Client, Target.Address, Endpoint,
-        std::min(Request.Deadline, Claim.QueryDeadline),
-        [self = shared_from_this()](const ProcessAnswer &Answer) {
-          self->guard([&] {
-            self->ProofAnswer = Answer;
-            self->continueProof();
-          });
-        });
+    queryProcess();
   continueProof();
 }
 
+void Relay::queryProcess() {
+  ProofCall = startProcessQuery(
+      Core.Client, Target.Address, Endpoint,
+      std::min(Request.Deadline, Claim.QueryDeadline),
+      [self = shared_from_this()](const ProcessAnswer &Answer) {
+        self->guard([&] {
+          self->ProofAnswer = Answer;
+          self->NextQueryAt = Clock::now() + QueryPause;
+          self->continueProof();
+        });
+      });
+}
+
 void Relay::continueProof() {
   if (IsOver || !IsProofPending)
     return;
@@ -379,6 +386,11 @@
     endProof(verdict);
     return;
   }
+  if (ProofAnswer && ProofAnswer->IsReset &&
+      isPast(NextQueryAt, Clock::now())) {
+    ProofAnswer.reset();
+    queryProcess();
+  }
   ProofTimer.expires_after(ProofPollInterval);
   ProofTimer.async_wait([self = shared_from_this()](auto ec) {
     if (!ec)
@@ -400,6 +412,7 @@
             {"process", verdict},
             {"born_ms", std::to_string(Claim.BornMs)},
             {"answered", ProofAnswer && ProofAnswer->IsAnswered ? "yes" : "no"},
+            {"reset", ProofAnswer && ProofAnswer->IsReset ? "yes" : "no"},
             {"stated_born_ms",
              std::to_string(ProofAnswer ? ProofAnswer->StatedBornMs : 0)},
             {"waited_ms", std::to_string(toMillis(now - Claim.HeadAt))},
--- a/front/relay.h
+++ b/front/relay.h
@@ -80,6 +80,7 @@
   void recordInvalidLoad(TimePoint Now);
   bool needsProof() const;
   void startProof();
+  void queryProcess();
   void continueProof();
   void endProof(ProcessVerdict Verdict);
   void dropProof();
@@ -133,6 +134,7 @@
   ProcessClaim Claim;
   std::shared_ptr<HttpCall> ProofCall;
   std::optional<ProcessAnswer> ProofAnswer;
+  TimePoint NextQueryAt; ///< After an answer that was a reset.
   boost::asio::steady_timer ProofTimer;
   std::string HeldBytes; ///< Read before the process was proved.
   std::optional<HttpFailure> HeldFailure;
--- a/tests/fakes/run_engine.cpp
+++ b/tests/fakes/run_engine.cpp
@@ -5,7 +5,8 @@
 /// run, ID/VERSION/BORN/NUMBER, is the data of its events.
 ///
 /// GET /health names the instance, GET /report states the start of the process
-/// unless -q is given. With -d, the first announcement is that much later than
+/// unless -q is given; with -r, that many connections that ask for it are reset
+/// first. With -d, the first announcement is that much later than
 /// the start. An unframed stream that is cut between events is reset, or with
 /// close=1 closed in order, as a whole one is.
 ///
@@ -56,7 +57,8 @@
   std::string Listen;
   Millis HeartbeatInterval = DefaultHeartbeatInterval;
   Millis FirstHeartbeatDelay{0};
-  bool HasReport = true; ///< It answers GET /report.
+  bool HasReport = true;            ///< It answers GET /report.
+  std::atomic<int> ReportResets{0}; ///< Questions that are still to be reset.
   std::vector<std::string> Controls;
   int Journal = -1;
   uint64_t Born = 0;
@@ -225,6 +227,10 @@
   if (Request.Path == "/health")
     return sendText(Socket, "HTTP/1.1 200 OK\r\nSassafrasseam-Instance-Id: " +
                                 Engine.Id + "\r\nContent-Length: 0\r\n\r\n");
+  if (Request.Path == "/report" && Engine.ReportResets-- > 0) {
+    resetOnClose(Socket);
+    return false;
+  }
   if (Request.Path == "/report") {
     std::string report =
         R"({"phase":"colocated","models":[],"busy":false,"seq":0,"born":)" +
@@ -313,7 +319,7 @@
 int main(int Count, char **Arguments) {
   RunEngine engine;
   int code = 0;
-  while ((code = getopt(Count, Arguments, "i:s:l:c:j:v:a:d:q")) != -1) {
+  while ((code = getopt(Count, Arguments, "i:s:l:c:j:v:a:d:qr:")) != -1) {
     if (code == 'i')
       engine.Id = optarg;
     else if (code == 's')
@@ -328,6 +334,8 @@
       engine.HeartbeatInterval = Millis(std::atoi(optarg));
     else if (code == 'd')
       engine.FirstHeartbeatDelay = Millis(std::atoi(optarg));
+    else if (code == 'r')
+      engine.ReportResets = std::atoi(optarg);
     else if (code == 'q')
       engine.HasReport = false;
     else if (code == 'j')
--- a/tests/front/test_process_proof.cpp
+++ b/tests/front/test_process_proof.cpp
@@ -58,6 +58,18 @@
         ProcessVerdict::Ended);
 }
 
+// A full endpoint resets connections above its limit.
+TEST_CASE("reset of the question about its start does not end a process") {
+  Replay replay(true);
+  replay.begin(Start + HeadAfter);
+  ProcessAnswer reset{false, true, 0, true};
+  CHECK(replay.judge(Millis(1), reset) == ProcessVerdict::Pending);
+  CHECK(replay.judge(Millis(999), reset) == ProcessVerdict::Pending);
+  CHECK(replay.judge(Millis(1'000), reset) == ProcessVerdict::Ended);
+  replay.announce(1, Start + Millis(150), Born + 1);
+  CHECK(replay.judge(Millis(60), reset) == ProcessVerdict::Ended);
+}
+
 TEST_CASE("process of an endpoint without reports is used unless in doubt") {
   Replay replay(false);
   SECTION("no sign") {
--- a/tests/process/test_resumed_streams.cpp
+++ b/tests/process/test_resumed_streams.cpp
@@ -49,6 +49,7 @@
   /// From the start to the first announcement.
   Millis AnnouncedAfter{0};
   bool HasReport = true; ///< It answers GET /report.
+  int ReportResets = 0;  ///< Connections for it that are reset at first.
 };
 
 /// Three fronts with disks, and the engines that a test starts.
@@ -104,6 +105,10 @@
         std::to_string(Engine.AnnouncedAfter.count())};
     if (!Engine.HasReport)
       arguments.emplace_back("-q");
+    if (Engine.ReportResets > 0) {
+      arguments.emplace_back("-r");
+      arguments.push_back(std::to_string(Engine.ReportResets));
+    }
     for (int i = 1; i <= Fleet.frontCount(); ++i) {
       arguments.emplace_back("-c");
       arguments.push_back(Fleet.controlAddress(i));
@@ -323,6 +328,22 @@
   CHECK(ResumeFleet::lastEventOf(first) == 60);
 }
 
+// A reset, as engines send above their limit of connections, was taken for the
+// end of the process.
+TEST_CASE("stream goes on at an engine that resets the first questions about "
+          "its start") {
+  ResumeFleet fleet(EngineSpecText);
+  fleet.startEngine({.Id = "old", .ReportResets = 3});
+  fleet.startEngine(
+      {.Id = "other", .Host = FirstEngineHost + 1, .ReportResets = 3});
+  fleet.earnRetries(1);
+  CallerRecord first =
+      fleet.callAt(1, "first", "/r/x?n=60&gap=20&cut=10", std::nullopt);
+  INFO(fleet.Fleet.log(FrontFleet::frontName(1)));
+  CHECK(first.End == CallerEnd::Whole);
+  CHECK(ResumeFleet::lastEventOf(first) == 60);
+}
+
 // No front has a record of the stream, and one version has served throughout.
 TEST_CASE("stream that nobody recorded goes on once fronts know long enough") {
   ResumeFleet fleet;
