Log how far requests were that the stop of a front ends

The line tells what a stopping front cut: a request that waits, one whose endpoint still sends, or one whose response is read and only checked.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -953,12 +953,31 @@
 void Relay::stop(bool IsFinal) {
   if (IsOver || ((Call || EndCheck) && !IsFinal))
     return;
+  recordStop();
   Request.Runs += Call != nullptr;
   refuse({Request.Runs > 0 ? RefusalReason::EndpointFailed
                            : RefusalReason::Stopping,
           StoppingRetryAfter});
 }
 
+/// Counts and logs how far a request was that the stop of this process ends.
+void Relay::recordStop() {
+  const char *stage = EndCheck            ? "end_check"
+                      : IsEndHeld         ? "process_check"
+                      : IsResponseStarted ? "response"
+                      : Call              ? "sent"
+                                          : "waiting";
+  Core.Counts.count("requests_stopped_total",
+                    std::string("stage=\"") + stage + '"');
+  TimePoint endedAt = EndCheck ? EndCheck->end().EndedAt : TimePoint();
+  logEvent(LogLevel::Info, "request_stopped",
+           {{"id", Request.Attributes.Id},
+            {"endpoint", Endpoint},
+            {"stage", stage},
+            {"ended_ms", textOfAge(endedAt)},
+            {"last_event", textOf(Request.LastEvent)}});
+}
+
 /// Ends a request that was about to be sent to an endpoint: its caller left.
 void Relay::abandon() {
   if (Call) {
--- a/front/relay.h
+++ b/front/relay.h
@@ -88,6 +88,7 @@
   void applyEndSign(StreamEndSign Sign);
   void dropEndCheck();
   void recordEndCheck(StreamEndSign Sign);
+  void recordStop();
   void finishStream();
   void writeToCaller(std::string Bytes);
   /// Records the duration of a stage in the histogram of the request's kind.
