Stop of a front: streams that are read to their ends get the time in which they are decided

Cause: a stopping front ended all requests at one deadline, 400 ms before the end of its grace period, also those whose responses were read to their ends and were only checked. Such a check takes at least 100 ms from the end, so each stream that ended in the last 100 ms before the deadline was cut.

Change: one deadline for each part of a response (front/stop_deadlines): events are forwarded until 400 ms before the end of the grace period, ends are read for 40 ms more, and checked until 200 ms before it. The 40 ms are for ends that follow the last event; no event is forwarded in them. The group closes meanwhile, and links are closed 150 ms before the end at the latest, so that the process ends no later. Connections to endpoints of requests that the stop has cut stay open while checks go on, as they show that the endpoint runs. No further exchange begins after the first deadline.

--- a/front/front_core.h
+++ b/front/front_core.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace sassafras {
 
@@ -46,6 +47,8 @@
   FrontState State;
   std::map<uint64_t, std::shared_ptr<Relay>> Relays; ///< By request number.
   std::map<const HttpExchange *, uint64_t> ByExchange;
+  /// Exchanges whose requests a stop has ended; their responses are discarded.
+  std::vector<std::shared_ptr<HttpCall>> StoppedCalls;
   uint64_t NextNumber = 1;
   TimePoint NextInvalidLoadLog;
 };
--- a/front/front_shell.cpp
+++ b/front/front_shell.cpp
@@ -19,6 +19,7 @@
 #include "front/quota_loans.h"
 #include "front/relay.h"
 #include "front/send_permits.h"
+#include "front/stop_deadlines.h"
 #include "front/stream_origins.h"
 #include "http/address.h"
 #include "platform/caller_codec.h"
@@ -29,6 +30,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <utility>
 
 namespace sassafras {
 
@@ -45,13 +47,6 @@
 constexpr size_t MaxStuckCallers = 3;
 /// Interval at which expired nodes, endpoints and connections are dropped.
 constexpr Millis SweepPeriod{1'000};
-/// A stopping front accepts connections for this long. A load balancer that
-/// polls readiness once per second has moved its traffic after two failed
-/// polls; requests accepted later might not finish before the process is ended.
-constexpr Millis BalancerDrainTime{2'900};
-/// Part of the stop grace period that is reserved at its end for sending
-/// messages.
-constexpr Millis StopMargin{400};
 /// Delay from the end of the last request until the links are closed, so that
 /// messages can still be sent.
 constexpr Millis ExitDelay{150};
@@ -128,8 +123,11 @@
   void runHeartbeat(TimePoint Now);
   void logStatistics(TimePoint Now);
   void logNodeChanges(TimePoint Now);
+  void stopRelays(TimePoint Now);
   void stopIfDone(TimePoint Now);
   void exit();
+  void finishExit();
+  void closeLinks(TimePoint Now);
 
   boost::asio::io_context &Io;
   caf::actor_system &System;
@@ -153,10 +151,10 @@
   TimePoint NextSweep;
   TimePoint NextDispatch;
   TimePoint NextStatistics;
-  TimePoint BalancerDrainEnd;
-  TimePoint StopDeadline;
+  StopDeadlines Stop;                 ///< Set by the stop signal.
   std::set<std::string> LoggedInView; ///< Nodes last logged as in view.
   bool IsDispatchDue = false; ///< Waiting requests may be able to proceed.
+  bool IsGroupClosed = false; ///< While the process exits.
   bool IsExiting = false;
 };
 
@@ -367,8 +365,8 @@
 /// stop, on a connection that was open before.
 bool FrontShell::hasTimeBeforeStop(const FrontRequest &Request,
                                    TimePoint Now) const {
-  return !Core.State.IsStopping || !isPast(BalancerDrainEnd, Now) ||
-         Request.Deadline <= StopDeadline;
+  return !Core.State.IsStopping || !isPast(Stop.AcceptEnd, Now) ||
+         Request.Deadline <= Stop.StreamEnd;
 }
 
 void FrontShell::refuseRequest(const RequestAttributes &Attributes,
@@ -905,35 +903,60 @@
   }
 }
 
+void FrontShell::stopRelays(TimePoint Now) {
+  StopStage stage = stageOf(Stop, Now);
+  auto relays = Core.Relays;
+  for (auto &[number, it] : relays)
+    it->stop(stage);
+}
+
 void FrontShell::stopIfDone(TimePoint Now) {
-  if (!isPast(BalancerDrainEnd, Now))
+  if (!isPast(Stop.AcceptEnd, Now))
     return;
   CallerServer->stopAccepting();
-  bool isFinal = isPast(StopDeadline, Now);
-  auto relays = Core.Relays;
-  for (auto &[number, it] : relays)
-    it->stop(isFinal);
+  stopRelays(Now);
   // A connection that is still open has a request that is not answered yet.
-  if (Core.Relays.empty() && (isFinal || CallerServer->countConnections() == 0))
+  bool isAnswered =
+      Core.Relays.empty() && CallerServer->countConnections() == 0;
+  if (isAnswered || isPast(Stop.StreamEnd, Now))
     exit();
 }
 
+/// Closes the group; meanwhile the ends of streams are checked.
 void FrontShell::exit() {
   IsExiting = true;
-  auto closeLinks = [self = shared_from_this()](bool) {
-    self->Timer.expires_after(ExitDelay);
-    self->Timer.async_wait([self](auto) {
-      self->Peers->close();
-      self->Io.stop();
-    });
-  };
-  if (!Group) {
-    closeLinks(true);
+  IsGroupClosed = !Group;
+  if (Group)
+    Group->close(
+        std::min(Clock::now() + HandlerTimeout, Stop.CheckEnd),
+        [self = shared_from_this()](bool) { self->IsGroupClosed = true; });
+  finishExit();
+}
+
+/// Ends what is left once its time is over, and then the process.
+void FrontShell::finishExit() {
+  TimePoint now = Clock::now();
+  runGuarded(Counts, "stop", [&] { stopRelays(now); });
+  bool isAnswered =
+      Core.Relays.empty() && CallerServer->countOpenExchanges() == 0;
+  if (IsGroupClosed && (isAnswered || isPast(Stop.CheckEnd, now))) {
+    closeLinks(now);
     return;
   }
-  Group->close(std::min(Clock::now() + HandlerTimeout,
-                        StopDeadline + StopMargin - ExitDelay),
-               closeLinks);
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([self = shared_from_this()](auto) { self->finishExit(); });
+}
+
+void FrontShell::closeLinks(TimePoint Now) {
+  runGuarded(Counts, "notices", [&] { sendNotices(Now); });
+  for (auto &it : std::exchange(Core.StoppedCalls, {}))
+    it->cancel();
+  TimePoint end = std::min(Now + ExitDelay, Stop.LinkEnd);
+  Timer.expires_after(std::max(end - Now, Clock::duration::zero()));
+  Timer.async_wait([self = shared_from_this()](auto) {
+    self->Peers->close();
+    self->Io.stop();
+  });
 }
 
 void FrontShell::stop() {
@@ -942,8 +965,7 @@
       return;
     TimePoint now = Clock::now();
     self->Core.State.IsStopping = true;
-    self->BalancerDrainEnd = now + BalancerDrainTime;
-    self->StopDeadline = now + self->Options.FrontRole.StopGrace - StopMargin;
+    self->Stop = makeStopDeadlines(now, self->Options.FrontRole.StopGrace);
     self->CallerServer->drain();
     self->HeldRequests.HoldEnd = now;
     NodeMessages origins;
--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -244,7 +244,7 @@
     self->guard([&] { self->handleHead(std::move(Head)); });
   };
   callbacks.OnBody = [self](std::string_view Bytes) {
-    self->guard([&] { self->handleBody(Bytes); });
+    self->guard([&] { self->receiveBody(Bytes); });
   };
   callbacks.OnEnd = [self] { self->guard([&] { self->handleEnd(); }); };
   callbacks.OnFailure = [self](HttpFailure CallFailure) {
@@ -487,6 +487,17 @@
                   IsStream ? std::nullopt : Head.Length);
 }
 
+/// Takes a part of the response from the endpoint.
+void Relay::receiveBody(std::string_view Bytes) {
+  if (IsOver)
+    return;
+  // The stream goes on beyond what this process can forward.
+  if (IsStream && IsLastExchange)
+    endByStop();
+  else
+    handleBody(Bytes);
+}
+
 void Relay::handleBody(std::string_view Bytes) {
   if (IsOver)
     return;
@@ -885,6 +896,10 @@
   bool canRetry =
       !IsResponseStarted || (IsStreamStarted && Request.Route->IsResumable &&
                              (!HasEvents || Request.LastEvent));
+  if (after.IsRetry && canRetry && IsLastExchange) {
+    endByStop();
+    return;
+  }
   if (after.IsRetry && canRetry) {
     Core.Counts.count("retries_total",
                       "reason=\"" + std::string(nameOf(*after.Why)) + "\"");
@@ -950,11 +965,29 @@
   finish(Outcome, Head.Status);
 }
 
-void Relay::stop(bool IsFinal) {
-  if (IsOver || ((Call || EndCheck) && !IsFinal))
+void Relay::stop(StopStage Stage) {
+  if (IsOver)
     return;
+  IsLastExchange = Stage != StopStage::Waiting;
+  bool isRead = EndCheck != nullptr;
+  if (isRead && Stage != StopStage::All)
+    return;
+  if (Call && (Stage == StopStage::Waiting || Stage == StopStage::Streams))
+    return;
+  endByStop();
+}
+
+/// Ends the request because the process stops.
+void Relay::endByStop() {
   recordStop();
   Request.Runs += Call != nullptr;
+  if (Call && HasHead) {
+    // While its connection is open, it is a sign of the endpoint's process for
+    // the streams that are still checked.
+    recordExchangeEnd(Core.State, Request, Endpoint);
+    Core.StoppedCalls.push_back(std::move(Call));
+    Call.reset();
+  }
   refuse({Request.Runs > 0 ? RefusalReason::EndpointFailed
                            : RefusalReason::Stopping,
           StoppingRetryAfter});
--- a/front/relay.h
+++ b/front/relay.h
@@ -11,6 +11,7 @@
 #include "front/front_core.h"
 #include "front/process_proof.h"
 #include "front/sse_buffer.h"
+#include "front/stop_deadlines.h"
 #include "front/stream_end.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -44,9 +45,9 @@
   void start();
   /// Decides again on a waiting request. True if it waits no longer.
   bool dispatch();
-  /// Called while the process stops. Refuses a waiting request, which another
-  /// front can serve; with \p IsFinal also ends a running one.
-  void stop(bool IsFinal);
+  /// Called while the process stops: ends the request if \p Stage includes it.
+  /// A waiting request is refused; another front can serve it.
+  void stop(StopStage Stage);
   /// Ends the request: the caller closed its connection or does not read.
   void handleCallerLoss(HttpLoss Loss);
   /// Reads on from the endpoint: the caller has read enough of its response.
@@ -88,6 +89,8 @@
   void applyEndSign(StreamEndSign Sign);
   void dropEndCheck();
   void recordEndCheck(StreamEndSign Sign);
+  void receiveBody(std::string_view Bytes);
+  void endByStop();
   void recordStop();
   void finishStream();
   void writeToCaller(std::string Bytes);
@@ -161,6 +164,7 @@
   bool IsResponseStarted = false; ///< The head was sent to the caller.
   bool IsStreamStarted = false;   ///< That head began a stream.
   bool IsWaiting = false;
+  bool IsLastExchange = false; ///< The process stops before another can end.
   bool IsOver = false;
 };
 
--- a/tests/harness/tested_front.cpp
+++ b/tests/harness/tested_front.cpp
@@ -172,6 +172,13 @@
       it.SoftwareVersion = Version;
 }
 
+void TestedFront::stop(StopStage Stage) {
+  Core.State.IsStopping = true;
+  auto relays = Core.Relays;
+  for (const auto &[number, it] : relays)
+    it->stop(Stage);
+}
+
 void TestedFront::handleRequest(HttpRequest Request,
                                 const std::shared_ptr<HttpExchange> &Exchange) {
   auto admitted =
--- a/tests/harness/tested_front.h
+++ b/tests/harness/tested_front.h
@@ -5,6 +5,7 @@
 
 #include "core/metrics.h"
 #include "front/front_core.h"
+#include "front/stop_deadlines.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -60,6 +61,9 @@
   /// from the function given to occupy.
   void setSoftwareVersion(const std::string &Endpoint,
                           const std::string &Version);
+  /// Stops the front as far as \p Stage. Call from the function given to
+  /// occupy.
+  void stop(StopStage Stage);
   /// Value of a counter of the front. Thread safe.
   uint64_t read(const std::string &Counter) { return Counts.read(Counter); }
 
--- a/tests/process/test_stream_ends.cpp
+++ b/tests/process/test_stream_ends.cpp
@@ -141,3 +141,123 @@
       CHECK_FALSE(isCompleteSuccess(text));
     }
 }
+
+namespace {
+
+/// Time in which a front of this process reads what an endpoint has sent.
+constexpr Millis ReadTime{40};
+
+/// Endpoint whose streams have one event at once, and another and their end
+/// when they are told to.
+struct HeldStreams {
+  HeldStreams() { Endpoint.setHealthBehaviour(HealthBehaviour::Wait); }
+  ~HeldStreams() { end(); }
+  HeldStreams(const HeldStreams &) = delete;
+  HeldStreams &operator=(const HeldStreams &) = delete;
+
+  void end() {
+    if (!std::exchange(IsEnded, true))
+      End.set_value();
+  }
+
+  std::promise<void> End;
+  std::shared_future<void> IsEndDue = End.get_future().share();
+  bool IsEnded = false;
+  ScriptedEndpoint Endpoint{[this](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, Unframed) + "id: 1\ndata: a\n\n");
+    if (Id == "other")
+      IsEndDue.wait();
+    sendText(Socket, "id: 2\ndata: b\n\n");
+    Socket.close();
+  }};
+};
+
+std::future<std::string> beginCall(TestedFront &Front, HeldStreams &Streams,
+                                   const std::string &Route,
+                                   const std::string &Id) {
+  size_t before = Streams.Endpoint.countRequests();
+  auto out = std::async(std::launch::async,
+                        [&Front, Route, Id] { return Front.call(Route, Id); });
+  while (Streams.Endpoint.countRequests() == before)
+    std::this_thread::sleep_for(Millis(1));
+  std::this_thread::sleep_for(ReadTime);
+  return out;
+}
+
+} // namespace
+
+// A stopping front cut streams that it had read to their ends.
+TEST_CASE("stop leaves the end of a stream the time in which it is decided") {
+  HeldStreams streams;
+  TestedFront front(streams.Endpoint.address());
+  auto call = beginCall(front, streams, "stream", "1");
+  front.occupy([&] { front.stop(StopStage::Responses); });
+  std::string response = call.get();
+  INFO(response);
+  CHECK(isCompleteSuccess(response));
+}
+
+TEST_CASE("last stage of a stop ends streams whose end is not decided") {
+  HeldStreams streams;
+  streams.Endpoint.setHealthBehaviour(HealthBehaviour::Reset);
+  TestedFront front(streams.Endpoint.address());
+  auto call = beginCall(front, streams, "stream", "1");
+  TimePoint start = Clock::now();
+  front.occupy([&] { front.stop(StopStage::All); });
+  std::string response = call.get();
+  INFO(response);
+  CHECK(has(response, TwoEvents));
+  CHECK_FALSE(isCompleteSuccess(response));
+  CHECK(Clock::now() - start < CallerDeadline / 2);
+}
+
+// An event that is forwarded is one whose stream has time to end.
+TEST_CASE("stopping front forwards no event for whose end it has no time") {
+  HeldStreams streams;
+  TestedFront front(streams.Endpoint.address());
+  auto call = beginCall(front, streams, "stream", "other");
+  front.occupy([&] { front.stop(StopStage::Streams); });
+  CHECK(call.wait_for(ReadTime) == std::future_status::timeout);
+  streams.end();
+  std::string response = call.get();
+  INFO(response);
+  CHECK(has(response, "id: 1"));
+  CHECK_FALSE(has(response, "id: 2"));
+  CHECK_FALSE(isCompleteSuccess(response));
+}
+
+// The streams that a stop cuts were the only sign of their endpoint's process.
+TEST_CASE("streams that a stop cuts still show that their endpoint runs") {
+  HeldStreams streams;
+  streams.Endpoint.setHealthBehaviour(HealthBehaviour::Reset);
+  TestedFront front(streams.Endpoint.address());
+  auto cut = beginCall(front, streams, "stream", "other");
+  auto call = beginCall(front, streams, "stream", "1");
+  front.occupy([&] { front.stop(StopStage::Responses); });
+  CHECK_FALSE(isCompleteSuccess(cut.get()));
+  std::string response = call.get();
+  INFO(response);
+  CHECK(isCompleteSuccess(response));
+}
+
+// There is no time left for it.
+TEST_CASE("stream that turns out to be cut while its front stops is not sent "
+          "to another endpoint") {
+  HeldStreams streams;
+  HeldStreams others;
+  TestedFront front(streams.Endpoint.address());
+  auto call = beginCall(front, streams, "resume", "1");
+  TimePoint start = Clock::now();
+  front.occupy([&] {
+    front.stop(StopStage::Responses);
+    front.addEndpoint(others.Endpoint.address());
+    // Another process is at the address.
+    front.announce(streams.Endpoint.address(), 1, 2);
+  });
+  std::string response = call.get();
+  INFO(response);
+  CHECK(has(response, TwoEvents));
+  CHECK_FALSE(isCompleteSuccess(response));
+  CHECK(Clock::now() - start < CallerDeadline / 2);
+  CHECK(others.Endpoint.countRequests() == 0);
+}
