Stop of a front: a resumed stream that is read to its end gets the time of its proof

What callers saw: a stream that they took up again ended as failed (502, ran unknown) or broken at a front that was about to end, though its endpoint had sent all of the rest.

Events of a resumed stream are held until its process is proved; one that was held to its end counted as one that the endpoint still sends.

Evidence: 'stop leaves a resumed stream that is read to its end the time of its proof' failed before (2 of 2 assertions: 502 endpoint_failed) and passes. A proof that takes longer than until the last check of a stop is still cut.

--- a/front/relay.cpp
+++ b/front/relay.cpp
@@ -969,7 +969,7 @@
   if (IsOver)
     return;
   IsLastExchange = Stage != StopStage::Waiting;
-  bool isRead = EndCheck != nullptr;
+  bool isRead = EndCheck || IsEndHeld;
   if (isRead && Stage != StopStage::All)
     return;
   if (Call && (Stage == StopStage::Waiting || Stage == StopStage::Streams))
--- a/tests/process/test_stream_ends.cpp
+++ b/tests/process/test_stream_ends.cpp
@@ -261,3 +261,26 @@
   CHECK(Clock::now() - start < CallerDeadline / 2);
   CHECK(others.Endpoint.countRequests() == 0);
 }
+
+// The response of the endpoint that goes on was whole; its process was not
+// proved yet.
+TEST_CASE("stop leaves a resumed stream that is read to its end the time of "
+          "its proof") {
+  ScriptedEndpoint endpoint([](Tcp::socket &Socket, const std::string &Id) {
+    sendText(Socket, headOf(Id, "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked") +
+                         chunkOf("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+  });
+  TestedFront front(endpoint.address());
+  auto call = std::async(std::launch::async, [&] {
+    return front.call("resume", "1", "Last-Event-Id: 2\r\n");
+  });
+  while (endpoint.countRequests() < 1)
+    std::this_thread::sleep_for(Millis(1));
+  std::this_thread::sleep_for(ReadTime);
+  front.occupy([&] { front.stop(StopStage::Responses); });
+  std::string response = call.get();
+  INFO(response);
+  CHECK(isCompleteSuccess(response));
+  CHECK(has(response, "id: 3"));
+}
