Stop of a front: connections are accepted no longer than the grace period lasts

What operators saw: a front whose stop_grace_s was shorter than 3.3 s went on for 2.9 s.

Cause: requests are ended once connections are no longer accepted, and the time for balancers didn't depend on the grace period.

Evidence: 'front whose grace period is short does not outlast it' failed before and passes.

--- a/front/stop_deadlines.cpp
+++ b/front/stop_deadlines.cpp
@@ -1,5 +1,7 @@
 #include "front/stop_deadlines.h"
 
+#include <algorithm>
+
 namespace sassafras {
 
 namespace {
@@ -23,8 +25,8 @@
 StopDeadlines makeStopDeadlines(TimePoint Now, Millis Grace) {
   TimePoint end = Now + Grace;
   StopDeadlines out;
-  out.AcceptEnd = Now + BalancerDrainTime;
   out.StreamEnd = end - StreamMargin;
+  out.AcceptEnd = std::min(Now + BalancerDrainTime, out.StreamEnd);
   out.ResponseEnd = end - ResponseMargin;
   out.CheckEnd = end - CheckMargin;
   out.LinkEnd = end - LinkMargin;
--- a/tests/front/test_stop_deadlines.cpp
+++ b/tests/front/test_stop_deadlines.cpp
@@ -35,3 +35,9 @@
   CHECK(it.ResponseEnd + DecisionTime < it.CheckEnd);
   CHECK(it.CheckEnd < it.LinkEnd);
 }
+
+// Such a front went on for as long as a balancer takes to move its traffic.
+TEST_CASE("front whose grace period is short does not outlast it") {
+  StopDeadlines it = makeStopDeadlines(Start, Millis(2'000));
+  CHECK(it.AcceptEnd <= it.StreamEnd);
+}
