--- a/front/process_proof.cpp
+++ b/front/process_proof.cpp
@@ -12,12 +12,6 @@
 /// The same where a connection to the endpoint has ended: its next announcement
 /// is due after an interval, and is passed on.
 constexpr Millis NextAnnouncementTime{1'500};
-/// An announcement is heard this long after it was sent at most, unless it is
-/// delayed.
-constexpr Millis AnnouncementAge{1'000};
-/// What an ended process had sent on its other connections is read within this
-/// time.
-constexpr Millis LastBytesTime{100};
 
 /// True if an endpoint whose process is not proved must not be used.
 bool needsProof(const FrontState &State, const KnownEndpoint &Endpoint) {
--- a/front/process_proof.h
+++ b/front/process_proof.h
@@ -16,6 +16,13 @@
 
 namespace sassafras {
 
+/// A killed process loses all of its connections, and what it had sent on them
+/// is read, within this time.
+inline constexpr Millis LastBytesTime{100};
+/// An announcement is heard this long after it was sent at most, unless it is
+/// delayed.
+inline constexpr Millis AnnouncementAge{1'000};
+
 /// The process that is believed to have sent the head of a response.
 struct ProcessClaim {
   std::string Endpoint;
--- a/front/stream_end.cpp
+++ b/front/stream_end.cpp
@@ -1,5 +1,7 @@
 #include "front/stream_end.h"
 
+#include "front/process_proof.h"
+
 namespace sassafras {
 
 namespace {
@@ -7,11 +9,6 @@
 /// A process that starts again in place of a killed one listens after more than
 /// this time.
 constexpr Millis ShortestRestart{25};
-/// A killed process loses all of its connections within this time.
-constexpr Millis LastBytesTime{100};
-/// An announcement is heard this long after it was sent at most, unless it is
-/// delayed.
-constexpr Millis AnnouncementAge{1'000};
 
 /// Start of the process that is known to run under the endpoint's id; 0 if it
 /// is not known.
