--- a/tests/process/test_stopped_streams.cpp
+++ b/tests/process/test_stopped_streams.cpp
@@ -1,7 +1,6 @@
 /// \file
 /// Streams that end with their connections while the front is stopped as a
 /// process: those that are whole reach their callers as whole.
-#include "fleet/endpoint_directory.h"
 #include "http/address.h"
 #include "tests/harness/scripted_endpoint.h"
 #include "tests/harness/single_daemon.h"
@@ -11,8 +10,8 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <csignal>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -162,7 +161,6 @@
 
 // An end that nothing decides must not hold up the process.
 TEST_CASE("front stops in time although the end of a stream is not decided") {
-  TimePoint now;
   ScriptedEndpoint endpoint([&](Tcp::socket &Socket, const std::string &Id) {
     sendText(Socket, headOfStream(Id) + FirstEvent);
     std::this_thread::sleep_for(Grace - FirstEnd + Millis(200));
@@ -176,7 +174,7 @@
   std::thread caller([&] { response = front.call("1"); });
   bool isSent =
       waitUntil(seconds(5), [&] { return endpoint.countRequests() == 1; });
-  now = Clock::now();
+  TimePoint now = Clock::now();
   front.Daemon.signal(SIGTERM);
   CHECK(front.Daemon.waitForExit(Grace) == 0);
   CHECK(Clock::now() - now < Grace);
