--- a/front/stop_deadlines.cpp
+++ b/front/stop_deadlines.cpp
@@ -6,18 +6,19 @@
 
 namespace {
 
-/// A load balancer that polls readiness once per second has moved its traffic
-/// after two failed polls; requests accepted later might not finish before the
-/// process is ended.
+/// A stopping front accepts connections for this long. A load balancer that
+/// polls readiness once per second has moved its traffic after two failed
+/// polls; requests accepted later might not finish before the process is ended.
 constexpr Millis BalancerDrainTime{2'900};
-// Before the end of the grace period:
+/// From the last forwarded event to the end of the grace period.
 constexpr Millis StreamMargin{400};
-/// The end of a stream mostly follows its last event at once.
+/// From the last read of a response to the end of the grace period. Between the
+/// two, the end of a stream is read that follows its last event.
 constexpr Millis ResponseMargin{360};
-/// Leaves the time in which a running endpoint's connections show that it
-/// runs, and some for a busy host.
+/// From the last check of a stream's end to the end of the grace period.
+/// Between the two, a running endpoint's connections show that it runs.
 constexpr Millis CheckMargin{200};
-/// For the end of the process itself.
+/// In which the process itself ends.
 constexpr Millis LinkMargin{150};
 
 } // namespace
--- a/tests/process/test_stream_ends.cpp
+++ b/tests/process/test_stream_ends.cpp
@@ -13,6 +13,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
 
 using namespace sassafras;
 namespace asio = boost::asio;
@@ -201,7 +202,13 @@
   HeldStreams streams;
   streams.Endpoint.setHealthBehaviour(HealthBehaviour::Reset);
   TestedFront front(streams.Endpoint.address());
-  auto call = beginCall(front, streams, "stream", "1");
+  auto call = beginCall(front, streams, "stream", "other");
+  // Connections that are accepted so late prove nothing.
+  front.occupy([&] {
+    streams.end();
+    std::this_thread::sleep_for(Millis(100));
+  });
+  std::this_thread::sleep_for(ReadTime);
   TimePoint start = Clock::now();
   front.occupy([&] { front.stop(StopStage::All); });
   std::string response = call.get();
